Add the lease, term and assignment state machines

Cause: the repository was empty, and a single owner per key is the law that everything else rests on. Change: pure coordinator, member, renewal and succession machines; authority is confirmed only by conditional writes of the cell's record; a successor waits one authority period from its first sight of the version it replaces.

--- /dev/null
+++ b/components/ownership/src/record.rs
@@ -0,0 +1,61 @@
+//! The cell's record in the object store.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use world::key::Term;
+use world::machine::Incarnation;
+use world::name::{CellName, MachineName};
+
+use crate::heartbeat::CoordinatorRef;
+
+/// The record that decides who coordinates a cell. It changes only by conditional update.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellRecord {
+    /// The cell.
+    pub cell: CellName,
+    /// Current term; it only rises.
+    pub term: Term,
+    /// Machine that holds the term.
+    pub coordinator: MachineName,
+    /// Life of the daemon that holds the term.
+    pub incarnation: Incarnation,
+    /// Where that daemon listens for others.
+    pub address: SocketAddr,
+    /// Drawn anew for each write, so that a write whose answer was lost is recognised.
+    pub write_id: u64,
+    /// True once the coordinator has given up the term.
+    pub resigned: bool,
+}
+
+impl CellRecord {
+    /// The coordinator that the record names.
+    #[must_use]
+    pub fn coordinator_ref(&self) -> CoordinatorRef {
+        CoordinatorRef {
+            term: self.term,
+            name: self.coordinator.clone(),
+            address: self.address,
+        }
+    }
+
+    /// Tells whether the record's term belongs to the given life of a daemon.
+    #[must_use]
+    pub fn is_held_by(&self, name: &MachineName, incarnation: Incarnation) -> bool {
+        self.coordinator == *name && self.incarnation == incarnation && !self.resigned
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    /// Returns the parser's message when the bytes are no record.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    /// The record as bytes for the store.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/components/ownership/src/renewal.rs
@@ -0,0 +1,112 @@
+//! The coordinator's claim on its term and how the store confirms it.
+
+use world::moment::Moment;
+
+use crate::record::CellRecord;
+use crate::timing::Timing;
+
+/// A write of the record on its way to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Pending {
+    write_id: u64,
+    sent: Moment,
+}
+
+/// What became of a claim after the record was read back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// The term is still ours.
+    Held,
+    /// Another daemon took the term over.
+    Lost,
+}
+
+/// Keeps a coordinator's authority alive by conditional updates of its record.
+#[derive(Clone, Debug)]
+pub struct Renewal {
+    timing: Timing,
+    record: CellRecord,
+    version: u64,
+    /// Instant until which the coordinator may grant.
+    authority_until: Moment,
+    pending: Option<Pending>,
+}
+
+impl Renewal {
+    /// Starts from the write that took the term: `sent` at that instant and confirmed as `version`.
+    #[must_use]
+    pub fn new(timing: Timing, record: CellRecord, version: u64, sent: Moment) -> Self {
+        let authority_until = sent + timing.authority;
+        Self {
+            timing,
+            record,
+            version,
+            authority_until,
+            pending: None,
+        }
+    }
+
+    /// The record as last written.
+    #[must_use]
+    pub fn record(&self) -> &CellRecord {
+        &self.record
+    }
+
+    /// Version of the last confirmed write.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Instant until which the coordinator may grant.
+    #[must_use]
+    pub fn authority_until(&self) -> Moment {
+        self.authority_until
+    }
+
+    /// The record to write now, to be conditional on [`Renewal::version`].
+    pub fn start(&mut self, now: Moment, write_id: u64) -> CellRecord {
+        self.record.write_id = write_id;
+        self.pending = Some(Pending {
+            write_id,
+            sent: now,
+        });
+        self.record.clone()
+    }
+
+    /// Notes that the pending write took effect as `version`.
+    pub fn on_confirmed(&mut self, version: u64) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        self.version = version;
+        self.authority_until = self
+            .authority_until
+            .max(pending.sent + self.timing.authority);
+    }
+
+    /// Settles a write with a lost answer or a version conflict by the record read back.
+    ///
+    /// Only a write confirms authority: a successor counts from its first sight of a version,
+    /// so a later read of that version must not extend it.
+    pub fn on_read_back(&mut self, found: &CellRecord, version: u64) -> Claim {
+        let ours = found.term == self.record.term
+            && found.is_held_by(&self.record.coordinator, self.record.incarnation);
+        if !ours {
+            return Claim::Lost;
+        }
+        if self.pending.is_some_and(|p| p.write_id == found.write_id) {
+            self.on_confirmed(version);
+            return Claim::Held;
+        }
+        self.version = self.version.max(version);
+        self.pending = None;
+        Claim::Held
+    }
+
+    /// Gives the authority up at once.
+    pub fn resign(&mut self, now: Moment) {
+        self.authority_until = self.authority_until.min(now);
+        self.record.resigned = true;
+    }
+}
--- /dev/null
+++ b/components/ownership/src/succession.rs
@@ -0,0 +1,106 @@
+//! When a member may take over the coordinator's term.
+
+use world::moment::Moment;
+
+use crate::record::CellRecord;
+use crate::timing::Timing;
+
+/// What a member should do about its coordinator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing: the coordinator answers or the time has not come.
+    Wait,
+    /// Read the cell's record.
+    Read,
+    /// Replace the record, which must still be at this version; 0 when there is none.
+    TakeOver(u64),
+}
+
+/// The version of the cell's record and since when it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Observation {
+    version: u64,
+    /// Instant at which the version was first known here. Invariant: every renewal that led
+    /// to this version was sent earlier.
+    since: Moment,
+}
+
+/// Watches the coordinator on behalf of one member.
+///
+/// A renewal makes a new version. When a take-over against version `v` succeeds, no renewal
+/// after `v` was or will be confirmed, and the renewal that made `v` was sent before `v` was
+/// first seen here. The old authority therefore ends at the latest one authority period,
+/// measured on the slower clock, after that first sight.
+#[derive(Clone, Debug)]
+pub struct Succession {
+    timing: Timing,
+    /// Members suspect their coordinator one after the other, by this rank.
+    rank: u32,
+    contact: Moment,
+    observation: Option<Observation>,
+    resigned: bool,
+}
+
+impl Succession {
+    /// Starts watching at `now`.
+    #[must_use]
+    pub fn new(timing: Timing, now: Moment) -> Self {
+        Self {
+            timing,
+            rank: 0,
+            contact: now,
+            observation: None,
+            resigned: false,
+        }
+    }
+
+    /// Sets the member's rank among those that may take over.
+    pub fn set_rank(&mut self, rank: u32) {
+        self.rank = rank;
+    }
+
+    /// Notes an accepted heartbeat.
+    pub fn on_contact(&mut self, now: Moment) {
+        self.contact = now;
+        self.resigned = false;
+    }
+
+    /// Notes the version of the cell's record, known at `now`.
+    pub fn on_version(&mut self, version: u64, now: Moment) {
+        let known = self.observation.is_some_and(|o| o.version == version);
+        if !known {
+            self.observation = Some(Observation {
+                version,
+                since: now,
+            });
+        }
+    }
+
+    /// Notes the cell's record as read at `now`. A successor of a coordinator that resigned
+    /// need not wait for suspicion, only for the leases already granted.
+    pub fn on_record(&mut self, record: &CellRecord, version: u64, now: Moment) {
+        self.on_version(version, now);
+        self.resigned = record.resigned;
+    }
+
+    /// What to do at `now`, given that the record was read at its current version just before
+    /// when `fresh` is true.
+    #[must_use]
+    pub fn step(&self, now: Moment, fresh: bool) -> Step {
+        let stagger = self.timing.heartbeat * self.rank / 2;
+        let suspect_from = self.contact + self.timing.suspicion + stagger;
+        if now < suspect_from && !self.resigned {
+            return Step::Wait;
+        }
+        if !fresh {
+            return Step::Read;
+        }
+        let Some(observation) = self.observation else {
+            return Step::TakeOver(0);
+        };
+        if now >= observation.since + self.timing.outlast(self.timing.authority) {
+            return Step::TakeOver(observation.version);
+        }
+        Step::Wait
+    }
+}
--- /dev/null
+++ b/components/world/src/moment.rs
@@ -0,0 +1,60 @@
+//! Instants of the monotonic clock that also counts time suspended.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// An instant on one machine's lease clock, in nanoseconds.
+///
+/// Instants of different machines are never compared; only durations cross the wire.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// Makes an instant from nanoseconds of the lease clock.
+    #[must_use]
+    pub const fn from_nanos(nanos: u64) -> Self {
+        Self(nanos)
+    }
+
+    /// Makes an instant from milliseconds of the lease clock.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000_000)
+    }
+
+    /// Nanoseconds of the lease clock.
+    #[must_use]
+    pub const fn as_nanos(self) -> u64 {
+        self.0
+    }
+
+    /// Milliseconds of the lease clock, rounded down.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000_000
+    }
+
+    /// Time from `earlier` to `self`, or zero when `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let nanos = u64::try_from(span.as_nanos()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(nanos))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let nanos = u64::try_from(span.as_nanos()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(nanos))
+    }
+}
--- /dev/null
+++ b/components/world/src/name.rs
@@ -0,0 +1,140 @@
+//! Shared immutable names.
+
+use std::fmt;
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Says why a text is not a valid name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NameFault {
+    /// The text is empty.
+    Empty,
+    /// The text is longer than [`MAX_NAME_BYTES`].
+    TooLong,
+    /// The text holds a character other than ASCII letters, digits, `-`, `_` and `.`.
+    BadCharacter(char),
+}
+
+impl fmt::Display for NameFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NameFault::Empty => write!(f, "a name must not be empty"),
+            NameFault::TooLong => write!(f, "a name has at most {MAX_NAME_BYTES} bytes"),
+            NameFault::BadCharacter(c) => write!(
+                f,
+                "a name consists of ASCII letters, digits, '-', '_' and '.', not {c:?}"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for NameFault {}
+
+/// Checks that `text` is a valid name.
+///
+/// # Errors
+/// Returns the first fault found.
+pub fn check(text: &str) -> Result<(), NameFault> {
+    if text.is_empty() {
+        return Err(NameFault::Empty);
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(NameFault::TooLong);
+    }
+    let bad = text
+        .chars()
+        .find(|c| !(c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')));
+    match bad {
+        Some(c) => Err(NameFault::BadCharacter(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(ArcStr);
+
+        impl $name {
+            /// Makes a name that is known to be valid, such as one from a checked document.
+            #[must_use]
+            pub fn new(text: &str) -> Self {
+                Self(ArcStr::from(text))
+            }
+
+            /// Makes a name from outside input.
+            ///
+            /// # Errors
+            /// Returns the fault when the text is no valid name.
+            pub fn from_input(text: &str) -> Result<Self, NameFault> {
+                check(text)?;
+                Ok(Self::new(text))
+            }
+
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Name of a machine; it outlives a replaced VM.
+    MachineName,
+    /// Name of a region.
+    RegionName,
+    /// Name of an availability zone.
+    ZoneName,
+    /// Name of a service that back ends offer.
+    ServiceName,
+    /// Name of an operation of a service.
+    OperationName,
+    /// Name of a customer.
+    CustomerName,
+    /// Name of a plan.
+    PlanName,
+    /// Name of a cell.
+    CellName,
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case("", NameFault::Empty)]
+    #[case("a b", NameFault::BadCharacter(' '))]
+    #[case("kiosk/1", NameFault::BadCharacter('/'))]
+    fn errors_on_invalid_names(#[case] text: &str, #[case] fault: NameFault) {
+        assert_eq!(check(text), Err(fault));
+    }
+
+    #[test]
+    fn errors_on_overlong_names() {
+        assert_eq!(
+            check(&"x".repeat(MAX_NAME_BYTES + 1)),
+            Err(NameFault::TooLong)
+        );
+    }
+
+    #[test]
+    fn accepts_ordinary_names() {
+        assert_eq!(check("kiosk-17.nord_a"), Ok(()));
+    }
+}
