--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,4 @@
+//! Plans' allowances and how one daemon lends them to the others.
+
+pub mod bucket;
+pub mod purse;
--- /dev/null
+++ b/components/orders/src/lib.rs
@@ -0,0 +1,4 @@
+//! Orders run at most once: tickets and the table of orders that an owner remembers.
+
+pub mod table;
+pub mod ticket;
--- a/components/ownership/src/succession.rs
+++ b/components/ownership/src/succession.rs
@@ -39,6 +39,8 @@
     contact: Moment,
     observation: Option<Observation>,
     resigned: bool,
+    /// No take-over is tried before this instant.
+    hold_off: Moment,
 }
 
 impl Succession {
@@ -51,6 +53,7 @@
             contact: now,
             observation: None,
             resigned: false,
+            hold_off: now,
         }
     }
 
@@ -59,6 +62,11 @@
         self.rank = rank;
     }
 
+    /// Leaves the term to others until `until`.
+    pub fn hold_off(&mut self, until: Moment) {
+        self.hold_off = until;
+    }
+
     /// Notes an accepted heartbeat.
     pub fn on_contact(&mut self, now: Moment) {
         self.contact = now;
@@ -89,7 +97,8 @@
     pub fn step(&self, now: Moment, fresh: bool) -> Step {
         let stagger = self.timing.heartbeat * self.rank / 2;
         let suspect_from = self.contact + self.timing.suspicion + stagger;
-        if now < suspect_from && !self.resigned {
+        let answered = now < suspect_from && !self.resigned;
+        if answered || now < self.hold_off {
             return Step::Wait;
         }
         if !fresh {
--- a/components/ownership/tests/one_owner.rs
+++ b/components/ownership/tests/one_owner.rs
@@ -552,6 +552,7 @@
         region: RegionName::new("nord"),
         zone: ZoneName::new("a"),
         peer_address: "127.0.0.1:1".parse().expect("address"),
+        traffic_address: "127.0.0.1:3".parse().expect("address"),
         caller_address: "127.0.0.1:2".parse().expect("address"),
         back_end: None,
         leaving: false,
--- a/components/world/src/machine.rs
+++ b/components/world/src/machine.rs
@@ -45,8 +45,10 @@
     pub region: RegionName,
     /// Availability zone that the machine stands in.
     pub zone: ZoneName,
-    /// Address for other daemons.
+    /// Address for other daemons' control messages.
     pub peer_address: SocketAddr,
+    /// Address for requests that other daemons forward.
+    pub traffic_address: SocketAddr,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// The back end beside the daemon, when one has announced itself.
