Add the daemon: entry, owner, gates, control thread and servers

Cause: the decisions need sockets before anything can be served. Change: one control thread with its own server for heartbeats, traffic threads with dropshot for callers and tonic between daemons, gates per tenure, lease sessions that back ends check at commit, and an admin API for the back end beside the daemon.

--- /dev/null
+++ b/components/daemon/src/allowance.rs
@@ -0,0 +1,200 @@
+//! Allowances: what this daemon has borrowed, and what it lends as a customer's keeper.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use limits::bucket::{LendingBucket, Lent};
+use limits::purse::{Purse, Spend};
+use lists::document::Allowance;
+use ownership::table::{self, CUSTOMERS_SERVICE};
+use peers::wire::{BorrowReply, BorrowRequest};
+use world::error_kind::ErrorKind;
+use world::key::KeyHash;
+use world::moment::Moment;
+use world::name::{CustomerName, MachineName, ServiceName};
+
+use crate::shared::Shared;
+
+/// Time for which a lent block may be spent, counted by the borrower from its request.
+const LOAN_VALIDITY: Duration = Duration::from_millis(300);
+
+/// Longest wait for a keeper's answer.
+const BORROW_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Purses above which idle ones are dropped.
+const PURSE_LIMIT: usize = 10_000;
+
+/// What an allowance is for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Purpose {
+    /// The customer.
+    pub customer: CustomerName,
+    /// The service.
+    pub service: ServiceName,
+    /// True for orders, false for lookups.
+    pub order: bool,
+}
+
+/// Buckets kept during one tenure of a shard of customers.
+#[derive(Debug, Default)]
+pub struct Keeper {
+    buckets: HashMap<Purpose, LendingBucket>,
+    /// Instant before which loans of an earlier tenure may still be spent.
+    settled_from: Option<Moment>,
+}
+
+impl Keeper {
+    fn lend(
+        &mut self,
+        now: Moment,
+        margin: Duration,
+        purpose: Purpose,
+        allowance: Allowance,
+        loan: (&MachineName, u32),
+    ) -> Lent {
+        let settled_from = *self.settled_from.get_or_insert(now + LOAN_VALIDITY + margin);
+        let bucket = self.buckets.entry(purpose).or_insert_with(|| {
+            LendingBucket::successor(allowance.rate, allowance.burst, now, settled_from.max(now))
+        });
+        bucket.resize(allowance.rate, allowance.burst, now);
+        let (borrower, wanted) = loan;
+        bucket.lend(now, borrower, wanted, now + LOAN_VALIDITY + margin)
+    }
+}
+
+/// Purses by purpose. The lock of a purse is held while it borrows, so that a daemon has at
+/// most one loan of a kind on its way.
+#[derive(Debug, Default)]
+pub struct Purses(Mutex<HashMap<Purpose, Arc<tokio::sync::Mutex<Purse>>>>);
+
+impl Purses {
+    fn purse(&self, purpose: &Purpose, now: Moment) -> Arc<tokio::sync::Mutex<Purse>> {
+        let mut purses = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if purses.len() > PURSE_LIMIT {
+            purses.retain(|_, purse| Arc::strong_count(purse) > 1);
+        }
+        let fresh = || Arc::new(tokio::sync::Mutex::new(Purse::new(now)));
+        Arc::clone(purses.entry(purpose.clone()).or_insert_with(fresh))
+    }
+}
+
+/// Refusal of a request for lack of allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub kind: ErrorKind,
+    /// When to come again.
+    pub retry_after: Duration,
+}
+
+/// Pays for one request, borrowing from the customer's keeper when needed.
+///
+/// # Errors
+/// Refuses when the allowance is used up or the keeper can't be reached.
+pub async fn pay(shared: &Shared, purpose: &Purpose) -> Result<(), Refusal> {
+    let purse = shared.purses.purse(purpose, shared.now());
+    let mut purse = purse.lock().await;
+    let mut spend = purse.spend(shared.now());
+    if let Spend::Borrow(wanted) = spend {
+        let sent = shared.now();
+        let reply = borrow(shared, purpose, wanted).await?;
+        let retry_after = Duration::from_millis(u64::from(reply.retry_after_ms));
+        if reply.granted > 0 {
+            let valid = Duration::from_millis(u64::from(reply.valid_ms));
+            purse.on_lent(sent, reply.granted, valid);
+        } else {
+            purse.on_empty(shared.now(), retry_after);
+        }
+        spend = purse.retry(shared.now());
+    }
+    match spend {
+        Spend::Paid => Ok(()),
+        Spend::Empty(retry_after) => {
+            shared.counters.rate_limited.add();
+            Err(Refusal { kind: ErrorKind::RateLimited, retry_after })
+        }
+        Spend::Borrow(_) => Err(unreachable_keeper()),
+    }
+}
+
+fn unreachable_keeper() -> Refusal {
+    let kind = ErrorKind::NotServing;
+    let retry_after = Duration::from_millis(u64::from(kind.answer().retry_after_ms));
+    Refusal { kind, retry_after }
+}
+
+async fn borrow(
+    shared: &Shared,
+    purpose: &Purpose,
+    wanted: u32,
+) -> Result<BorrowReply, Refusal> {
+    let request = BorrowRequest {
+        customer: purpose.customer.to_string(),
+        service: purpose.service.to_string(),
+        order: purpose.order,
+        borrower: shared.settings.name.to_string(),
+        wanted,
+    };
+    let shard = KeyHash::new(purpose.customer.as_str().as_bytes())
+        .shard(table::shard_count(CUSTOMERS_SERVICE));
+    let routes = shared.routes.load();
+    let keeper = routes.owner(CUSTOMERS_SERVICE, shard).ok_or_else(unreachable_keeper)?;
+    if keeper.name == shared.settings.name {
+        return checked(lend(shared, &request));
+    }
+    let address = keeper.traffic_address;
+    let call = async {
+        let mut client = shared.pool.traffic(address).await.ok()?;
+        client.borrow(request).await.ok().map(tonic::Response::into_inner)
+    };
+    match tokio::time::timeout(BORROW_TIMEOUT, call).await {
+        Ok(Some(reply)) => checked(reply),
+        Ok(None) | Err(_) => {
+            shared.pool.forget(address);
+            Err(unreachable_keeper())
+        }
+    }
+}
+
+fn checked(reply: BorrowReply) -> Result<BorrowReply, Refusal> {
+    if reply.error.is_empty() { Ok(reply) } else { Err(unreachable_keeper()) }
+}
+
+/// Lends to a daemon, this one included, as the customer's keeper.
+#[must_use]
+pub fn lend(shared: &Shared, request: &BorrowRequest) -> BorrowReply {
+    match try_lend(shared, request) {
+        Ok(lent) => BorrowReply {
+            error: String::new(),
+            granted: lent.tokens,
+            valid_ms: u32::try_from(LOAN_VALIDITY.as_millis()).unwrap_or(0),
+            retry_after_ms: u32::try_from(lent.retry_after.as_millis()).unwrap_or(u32::MAX).max(1),
+        },
+        Err(kind) => BorrowReply { error: kind.to_string(), ..BorrowReply::default() },
+    }
+}
+
+fn try_lend(shared: &Shared, request: &BorrowRequest) -> Result<Lent, ErrorKind> {
+    let now = shared.now();
+    let customer = CustomerName::new(&request.customer);
+    let service = ServiceName::new(&request.service);
+    let shard = KeyHash::new(request.customer.as_bytes())
+        .shard(table::shard_count(CUSTOMERS_SERVICE));
+    let gates = shared.gates.load();
+    let gate = gates.gate(CUSTOMERS_SERVICE, shard).ok_or(ErrorKind::NotOwner)?;
+    let _pass = gate.enter().ok_or(ErrorKind::NotOwner)?;
+    if !shared.lease.load().is_held(now) {
+        return Err(ErrorKind::NotOwner);
+    }
+    let lists = shared.lists.load();
+    let lists = lists.as_ref().ok_or(ErrorKind::NotServing)?;
+    let plan = lists.lists.plan_of(&customer).ok_or(ErrorKind::UnknownCustomer)?;
+    let terms = plan.services.get(&service).ok_or(ErrorKind::NotInPlan)?;
+    let allowance = terms.allowance(request.order).ok_or(ErrorKind::NotInPlan)?;
+    let purpose = Purpose { customer, service, order: request.order };
+    let margin = shared.settings.timing.outlast(LOAN_VALIDITY) - LOAN_VALIDITY;
+    let borrower = MachineName::new(&request.borrower);
+    let loan = (&borrower, request.wanted);
+    Ok(gate.keeper().lend(now, margin, purpose, allowance, loan))
+}
--- /dev/null
+++ b/components/daemon/src/announcement.rs
@@ -0,0 +1,148 @@
+//! What a back end tells the daemon beside it.
+
+use std::net::SocketAddr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+use world::contract::{Contract, Operation};
+use world::machine::{BackEnd, Incarnation};
+use world::name::{NameFault, OperationName, ServiceName};
+
+/// Most slots that a back end may announce.
+const MAX_SLOTS: u32 = 10_000;
+
+/// Announcement of a back end, repeated at least once a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Announcement {
+    /// Address that the back end takes requests at.
+    pub address: String,
+    /// Number drawn at the back end's start.
+    pub instance: u64,
+    /// Service that it offers.
+    pub service: String,
+    /// True when each key must have one owning back end.
+    pub keyed: bool,
+    /// True when it refuses requests under an old fence or an ended lease.
+    pub checks_fences: bool,
+    /// Operations that it offers.
+    pub operations: Vec<AnnouncedOperation>,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// True when it asks for no new work.
+    pub draining: bool,
+}
+
+/// One operation of an announced contract.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct AnnouncedOperation {
+    /// Name of the operation.
+    pub name: String,
+    /// True when it must run at most once.
+    pub order: bool,
+}
+
+/// Why an announcement is refused.
+#[derive(Debug, Snafu)]
+pub enum AnnouncementFault {
+    /// A name is invalid.
+    #[snafu(display("{field}: {source}"))]
+    Name {
+        /// Field of the announcement.
+        field: &'static str,
+        /// What is wrong with it.
+        source: NameFault,
+    },
+    /// The address can't be read.
+    #[snafu(display("address {text:?} is not IP:PORT"))]
+    Address {
+        /// The text.
+        text: String,
+        /// What the parser said.
+        source: std::net::AddrParseError,
+    },
+    /// The number of slots is out of range.
+    #[snafu(display("slots is {slots}; use 1 to {MAX_SLOTS}"))]
+    Slots {
+        /// The number.
+        slots: u32,
+    },
+    /// The contract contradicts itself.
+    #[snafu(display("service {service} has orders and is not keyed; an order needs an owner"))]
+    OrdersWithoutKeys {
+        /// The service.
+        service: String,
+    },
+}
+
+impl Announcement {
+    /// Checks the announcement.
+    ///
+    /// # Errors
+    /// Returns the first fault.
+    pub fn check(&self) -> Result<(BackEnd, SocketAddr), AnnouncementFault> {
+        let address = self.address.parse().context(AddressSnafu { text: &self.address })?;
+        let service =
+            ServiceName::from_input(&self.service).context(NameSnafu { field: "service" })?;
+        let mut operations = smallvec::SmallVec::new();
+        for operation in &self.operations {
+            let name = OperationName::from_input(&operation.name)
+                .context(NameSnafu { field: "operations" })?;
+            operations.push(Operation { name, order: operation.order });
+        }
+        if self.slots == 0 || self.slots > MAX_SLOTS {
+            return SlotsSnafu { slots: self.slots }.fail();
+        }
+        let contract = Contract {
+            service,
+            keyed: self.keyed,
+            checks_fences: self.checks_fences,
+            operations,
+        };
+        if !contract.is_consistent() {
+            return OrdersWithoutKeysSnafu { service: &self.service }.fail();
+        }
+        let back_end = BackEnd {
+            instance: Incarnation(self.instance),
+            contract,
+            slots: self.slots,
+            draining: self.draining,
+        };
+        Ok((back_end, address))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    fn announcement() -> Announcement {
+        Announcement {
+            address: "127.0.0.1:8000".to_owned(),
+            instance: 1,
+            service: "credits".to_owned(),
+            keyed: true,
+            checks_fences: true,
+            operations: vec![AnnouncedOperation { name: "post".to_owned(), order: true }],
+            slots: 18,
+            draining: false,
+        }
+    }
+
+    #[test]
+    fn accepts_a_consistent_announcement() {
+        assert!(announcement().check().is_ok());
+    }
+
+    #[rstest]
+    #[case(Announcement { address: "here".to_owned(), ..announcement() }, "not IP:PORT")]
+    #[case(Announcement { slots: 0, ..announcement() }, "slots is 0")]
+    #[case(Announcement { keyed: false, ..announcement() }, "an order needs an owner")]
+    #[case(Announcement { service: "a b".to_owned(), ..announcement() }, "service: a name")]
+    fn errors_on_a_faulty_announcement(#[case] wrong: Announcement, #[case] message: &str) {
+        let fault = wrong.check().expect_err("a fault").to_string();
+        assert!(fault.contains(message), "{fault}");
+    }
+}
--- /dev/null
+++ b/components/daemon/src/control/coordination.rs
@@ -0,0 +1,275 @@
+//! The coordinator's part: taking, renewing and losing the cell's term.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lists::LISTS_OBJECT;
+use ownership::coordinator::Coordinator;
+use ownership::heartbeat::{Reply, Request};
+use ownership::record::CellRecord;
+use ownership::renewal::{Claim, Renewal};
+use ownership::succession::Step;
+use peers::convert;
+use peers::wire::{HeartbeatReply, ListsDocument};
+use platform::client::{Object, Store, Update};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use world::key::Term;
+use world::moment::Moment;
+
+use crate::control::{
+    Control, Event, PendingClaim, RecordRead, RecordWritten, Role, WriteKind,
+};
+
+/// Longest wait of one watch on the lists.
+const LISTS_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Pause after a failed watch.
+const LISTS_PAUSE: Duration = Duration::from_millis(200);
+
+/// Silence of all other members after which a coordinator gives its term up.
+const ISOLATION: Duration = Duration::from_millis(1_500);
+
+/// Fewest other members whose silence counts as isolation.
+const ISOLATION_MEMBERS: usize = 2;
+
+/// Time for which a coordinator that gave its term up leaves it to others.
+const HOLD_OFF: Duration = Duration::from_secs(3);
+
+impl<S: Store> Control<S> {
+    /// Renews the term, acts on lapsed members, and gives the term up when isolated.
+    pub(super) fn coordinate(&mut self, now: Moment) {
+        let Some(role) = &mut self.role else { return };
+        role.coordinator.tick(now, role.renewal.authority_until());
+        if is_isolated(&role.coordinator, now) {
+            log::warn!(event = "isolated", term = role.coordinator.term().0; "");
+            return self.resign(now);
+        }
+        if now >= role.next_renewal && !self.writing {
+            role.next_renewal = now + self.shared.settings.timing.renewal;
+            let expected = role.renewal.version();
+            let record = role.renewal.start(now, rand::random());
+            self.write_record(WriteKind::Renewal, now, expected, record);
+        }
+    }
+
+    fn write_record(&mut self, kind: WriteKind, sent: Moment, expected: u64, record: CellRecord) {
+        self.writing = true;
+        let store = self.store.clone();
+        let name = self.record_name();
+        let events = self.events.clone();
+        let value = Bytes::from(record.to_bytes());
+        tokio::spawn(async move {
+            let result = store.put(&name, expected, value).await;
+            let written = RecordWritten { kind, record, sent, result };
+            let _ = events.send(Event::RecordWritten(written)).await;
+        });
+    }
+
+    pub(super) fn on_record_written(&mut self, now: Moment, written: RecordWritten) {
+        self.writing = false;
+        let RecordWritten { kind, record, sent, result } = written;
+        match (kind, result) {
+            (WriteKind::TakeOver, Ok(Update::Written(version))) => {
+                self.claim = None;
+                self.become_coordinator(now, record, version, sent);
+            }
+            (WriteKind::TakeOver, Ok(Update::Conflict(_))) => self.claim = None,
+            (WriteKind::TakeOver, Err(error)) => {
+                log::warn!(event = "take_over_unsettled", error = error.to_string().as_str(); "");
+                self.read_record();
+            }
+            (WriteKind::Renewal, Ok(Update::Written(version))) => {
+                if let Some(role) = &mut self.role {
+                    role.renewal.on_confirmed(version);
+                }
+            }
+            (WriteKind::Renewal, Ok(Update::Conflict(_)) | Err(_)) => self.read_record(),
+            (WriteKind::Resignation, _) => {}
+        }
+    }
+
+    pub(super) fn on_record_read(&mut self, now: Moment, read: RecordRead) {
+        self.reading = false;
+        let object = match read.result {
+            Ok(object) => object,
+            Err(error) => {
+                log::debug!(event = "record_unread", error = error.to_string().as_str(); "");
+                return;
+            }
+        };
+        let Some(object) = object else { return self.step_forward(now, Term(0)) };
+        match CellRecord::from_bytes(&object.value) {
+            Ok(record) => self.on_record(now, &record, &object),
+            Err(error) => {
+                let object = self.record_name();
+                log::error!(
+                    event = "record_malformed",
+                    object = object.as_str(),
+                    error = error.to_string().as_str();
+                    ""
+                );
+            }
+        }
+    }
+
+    fn on_record(&mut self, now: Moment, record: &CellRecord, object: &Object) {
+        if let Some(role) = &mut self.role {
+            if role.renewal.on_read_back(record, object.version) == Claim::Lost {
+                self.step_down("overtaken");
+            }
+            self.member.adopt(record.coordinator_ref());
+            return;
+        }
+        if let Some(claim) = self.claim.take()
+            && claim.record.write_id == record.write_id
+        {
+            return self.become_coordinator(now, claim.record, object.version, claim.sent);
+        }
+        let adopted = record.term > self.member.term();
+        self.member.adopt(record.coordinator_ref());
+        self.succession.on_record(record, object.version, now);
+        if adopted && !self.names_me(record) {
+            // The coordinator just learned of gets the time of one suspicion to answer.
+            self.succession.on_contact(now);
+            self.next_beat = now;
+            return;
+        }
+        self.step_forward(now, record.term);
+    }
+
+    fn names_me(&self, record: &CellRecord) -> bool {
+        record.coordinator == self.shared.settings.name || record.resigned
+    }
+
+    /// Takes the term over if the time has come, given that the record was just read.
+    fn step_forward(&mut self, now: Moment, term: Term) {
+        if self.writing || self.stopping.is_some() {
+            return;
+        }
+        let Step::TakeOver(expected) = self.succession.step(now, true) else { return };
+        let machine = self.shared.machine.load();
+        let record = CellRecord {
+            cell: self.shared.settings.cell.clone(),
+            term: Term(term.max(self.member.term()).0 + 1),
+            coordinator: machine.name.clone(),
+            incarnation: machine.incarnation,
+            address: machine.peer_address,
+            write_id: rand::random(),
+            resigned: false,
+        };
+        self.claim = Some(PendingClaim { record: record.clone(), sent: now });
+        self.write_record(WriteKind::TakeOver, now, expected, record);
+    }
+
+    fn become_coordinator(&mut self, now: Moment, record: CellRecord, version: u64, sent: Moment) {
+        let timing = self.shared.settings.timing;
+        let me = record.coordinator_ref();
+        log::info!(event = "term_taken", term = me.term.0, version = version; "");
+        self.shared.counters.take_overs.add();
+        self.announce_term(&me);
+        self.role = Some(Role {
+            // The succession has waited for the end of the previous authority.
+            coordinator: Coordinator::new(timing, me.clone(), now, now),
+            renewal: Renewal::new(timing, record, version, sent),
+            lists_watch: watch_lists(self.store.clone(), self.events.clone()),
+            lists: None,
+            next_renewal: now + timing.renewal,
+        });
+        self.member.adopt(me);
+        self.next_beat = now;
+    }
+
+    /// Tells the members that this daemon knows of about the new term.
+    fn announce_term(&self, me: &ownership::heartbeat::CoordinatorRef) {
+        let message = convert::adopt_to_wire(&self.shared.settings.cell, me);
+        for machine in &self.shared.routes.load().machines {
+            if machine.name == me.name {
+                continue;
+            }
+            let pool = Arc::clone(&self.pool);
+            let message = message.clone();
+            let address = machine.peer_address;
+            tokio::spawn(async move {
+                if let Ok(mut client) = pool.control(address).await {
+                    let _ = client.adopt(message).await;
+                }
+            });
+        }
+    }
+
+    pub(super) fn on_heartbeat(&mut self, now: Moment, request: &Request) -> HeartbeatReply {
+        let known = self.member.coordinator().cloned();
+        let mine = request.cell == self.shared.settings.cell;
+        let Some(role) = self.role.as_mut().filter(|_| mine) else {
+            return convert::reply_to_wire(&Reply::Refused(known.filter(|_| mine)));
+        };
+        let until = role.renewal.authority_until();
+        let version = role.renewal.version();
+        let reply = role.coordinator.on_heartbeat(now, until, version, request);
+        let mut message = convert::reply_to_wire(&reply);
+        let newer = role.lists.as_ref().filter(|l| l.version > request.lists_version);
+        if message.accepted {
+            message.lists = newer.cloned();
+        }
+        message
+    }
+
+    pub(super) fn on_lists_read(&mut self, document: ListsDocument) {
+        if let Some(role) = &mut self.role {
+            role.lists = Some(document);
+        }
+    }
+
+    pub(super) fn step_down_if_overtaken(&mut self) {
+        let term = self.member.term();
+        if self.role.as_ref().is_some_and(|r| r.coordinator.term() < term) {
+            self.step_down("overtaken");
+        }
+    }
+
+    fn step_down(&mut self, reason: &str) {
+        if self.role.take().is_some() {
+            log::warn!(event = "term_lost", reason = reason; "");
+            self.shared.counters.terms_lost.add();
+        }
+    }
+
+    /// Gives the term up, so that a successor need not suspect this daemon first.
+    pub(super) fn resign(&mut self, now: Moment) {
+        let Some(role) = &mut self.role else { return };
+        let expected = role.renewal.version();
+        role.renewal.resign(now);
+        let record = role.renewal.start(now, rand::random());
+        self.step_down("resigned");
+        self.succession.hold_off(now + HOLD_OFF);
+        self.write_record(WriteKind::Resignation, now, expected, record);
+    }
+}
+
+fn is_isolated(coordinator: &Coordinator, now: Moment) -> bool {
+    let silent = coordinator.others_heard().is_some_and(|heard| now.since(heard) > ISOLATION);
+    silent && coordinator.others() >= ISOLATION_MEMBERS
+}
+
+/// Reads the lists now and after every change.
+fn watch_lists<S: Store>(store: S, events: mpsc::Sender<Event>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        let mut known = 0;
+        loop {
+            match store.watch(LISTS_OBJECT, known, LISTS_PATIENCE).await {
+                Ok(Some(object)) => {
+                    known = object.version;
+                    let text = String::from_utf8_lossy(&object.value).into_owned();
+                    let document = ListsDocument { version: object.version, text };
+                    if events.send(Event::ListsRead(document)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(None) => {}
+                Err(_) => tokio::time::sleep(LISTS_PAUSE).await,
+            }
+        }
+    })
+}
--- /dev/null
+++ b/components/daemon/src/control/event.rs
@@ -0,0 +1,94 @@
+//! Events of the control thread.
+
+use std::net::SocketAddr;
+
+use ownership::heartbeat::{CoordinatorRef, Request};
+use ownership::record::CellRecord;
+use peers::wire::{HeartbeatReply, ListsDocument};
+use platform::client::{Object, StoreError, Update};
+use tokio::sync::oneshot;
+use world::key::Term;
+use world::machine::BackEnd;
+use world::moment::Moment;
+
+use crate::status::Status;
+
+/// What a write of the cell's record was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteKind {
+    /// To take the term over.
+    TakeOver,
+    /// To renew the coordinator's authority.
+    Renewal,
+    /// To give the term up.
+    Resignation,
+}
+
+/// Result of reading the cell's record.
+#[derive(Debug)]
+pub struct RecordRead {
+    /// What the store answered.
+    pub result: Result<Option<Object>, StoreError>,
+}
+
+/// Result of writing the cell's record.
+#[derive(Debug)]
+pub struct RecordWritten {
+    /// What the write was for.
+    pub kind: WriteKind,
+    /// The record written.
+    pub record: CellRecord,
+    /// When the write was sent.
+    pub sent: Moment,
+    /// What the store answered.
+    pub result: Result<Update, StoreError>,
+}
+
+/// Something for the control thread to act on.
+#[derive(Debug)]
+pub enum Event {
+    /// A member's heartbeat.
+    Heartbeat {
+        /// The heartbeat.
+        request: Request,
+        /// Where the answer goes.
+        reply: oneshot::Sender<HeartbeatReply>,
+    },
+    /// A coordinator announces its term.
+    Adopt {
+        /// Its cell.
+        cell: String,
+        /// The coordinator.
+        coordinator: CoordinatorRef,
+        /// Gets the highest term known here.
+        reply: oneshot::Sender<Term>,
+    },
+    /// The answer to this daemon's heartbeat.
+    HeartbeatDone {
+        /// When the heartbeat was sent.
+        sent: Moment,
+        /// Released shards that it reported.
+        reported: usize,
+        /// The answer, or what went wrong.
+        result: Result<HeartbeatReply, String>,
+    },
+    /// The cell's record was read.
+    RecordRead(RecordRead),
+    /// The cell's record was written.
+    RecordWritten(RecordWritten),
+    /// The coordinator's watch has read the lists.
+    ListsRead(ListsDocument),
+    /// The back end announced itself.
+    Announced {
+        /// The back end.
+        back_end: BackEnd,
+        /// Where it takes requests.
+        address: SocketAddr,
+    },
+    /// The back end refused a connection.
+    BackEndRefused,
+    /// An operator asks for the status.
+    Status(oneshot::Sender<Status>),
+    /// The daemon is to stop; answered once it holds nothing.
+    Stop(oneshot::Sender<()>),
+}
--- /dev/null
+++ b/components/daemon/src/control/mod.rs
@@ -0,0 +1,182 @@
+//! The control thread: lease, term, grants, back end and lists of one daemon.
+//!
+//! All decisions are made by the pure machines of `ownership`; this module feeds them events
+//! and carries out what they say.
+
+mod coordination;
+mod event;
+mod membership;
+mod report;
+mod stopping;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ownership::coordinator::Coordinator;
+use ownership::member::Member;
+use ownership::record::CellRecord;
+use ownership::renewal::Renewal;
+use ownership::succession::Succession;
+use peers::secret::PeerToken;
+use peers::wire::ListsDocument;
+use platform::client::Store;
+use platform::count::CallCounts;
+use timer::{BootClock, Clock, TimerService};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use world::moment::Moment;
+
+use crate::gate::Gate;
+use crate::metrics::Reporter;
+use crate::pool::PeerPool;
+use crate::shared::Shared;
+
+pub use event::{Event, RecordRead, RecordWritten, WriteKind};
+
+/// Time between two looks at leases, drains and timeouts.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two reports of metrics.
+const METRICS_PERIOD: Duration = Duration::from_secs(1);
+
+/// Events that wait for the control thread.
+pub const EVENT_QUEUE: usize = 256;
+
+/// Source of the counts of store calls.
+pub type CallCountFn = Box<dyn Fn() -> CallCounts + Send>;
+
+/// The term that this daemon holds.
+struct Role {
+    coordinator: Coordinator,
+    renewal: Renewal,
+    /// Watches the lists for as long as the term is held.
+    lists_watch: JoinHandle<()>,
+    /// The lists as relayed to members.
+    lists: Option<ListsDocument>,
+    next_renewal: Moment,
+}
+
+impl Drop for Role {
+    fn drop(&mut self) {
+        self.lists_watch.abort();
+    }
+}
+
+/// A take-over whose outcome is not known yet.
+struct PendingClaim {
+    record: CellRecord,
+    sent: Moment,
+}
+
+/// State of the control thread.
+pub struct Control<S> {
+    shared: Arc<Shared>,
+    store: S,
+    store_calls: CallCountFn,
+    events: mpsc::Sender<Event>,
+    pool: Arc<PeerPool>,
+    reporter: Reporter,
+    member: Member,
+    succession: Succession,
+    role: Option<Role>,
+    claim: Option<PendingClaim>,
+    closing: Vec<Arc<Gate>>,
+    next_beat: Moment,
+    /// Sending time of the heartbeat on its way.
+    beat_sent: Option<Moment>,
+    next_read: Moment,
+    reading: bool,
+    writing: bool,
+    published_session: u64,
+    announced: Moment,
+    stopping: Option<stopping::Stopping>,
+}
+
+impl<S: Store> Control<S> {
+    /// Makes the state of a daemon that has just started.
+    #[must_use]
+    pub fn new(
+        shared: Arc<Shared>,
+        store: S,
+        store_calls: CallCountFn,
+        reporter: Reporter,
+    ) -> Self {
+        let now = BootClock.now();
+        let timing = shared.settings.timing;
+        let token = PeerToken::from_secret(&shared.settings.secret);
+        let mut succession = Succession::new(timing, now - timing.suspicion);
+        succession.set_rank(0);
+        Self {
+            events: shared.events.clone(),
+            pool: Arc::new(PeerPool::new(token)),
+            shared,
+            store,
+            store_calls,
+            reporter,
+            member: Member::new(),
+            succession,
+            role: None,
+            claim: None,
+            closing: Vec::new(),
+            next_beat: now,
+            beat_sent: None,
+            next_read: now,
+            reading: false,
+            writing: false,
+            published_session: 1,
+            announced: now,
+            stopping: None,
+        }
+    }
+
+    /// Runs until `end` is resolved or dropped.
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Event>, mut end: oneshot::Receiver<()>) {
+        let timers = TimerService::new(BootClock);
+        let mut ticks = timers.subscribe(TICK);
+        let mut metrics = timers.subscribe(METRICS_PERIOD);
+        loop {
+            tokio::select! {
+                biased;
+                _ = &mut end => return,
+                Some(tick) = ticks.recv() => self.on_tick(tick.at),
+                Some(event) = inbox.recv() => self.on_event(event),
+                Some(_) = metrics.recv() => self.reporter.report(),
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Moment) {
+        self.check_lapse(now);
+        self.release_drained(now);
+        self.check_back_end(now);
+        self.coordinate(now);
+        self.beat(now);
+        self.watch_coordinator(now);
+        self.progress_stop(now);
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let now = BootClock.now();
+        match event {
+            Event::Heartbeat { request, reply } => {
+                let _ = reply.send(self.on_heartbeat(now, &request));
+            }
+            Event::Adopt { cell, coordinator, reply } => {
+                self.on_adopt(now, &cell, coordinator);
+                let _ = reply.send(self.member.term());
+            }
+            Event::HeartbeatDone { sent, reported, result } => {
+                self.on_heartbeat_done(sent, now, reported, result);
+            }
+            Event::RecordRead(read) => self.on_record_read(now, read),
+            Event::RecordWritten(written) => self.on_record_written(now, written),
+            Event::ListsRead(document) => self.on_lists_read(document),
+            Event::Announced { back_end, address } => self.on_announced(now, back_end, address),
+            Event::BackEndRefused => self.drop_back_end("refused"),
+            Event::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+            Event::Stop(reply) => self.start_stop(now, reply),
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/control/stopping.rs
@@ -0,0 +1,72 @@
+//! Planned stops: shards are released before the daemon ends.
+
+use std::time::Duration;
+
+use platform::client::Store;
+use tokio::sync::oneshot;
+use world::moment::Moment;
+
+use crate::control::Control;
+
+/// Time for the other daemons to learn that this one takes no new work.
+const NOTICE: Duration = Duration::from_secs(1);
+
+/// Time for the store to take in a resignation.
+const RESIGNATION: Duration = Duration::from_millis(400);
+
+/// A stop on its way.
+pub(super) struct Stopping {
+    started: Moment,
+    /// Set once the daemon holds nothing; the stop ends then or when the store has answered.
+    finish_by: Option<Moment>,
+    reply: Option<oneshot::Sender<()>>,
+}
+
+impl<S: Store> Control<S> {
+    pub(super) fn start_stop(&mut self, now: Moment, reply: oneshot::Sender<()>) {
+        log::info!(event = "stopping", held = self.member.held_count(); "");
+        self.stopping = Some(Stopping { started: now, finish_by: None, reply: Some(reply) });
+        self.update_machine(now, |machine| machine.leaving = true);
+    }
+
+    pub(super) fn progress_stop(&mut self, now: Moment) {
+        let Some(stopping) = &self.stopping else { return };
+        let elapsed = now.since(stopping.started);
+        let finish_by = stopping.finish_by;
+        let released = self.member.is_idle() || self.has_lapsed();
+        let late = elapsed >= self.shared.settings.stop_timeout;
+        match finish_by {
+            None if (released && elapsed >= NOTICE) || late => {
+                if late {
+                    log::warn!(event = "stop_timed_out", held = self.member.held_count(); "");
+                }
+                let wait = if self.role.is_some() { RESIGNATION } else { Duration::ZERO };
+                self.resign(now);
+                self.set_finish(now + wait);
+            }
+            Some(instant) if now >= instant || !self.writing => self.finish_stop(),
+            _ => {}
+        }
+    }
+
+    /// Tells whether the lease has lapsed and nothing is in flight under it.
+    fn has_lapsed(&self) -> bool {
+        let lapsed = self.member.lease_until() == Moment::default();
+        let gates = self.shared.gates.load();
+        lapsed && gates.iter().chain(&self.closing).all(|gate| gate.in_flight() == 0)
+    }
+
+    fn set_finish(&mut self, instant: Moment) {
+        if let Some(stopping) = &mut self.stopping {
+            stopping.finish_by = Some(instant);
+        }
+    }
+
+    fn finish_stop(&mut self) {
+        let reply = self.stopping.as_mut().and_then(|s| s.reply.take());
+        if let Some(reply) = reply {
+            log::info!(event = "released"; "");
+            let _ = reply.send(());
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/lease.rs
@@ -0,0 +1,50 @@
+//! The member lease as request threads see it.
+
+use std::sync::{Mutex, PoisonError};
+
+use world::moment::Moment;
+
+/// The daemon's lease at one instant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lease {
+    /// Rises whenever requests sent earlier must no longer be extended.
+    pub session: u64,
+    /// Instant until which the daemon owns what it holds.
+    pub until: Moment,
+}
+
+impl Lease {
+    /// Tells whether the lease runs at `now`.
+    #[must_use]
+    pub fn is_held(&self, now: Moment) -> bool {
+        now < self.until
+    }
+}
+
+/// Shared lease; session and end are always read together.
+#[derive(Debug, Default)]
+pub struct LeaseCell(Mutex<Lease>);
+
+impl LeaseCell {
+    /// The lease now.
+    #[must_use]
+    pub fn load(&self) -> Lease {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the end of the lease and, when `ended` is true, starts a new session first.
+    pub fn store(&self, until: Moment, ended: bool) -> Lease {
+        let mut lease = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        lease.session += u64::from(ended);
+        lease.until = until;
+        *lease
+    }
+
+    /// Starts a new session without ending the lease. Returns the lease before.
+    pub fn rotate(&self) -> Lease {
+        let mut lease = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = *lease;
+        lease.session += 1;
+        before
+    }
+}
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon beside each back end: accepts callers, routes, and speaks for its back end.
+
+pub mod admin_api;
+pub mod allowance;
+pub mod announcement;
+pub mod back_end;
+pub mod caller_api;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod gate;
+pub mod lease;
+pub mod metrics;
+pub mod owner;
+pub mod peer_server;
+pub mod pool;
+pub mod settings;
+pub mod shared;
+pub mod status;
--- /dev/null
+++ b/components/daemon/src/peer_server.rs
@@ -0,0 +1,124 @@
+//! Servers for other daemons.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use futures::{Stream, StreamExt};
+use peers::wire::control_server::Control;
+use peers::wire::traffic_server::Traffic;
+use peers::wire::{
+    AdoptReply, AdoptRequest, BorrowReply, BorrowRequest, HeartbeatReply, HeartbeatRequest,
+    ReplyFrame, RequestFrame, TicketReply, TicketRequest,
+};
+use peers::convert;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::allowance;
+use crate::back_end::{Body, BodyCut};
+use crate::control::Event;
+use crate::owner;
+use crate::shared::Shared;
+
+/// Control service, answered by the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlServer {
+    /// Events for the control thread.
+    pub events: mpsc::Sender<Event>,
+}
+
+#[tonic::async_trait]
+impl Control for ControlServer {
+    async fn heartbeat(
+        &self,
+        request: Request<HeartbeatRequest>,
+    ) -> Result<Response<HeartbeatReply>, Status> {
+        let request = convert::request_from_wire(request.get_ref())
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let (sender, receiver) = oneshot::channel();
+        self.send(Event::Heartbeat { request, reply: sender }).await?;
+        receiver.await.map(Response::new).map_err(|_| stopping())
+    }
+
+    async fn adopt(&self, request: Request<AdoptRequest>) -> Result<Response<AdoptReply>, Status> {
+        let coordinator = convert::adopt_from_wire(request.get_ref())
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let (sender, receiver) = oneshot::channel();
+        let cell = request.into_inner().cell;
+        self.send(Event::Adopt { cell, coordinator, reply: sender }).await?;
+        let term = receiver.await.map_err(|_| stopping())?;
+        Ok(Response::new(AdoptReply { term: u64::from(term.0) }))
+    }
+}
+
+impl ControlServer {
+    async fn send(&self, event: Event) -> Result<(), Status> {
+        self.events.send(event).await.map_err(|_| stopping())
+    }
+}
+
+fn stopping() -> Status {
+    Status::unavailable("the daemon is stopping")
+}
+
+/// Traffic service.
+#[derive(Clone, Debug)]
+pub struct TrafficServer {
+    /// State of the daemon.
+    pub shared: Arc<Shared>,
+}
+
+#[tonic::async_trait]
+impl Traffic for TrafficServer {
+    type ForwardStream = Pin<Box<dyn Stream<Item = Result<ReplyFrame, Status>> + Send>>;
+
+    async fn forward(
+        &self,
+        request: Request<Streaming<RequestFrame>>,
+    ) -> Result<Response<Self::ForwardStream>, Status> {
+        let mut frames = request.into_inner();
+        let first = frames.message().await?.ok_or_else(|| malformed("no frame"))?;
+        let head = first.head.ok_or_else(|| malformed("the first frame has no head"))?;
+        let body = if first.end { Body::Whole(first.body) } else { receive(frames) };
+        let reply = owner::serve(Arc::clone(&self.shared), head, body);
+        Ok(Response::new(Box::pin(ReceiverStream::new(reply).map(Ok))))
+    }
+
+    async fn issue_ticket(
+        &self,
+        request: Request<TicketRequest>,
+    ) -> Result<Response<TicketReply>, Status> {
+        Ok(Response::new(owner::issue_ticket(&self.shared, request.get_ref())))
+    }
+
+    async fn borrow(
+        &self,
+        request: Request<BorrowRequest>,
+    ) -> Result<Response<BorrowReply>, Status> {
+        Ok(Response::new(allowance::lend(&self.shared, request.get_ref())))
+    }
+}
+
+fn malformed(reason: &str) -> Status {
+    Status::invalid_argument(reason)
+}
+
+/// Passes body frames on as they arrive; a stream without an end mark counts as cut.
+fn receive(mut frames: Streaming<RequestFrame>) -> Body {
+    let (sender, body) = Body::channel();
+    tokio::spawn(async move {
+        loop {
+            let Ok(Some(frame)) = frames.message().await else {
+                let _ = sender.send(Err(BodyCut)).await;
+                return;
+            };
+            let end = frame.end;
+            let sent = frame.body.is_empty() || sender.send(Ok(frame.body)).await.is_ok();
+            if end || !sent {
+                return;
+            }
+        }
+    });
+    body
+}
--- a/components/orders/src/table.rs
+++ b/components/orders/src/table.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Largest single answer that the table keeps, in bytes.
+    #[must_use]
+    pub fn one_answer_limit(&self) -> usize {
+        self.bounds.one_answer
+    }
+
     /// Number of remembered tickets.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/components/ownership/src/coordinator.rs
+++ b/components/ownership/src/coordinator.rs
@@ -274,11 +274,14 @@
         for holding in &request.held {
             self.on_held(id, holding);
         }
+        for slot in self.services.values_mut().flatten().filter(|s| s.owner == Some(id)) {
+            slot.load *= 1.0 - LOAD_SMOOTHING;
+        }
         let period = self.timing.heartbeat.as_secs_f64();
         for load in &request.loads {
             if let Some(slot) = self.slot_mut(&load.id) {
                 let rate = f64::from(load.requests) / period;
-                slot.load += LOAD_SMOOTHING * (rate - slot.load);
+                slot.load += LOAD_SMOOTHING * rate;
             }
         }
     }
