--- /dev/null
+++ b/bench/src/cmd/mod.rs
@@ -0,0 +1,7 @@
+//! One module a subcommand.
+
+pub(crate) mod demo;
+pub(crate) mod trace;
+
+/// Error of a subcommand for people.
+pub(crate) type Error = Box<dyn std::error::Error + Send + Sync>;
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,38 @@
+//! Load and experiment tool on the project's own stand-ins.
+
+mod cli;
+mod cmd;
+mod logging;
+
+use std::process::ExitCode;
+
+use crate::cli::Command;
+
+fn main() -> ExitCode {
+    let command = cli::command().run();
+    logging::start();
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let result = runtime.block_on(async {
+        match command {
+            Command::Demo(options) => cmd::demo::run(&options).await,
+            Command::Trace(options) => cmd::trace::run(&options),
+        }
+    });
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/components/daemon/src/allowance.rs
+++ b/components/daemon/src/allowance.rs
@@ -37,14 +37,23 @@
 }
 
 /// Buckets kept during one tenure of a shard of customers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Keeper {
     buckets: HashMap<Purpose, LendingBucket>,
-    /// Instant before which loans of an earlier tenure may still be spent.
-    settled_from: Option<Moment>,
+    /// Start of the tenure; what was lent before is not known.
+    since: Moment,
 }
 
 impl Keeper {
+    /// A keeper whose tenure starts at `now`.
+    #[must_use]
+    pub fn new(now: Moment) -> Self {
+        Self {
+            buckets: HashMap::new(),
+            since: now,
+        }
+    }
+
     fn lend(
         &mut self,
         now: Moment,
@@ -53,9 +62,9 @@
         allowance: Allowance,
         loan: (&MachineName, u32),
     ) -> Lent {
-        let settled_from = *self.settled_from.get_or_insert(now + LOAN_VALIDITY + margin);
+        let settled = self.since + LOAN_VALIDITY + margin;
         let bucket = self.buckets.entry(purpose).or_insert_with(|| {
-            LendingBucket::successor(allowance.rate, allowance.burst, now, settled_from.max(now))
+            LendingBucket::successor(allowance.rate, allowance.burst, self.since, settled)
         });
         bucket.resize(allowance.rate, allowance.burst, now);
         let (borrower, wanted) = loan;
@@ -112,7 +121,10 @@
         Spend::Paid => Ok(()),
         Spend::Empty(retry_after) => {
             shared.counters.rate_limited.add();
-            Err(Refusal { kind: ErrorKind::RateLimited, retry_after })
+            Err(Refusal {
+                kind: ErrorKind::RateLimited,
+                retry_after,
+            })
         }
         Spend::Borrow(_) => Err(unreachable_keeper()),
     }
@@ -124,11 +136,7 @@
     Refusal { kind, retry_after }
 }
 
-async fn borrow(
-    shared: &Shared,
-    purpose: &Purpose,
-    wanted: u32,
-) -> Result<BorrowReply, Refusal> {
+async fn borrow(shared: &Shared, purpose: &Purpose, wanted: u32) -> Result<BorrowReply, Refusal> {
     let request = BorrowRequest {
         customer: purpose.customer.to_string(),
         service: purpose.service.to_string(),
@@ -139,14 +147,20 @@
     let shard = KeyHash::new(purpose.customer.as_str().as_bytes())
         .shard(table::shard_count(CUSTOMERS_SERVICE));
     let routes = shared.routes.load();
-    let keeper = routes.owner(CUSTOMERS_SERVICE, shard).ok_or_else(unreachable_keeper)?;
+    let keeper = routes
+        .owner(CUSTOMERS_SERVICE, shard)
+        .ok_or_else(unreachable_keeper)?;
     if keeper.name == shared.settings.name {
         return checked(lend(shared, &request));
     }
     let address = keeper.traffic_address;
     let call = async {
         let mut client = shared.pool.traffic(address).await.ok()?;
-        client.borrow(request).await.ok().map(tonic::Response::into_inner)
+        client
+            .borrow(request)
+            .await
+            .ok()
+            .map(tonic::Response::into_inner)
     };
     match tokio::time::timeout(BORROW_TIMEOUT, call).await {
         Ok(Some(reply)) => checked(reply),
@@ -158,7 +172,11 @@
 }
 
 fn checked(reply: BorrowReply) -> Result<BorrowReply, Refusal> {
-    if reply.error.is_empty() { Ok(reply) } else { Err(unreachable_keeper()) }
+    if reply.error.is_empty() {
+        Ok(reply)
+    } else {
+        Err(unreachable_keeper())
+    }
 }
 
 /// Lends to a daemon, this one included, as the customer's keeper.
@@ -169,9 +187,14 @@
             error: String::new(),
             granted: lent.tokens,
             valid_ms: u32::try_from(LOAN_VALIDITY.as_millis()).unwrap_or(0),
-            retry_after_ms: u32::try_from(lent.retry_after.as_millis()).unwrap_or(u32::MAX).max(1),
+            retry_after_ms: u32::try_from(lent.retry_after.as_millis())
+                .unwrap_or(u32::MAX)
+                .max(1),
+        },
+        Err(kind) => BorrowReply {
+            error: kind.to_string(),
+            ..BorrowReply::default()
         },
-        Err(kind) => BorrowReply { error: kind.to_string(), ..BorrowReply::default() },
     }
 }
 
@@ -179,20 +202,29 @@
     let now = shared.now();
     let customer = CustomerName::new(&request.customer);
     let service = ServiceName::new(&request.service);
-    let shard = KeyHash::new(request.customer.as_bytes())
-        .shard(table::shard_count(CUSTOMERS_SERVICE));
+    let shard =
+        KeyHash::new(request.customer.as_bytes()).shard(table::shard_count(CUSTOMERS_SERVICE));
     let gates = shared.gates.load();
-    let gate = gates.gate(CUSTOMERS_SERVICE, shard).ok_or(ErrorKind::NotOwner)?;
+    let gate = gates
+        .gate(CUSTOMERS_SERVICE, shard)
+        .ok_or(ErrorKind::NotOwner)?;
     let _pass = gate.enter().ok_or(ErrorKind::NotOwner)?;
     if !shared.lease.load().is_held(now) {
         return Err(ErrorKind::NotOwner);
     }
     let lists = shared.lists.load();
     let lists = lists.as_ref().ok_or(ErrorKind::NotServing)?;
-    let plan = lists.lists.plan_of(&customer).ok_or(ErrorKind::UnknownCustomer)?;
+    let plan = lists
+        .lists
+        .plan_of(&customer)
+        .ok_or(ErrorKind::UnknownCustomer)?;
     let terms = plan.services.get(&service).ok_or(ErrorKind::NotInPlan)?;
     let allowance = terms.allowance(request.order).ok_or(ErrorKind::NotInPlan)?;
-    let purpose = Purpose { customer, service, order: request.order };
+    let purpose = Purpose {
+        customer,
+        service,
+        order: request.order,
+    };
     let margin = shared.settings.timing.outlast(LOAN_VALIDITY) - LOAN_VALIDITY;
     let borrower = MachineName::new(&request.borrower);
     let loan = (&borrower, request.wanted);
--- a/components/daemon/src/announcement.rs
+++ b/components/daemon/src/announcement.rs
@@ -81,14 +81,20 @@
     /// # Errors
     /// Returns the first fault.
     pub fn check(&self) -> Result<(BackEnd, SocketAddr), AnnouncementFault> {
-        let address = self.address.parse().context(AddressSnafu { text: &self.address })?;
+        let address = self.address.parse().context(AddressSnafu {
+            text: &self.address,
+        })?;
         let service =
             ServiceName::from_input(&self.service).context(NameSnafu { field: "service" })?;
         let mut operations = smallvec::SmallVec::new();
         for operation in &self.operations {
-            let name = OperationName::from_input(&operation.name)
-                .context(NameSnafu { field: "operations" })?;
-            operations.push(Operation { name, order: operation.order });
+            let name = OperationName::from_input(&operation.name).context(NameSnafu {
+                field: "operations",
+            })?;
+            operations.push(Operation {
+                name,
+                order: operation.order,
+            });
         }
         if self.slots == 0 || self.slots > MAX_SLOTS {
             return SlotsSnafu { slots: self.slots }.fail();
@@ -100,7 +106,10 @@
             operations,
         };
         if !contract.is_consistent() {
-            return OrdersWithoutKeysSnafu { service: &self.service }.fail();
+            return OrdersWithoutKeysSnafu {
+                service: &self.service,
+            }
+            .fail();
         }
         let back_end = BackEnd {
             instance: Incarnation(self.instance),
@@ -125,7 +134,10 @@
             service: "credits".to_owned(),
             keyed: true,
             checks_fences: true,
-            operations: vec![AnnouncedOperation { name: "post".to_owned(), order: true }],
+            operations: vec![AnnouncedOperation {
+                name: "post".to_owned(),
+                order: true,
+            }],
             slots: 18,
             draining: false,
         }
--- a/components/daemon/src/back_end.rs
+++ b/components/daemon/src/back_end.rs
@@ -138,7 +138,11 @@
     ) -> Result<Response<Incoming>, BackEndError> {
         let request = build(address, head, tenure, lease, body).ok_or(BackEndError::Refused)?;
         self.client.request(request).await.map_err(|error| {
-            if error.is_connect() { BackEndError::Refused } else { BackEndError::Broken }
+            if error.is_connect() {
+                BackEndError::Refused
+            } else {
+                BackEndError::Broken
+            }
         })
     }
 
@@ -174,7 +178,10 @@
     body: Body,
 ) -> Option<Request<BoxBody<Bytes, BodyCut>>> {
     let separator = if head.query.is_empty() { "" } else { "?" };
-    let uri = format!("http://{address}/{}{separator}{}", head.operation, head.query);
+    let uri = format!(
+        "http://{address}/{}{separator}{}",
+        head.operation, head.query
+    );
     let mut request = Request::builder()
         .method(head.method.as_str())
         .uri(uri)
--- a/components/daemon/src/caller_api.rs
+++ b/components/daemon/src/caller_api.rs
@@ -104,7 +104,12 @@
 }
 
 fn content_length(headers: &HeaderMap) -> Option<usize> {
-    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+    headers
+        .get(http::header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
 }
 
 /// Reads a small body whole; a larger one goes on arriving while it is forwarded.
@@ -172,17 +177,19 @@
     let request = &context.request;
     let headers = request.headers();
     let customer = header(headers, CUSTOMER)?.ok_or(ErrorKind::MissingCustomer)?;
-    let customer = CustomerName::from_input(customer)
-        .map_err(|e| bad_request(format!("{CUSTOMER}: {e}")))?;
-    let service = ServiceName::from_input(&path.service)
-        .map_err(|e| bad_request(format!("service: {e}")))?;
+    let customer =
+        CustomerName::from_input(customer).map_err(|e| bad_request(format!("{CUSTOMER}: {e}")))?;
+    let service =
+        ServiceName::from_input(&path.service).map_err(|e| bad_request(format!("service: {e}")))?;
     Ok(Call {
         customer,
         service,
         operation: path.operation,
         method,
         query: request.uri().query().unwrap_or_default().to_owned(),
-        content_type: header(headers, "content-type")?.unwrap_or_default().to_owned(),
+        content_type: header(headers, "content-type")?
+            .unwrap_or_default()
+            .to_owned(),
         key: read_key(headers)?,
         deadline: read_deadline(headers)?,
         ticket: header(headers, TICKET)?.map(str::to_owned),
@@ -195,30 +202,49 @@
 }
 
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    let text = value.to_str().map_err(|_| bad_request(format!("{name}: not plain ASCII")))?;
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| bad_request(format!("{name}: not plain ASCII")))?;
     Ok(Some(text))
 }
 
 fn read_key(headers: &HeaderMap) -> Result<Option<Bytes>, Refusal> {
-    let Some(value) = headers.get(KEY) else { return Ok(None) };
+    let Some(value) = headers.get(KEY) else {
+        return Ok(None);
+    };
     if value.is_empty() || value.len() > MAX_KEY_BYTES {
-        return Err(bad_request(format!("{KEY}: use 1 to {MAX_KEY_BYTES} bytes")));
+        return Err(bad_request(format!(
+            "{KEY}: use 1 to {MAX_KEY_BYTES} bytes"
+        )));
     }
     Ok(Some(Bytes::copy_from_slice(value.as_bytes())))
 }
 
 fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
-    let Some(text) = header(headers, DEADLINE)? else { return Ok(None) };
+    let Some(text) = header(headers, DEADLINE)? else {
+        return Ok(None);
+    };
     match text.parse() {
-        Ok(0) | Err(_) => Err(bad_request(format!("{DEADLINE}: use a whole number above 0"))),
+        Ok(0) | Err(_) => Err(bad_request(format!(
+            "{DEADLINE}: use a whole number above 0"
+        ))),
         Ok(millis) => Ok(Some(Duration::from_millis(millis))),
     }
 }
 
 fn pass_on(answer: Answer) -> Response<dropshot::Body> {
-    let ReplyHead { status, content_type, replayed, .. } = answer.head;
-    let status = u16::try_from(status).ok().and_then(|s| StatusCode::from_u16(s).ok());
+    let ReplyHead {
+        status,
+        content_type,
+        replayed,
+        ..
+    } = answer.head;
+    let status = u16::try_from(status)
+        .ok()
+        .and_then(|s| StatusCode::from_u16(s).ok());
     let mut response = Response::builder().status(status.unwrap_or(StatusCode::BAD_GATEWAY));
     if !content_type.is_empty() {
         response = response.header(http::header::CONTENT_TYPE, content_type);
@@ -227,7 +253,9 @@
         response = response.header(REPLAYED, "1");
     }
     let body = dropshot::Body::wrap(SyncBody::new(StreamBody::new(frames(answer.frames))));
-    response.body(body).unwrap_or_else(|_| refuse(&ErrorKind::Internal.into()))
+    response
+        .body(body)
+        .unwrap_or_else(|_| refuse(&ErrorKind::Internal.into()))
 }
 
 /// Body parts of a reply; a reply without an end mark ends in an error, which the caller's
@@ -264,14 +292,17 @@
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let body = self.get_mut().0.get_mut();
-        body.unwrap_or_else(std::sync::PoisonError::into_inner).as_mut().poll_frame(context)
+        body.unwrap_or_else(std::sync::PoisonError::into_inner)
+            .as_mut()
+            .poll_frame(context)
     }
 }
 
 /// Makes the answer for a refusal from the table of error kinds.
 fn refuse(refusal: &Refusal) -> Response<dropshot::Body> {
     let answer = refusal.kind.answer();
-    let wait_ms = refusal.retry_after.as_millis();
+    // Rounded up, so that a caller who comes back on time does not come too early.
+    let wait_ms = refusal.retry_after.as_micros().div_ceil(1000);
     let body = serde_json::json!({
         "error": answer.code,
         "message": answer.message,
@@ -286,12 +317,17 @@
         .header(ERROR, answer.code);
     if wait_ms > 0 {
         response = response
-            .header(http::header::RETRY_AFTER, wait_ms.div_ceil(1000).to_string())
+            .header(
+                http::header::RETRY_AFTER,
+                wait_ms.div_ceil(1000).to_string(),
+            )
             .header(RETRY_AFTER_MS, wait_ms.to_string());
     }
     if let Some(ticket) = &refusal.ticket {
         response = response.header(TICKET, ticket);
     }
     let body = dropshot::Body::from(body.to_string());
-    response.body(body).unwrap_or_else(|_| Response::new(dropshot::Body::empty()))
+    response
+        .body(body)
+        .unwrap_or_else(|_| Response::new(dropshot::Body::empty()))
 }
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -18,9 +18,7 @@
 use world::key::Term;
 use world::moment::Moment;
 
-use crate::control::{
-    Control, Event, PendingClaim, RecordRead, RecordWritten, Role, WriteKind,
-};
+use crate::control::{Control, Event, PendingClaim, RecordRead, RecordWritten, Role, WriteKind};
 
 /// Longest wait of one watch on the lists.
 const LISTS_PATIENCE: Duration = Duration::from_secs(10);
@@ -62,14 +60,24 @@
         let value = Bytes::from(record.to_bytes());
         tokio::spawn(async move {
             let result = store.put(&name, expected, value).await;
-            let written = RecordWritten { kind, record, sent, result };
+            let written = RecordWritten {
+                kind,
+                record,
+                sent,
+                result,
+            };
             let _ = events.send(Event::RecordWritten(written)).await;
         });
     }
 
     pub(super) fn on_record_written(&mut self, now: Moment, written: RecordWritten) {
         self.writing = false;
-        let RecordWritten { kind, record, sent, result } = written;
+        let RecordWritten {
+            kind,
+            record,
+            sent,
+            result,
+        } = written;
         match (kind, result) {
             (WriteKind::TakeOver, Ok(Update::Written(version))) => {
                 self.claim = None;
@@ -99,7 +107,9 @@
                 return;
             }
         };
-        let Some(object) = object else { return self.step_forward(now, Term(0)) };
+        let Some(object) = object else {
+            return self.step_forward(now, Term(0));
+        };
         match CellRecord::from_bytes(&object.value) {
             Ok(record) => self.on_record(now, &record, &object),
             Err(error) => {
@@ -148,7 +158,9 @@
         if self.writing || self.stopping.is_some() {
             return;
         }
-        let Step::TakeOver(expected) = self.succession.step(now, true) else { return };
+        let Step::TakeOver(expected) = self.succession.step(now, true) else {
+            return;
+        };
         let machine = self.shared.machine.load();
         let record = CellRecord {
             cell: self.shared.settings.cell.clone(),
@@ -159,7 +171,10 @@
             write_id: rand::random(),
             resigned: false,
         };
-        self.claim = Some(PendingClaim { record: record.clone(), sent: now });
+        self.claim = Some(PendingClaim {
+            record: record.clone(),
+            sent: now,
+        });
         self.write_record(WriteKind::TakeOver, now, expected, record);
     }
 
@@ -209,7 +224,10 @@
         let version = role.renewal.version();
         let reply = role.coordinator.on_heartbeat(now, until, version, request);
         let mut message = convert::reply_to_wire(&reply);
-        let newer = role.lists.as_ref().filter(|l| l.version > request.lists_version);
+        let newer = role
+            .lists
+            .as_ref()
+            .filter(|l| l.version > request.lists_version);
         if message.accepted {
             message.lists = newer.cloned();
         }
@@ -224,7 +242,11 @@
 
     pub(super) fn step_down_if_overtaken(&mut self) {
         let term = self.member.term();
-        if self.role.as_ref().is_some_and(|r| r.coordinator.term() < term) {
+        if self
+            .role
+            .as_ref()
+            .is_some_and(|r| r.coordinator.term() < term)
+        {
             self.step_down("overtaken");
         }
     }
@@ -249,7 +271,9 @@
 }
 
 fn is_isolated(coordinator: &Coordinator, now: Moment) -> bool {
-    let silent = coordinator.others_heard().is_some_and(|heard| now.since(heard) > ISOLATION);
+    let silent = coordinator
+        .others_heard()
+        .is_some_and(|heard| now.since(heard) > ISOLATION);
     silent && coordinator.others() >= ISOLATION_MEMBERS
 }
 
@@ -262,7 +286,10 @@
                 Ok(Some(object)) => {
                     known = object.version;
                     let text = String::from_utf8_lossy(&object.value).into_owned();
-                    let document = ListsDocument { version: object.version, text };
+                    let document = ListsDocument {
+                        version: object.version,
+                        text,
+                    };
                     if events.send(Event::ListsRead(document)).await.is_err() {
                         return;
                     }
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -50,7 +50,9 @@
     }
 
     fn extend_back_end(&self, lease: Lease) {
-        let Some(back_end) = self.shared.back_end.load_full() else { return };
+        let Some(back_end) = self.shared.back_end.load_full() else {
+            return;
+        };
         if !back_end.info.contract.keyed {
             return;
         }
@@ -60,11 +62,15 @@
 
     /// Sends a heartbeat when one is due.
     pub(super) fn beat(&mut self, now: Moment) {
-        let waiting = self.beat_sent.is_some_and(|sent| now.since(sent) < BEAT_TIMEOUT * 2);
+        let waiting = self
+            .beat_sent
+            .is_some_and(|sent| now.since(sent) < BEAT_TIMEOUT * 2);
         if now < self.next_beat || waiting {
             return;
         }
-        let Some(coordinator) = self.member.coordinator().cloned() else { return };
+        let Some(coordinator) = self.member.coordinator().cloned() else {
+            return;
+        };
         self.next_beat = now + self.shared.settings.timing.heartbeat;
         self.shared.counters.heartbeats.add();
         let request = self.heartbeat_request();
@@ -99,7 +105,13 @@
             if result.is_err() {
                 pool.forget(address);
             }
-            let _ = events.send(Event::HeartbeatDone { sent, reported, result }).await;
+            let _ = events
+                .send(Event::HeartbeatDone {
+                    sent,
+                    reported,
+                    result,
+                })
+                .await;
         });
     }
 
@@ -192,7 +204,8 @@
             .iter()
             .filter(|m| Some(&m.name) != coordinator && m.name < *me && !m.leaving)
             .count();
-        self.succession.set_rank(u32::try_from(earlier).unwrap_or(u32::MAX));
+        self.succession
+            .set_rank(u32::try_from(earlier).unwrap_or(u32::MAX));
     }
 
     /// Puts newer lists in force. A document that does not parse leaves the old one in force.
@@ -204,8 +217,11 @@
         match lists::document::parse(&document.text) {
             Ok(lists) => {
                 log::info!(event = "lists_in_force", version = document.version; "");
-                let in_force =
-                    ListsInForce { version: document.version, text: document.text, lists };
+                let in_force = ListsInForce {
+                    version: document.version,
+                    text: document.text,
+                    lists,
+                };
                 self.shared.lists.store(Some(Arc::new(in_force)));
             }
             Err(faults) => {
@@ -232,8 +248,9 @@
             }
         }
         let bounds = self.shared.settings.orders;
+        let now = self.shared.now();
         for holding in &changes.opened {
-            gates.insert(Arc::new(Gate::new(holding.clone(), bounds)));
+            gates.insert(Arc::new(Gate::new(holding.clone(), bounds, now)));
         }
         self.shared.gates.store(Arc::new(gates));
         log::info!(
@@ -251,8 +268,10 @@
             return;
         }
         self.settle_abandoned(now);
-        let (drained, closing) =
-            self.closing.drain(..).partition(|gate: &Arc<Gate>| gate.is_drained(now));
+        let (drained, closing) = self
+            .closing
+            .drain(..)
+            .partition(|gate: &Arc<Gate>| gate.is_drained(now));
         self.closing = closing;
         for gate in &drained {
             self.member.on_drained(gate.holding());
@@ -269,26 +288,42 @@
             return;
         }
         let back_end = self.shared.back_end.load();
-        let checks = back_end.as_ref().is_none_or(|b| b.info.contract.checks_fences);
+        let checks = back_end
+            .as_ref()
+            .is_none_or(|b| b.info.contract.checks_fences);
         if !checks {
-            self.closing.iter().filter(abandoned).for_each(|gate| gate.settle_on_replacement());
+            self.closing
+                .iter()
+                .filter(abandoned)
+                .for_each(|gate| gate.settle_on_replacement());
             return;
         }
         let before = self.shared.lease.rotate();
         let until = before.until.max(now) + self.shared.settings.timing.margin;
-        self.closing.iter().filter(abandoned).for_each(|gate| gate.settle_abandoned(until));
+        self.closing
+            .iter()
+            .filter(abandoned)
+            .for_each(|gate| gate.settle_abandoned(until));
     }
 
     pub(super) fn on_announced(&mut self, now: Moment, info: BackEnd, address: SocketAddr) {
         self.announced = now;
         let known = self.shared.back_end.load_full();
-        if known.as_ref().is_some_and(|k| k.info == info && k.address == address) {
+        if known
+            .as_ref()
+            .is_some_and(|k| k.info == info && k.address == address)
+        {
             return;
         }
-        let replaced = known.as_ref().is_none_or(|k| k.info.instance != info.instance);
+        let replaced = known
+            .as_ref()
+            .is_none_or(|k| k.info.instance != info.instance);
         if replaced {
             let gates = self.shared.gates.load();
-            gates.iter().chain(&self.closing).for_each(|gate| gate.on_replacement());
+            gates
+                .iter()
+                .chain(&self.closing)
+                .for_each(|gate| gate.on_replacement());
         }
         let reusable = known.filter(|k| !replaced && k.info.slots == info.slots);
         let (slots, waiting) = match reusable {
@@ -306,7 +341,12 @@
             ""
         );
         self.update_machine(now, |machine| machine.back_end = Some(info.clone()));
-        let local = LocalBackEnd { info, address, slots, waiting };
+        let local = LocalBackEnd {
+            info,
+            address,
+            slots,
+            waiting,
+        };
         self.shared.back_end.store(Some(Arc::new(local)));
     }
 
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -161,11 +161,19 @@
             Event::Heartbeat { request, reply } => {
                 let _ = reply.send(self.on_heartbeat(now, &request));
             }
-            Event::Adopt { cell, coordinator, reply } => {
+            Event::Adopt {
+                cell,
+                coordinator,
+                reply,
+            } => {
                 self.on_adopt(now, &cell, coordinator);
                 let _ = reply.send(self.member.term());
             }
-            Event::HeartbeatDone { sent, reported, result } => {
+            Event::HeartbeatDone {
+                sent,
+                reported,
+                result,
+            } => {
                 self.on_heartbeat_done(sent, now, reported, result);
             }
             Event::RecordRead(read) => self.on_record_read(now, read),
--- a/components/daemon/src/control/report.rs
+++ b/components/daemon/src/control/report.rs
@@ -52,7 +52,10 @@
             name: machine.name.to_string(),
             region: machine.region.to_string(),
             zone: machine.zone.to_string(),
-            service: machine.back_end.as_ref().map(|b| b.contract.service.to_string()),
+            service: machine
+                .back_end
+                .as_ref()
+                .map(|b| b.contract.service.to_string()),
             draining: machine.leaving || machine.back_end.as_ref().is_some_and(|b| b.draining),
             shards: shards(index),
         })
--- a/components/daemon/src/control/stopping.rs
+++ b/components/daemon/src/control/stopping.rs
@@ -25,12 +25,18 @@
 impl<S: Store> Control<S> {
     pub(super) fn start_stop(&mut self, now: Moment, reply: oneshot::Sender<()>) {
         log::info!(event = "stopping", held = self.member.held_count(); "");
-        self.stopping = Some(Stopping { started: now, finish_by: None, reply: Some(reply) });
+        self.stopping = Some(Stopping {
+            started: now,
+            finish_by: None,
+            reply: Some(reply),
+        });
         self.update_machine(now, |machine| machine.leaving = true);
     }
 
     pub(super) fn progress_stop(&mut self, now: Moment) {
-        let Some(stopping) = &self.stopping else { return };
+        let Some(stopping) = &self.stopping else {
+            return;
+        };
         let elapsed = now.since(stopping.started);
         let finish_by = stopping.finish_by;
         let released = self.member.is_idle() || self.has_lapsed();
@@ -40,7 +46,11 @@
                 if late {
                     log::warn!(event = "stop_timed_out", held = self.member.held_count(); "");
                 }
-                let wait = if self.role.is_some() { RESIGNATION } else { Duration::ZERO };
+                let wait = if self.role.is_some() {
+                    RESIGNATION
+                } else {
+                    Duration::ZERO
+                };
                 self.resign(now);
                 self.set_finish(now + wait);
             }
@@ -53,7 +63,11 @@
     fn has_lapsed(&self) -> bool {
         let lapsed = self.member.lease_until() == Moment::default();
         let gates = self.shared.gates.load();
-        lapsed && gates.iter().chain(&self.closing).all(|gate| gate.in_flight() == 0)
+        lapsed
+            && gates
+                .iter()
+                .chain(&self.closing)
+                .all(|gate| gate.in_flight() == 0)
     }
 
     fn set_finish(&mut self, instant: Moment) {
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -92,7 +92,10 @@
         let faults = settings.faults();
         if !faults.is_empty() {
             let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            return SettingsSnafu { faults: lines.join("\n") }.fail();
+            return SettingsSnafu {
+                faults: lines.join("\n"),
+            }
+            .fail();
         }
         let traffic = Builder::new_multi_thread()
             .worker_threads(settings.traffic_threads)
@@ -153,7 +156,9 @@
 
     /// Stops the daemon: takes no new work, gives its shards up, finishes what is in flight.
     pub fn stop(mut self) {
-        let Some(traffic) = self.traffic.take() else { return };
+        let Some(traffic) = self.traffic.take() else {
+            return;
+        };
         let limit = self.shared.settings.stop_timeout;
         let (reply, released) = oneshot::channel();
         let shared = Arc::clone(&self.shared);
@@ -200,11 +205,17 @@
         listener.set_nonblocking(true)?;
         Ok(listener)
     });
-    bound.map_err(|e| StartError::Listen { address, purpose, reason: e.to_string() })
+    bound.map_err(|e| StartError::Listen {
+        address,
+        purpose,
+        reason: e.to_string(),
+    })
 }
 
 fn local(listener: &std::net::TcpListener) -> SocketAddr {
-    listener.local_addr().unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)))
+    listener
+        .local_addr()
+        .unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
 fn describe(settings: &Settings, peers: SocketAddr, traffic: SocketAddr) -> Machine {
@@ -253,7 +264,11 @@
     ServerBuilder::new(api, Arc::clone(shared), logger)
         .config(config)
         .start()
-        .map_err(|e| StartError::Listen { address, purpose, reason: e.to_string() })
+        .map_err(|e| StartError::Listen {
+            address,
+            purpose,
+            reason: e.to_string(),
+        })
 }
 
 async fn start_forwards(
@@ -262,7 +277,9 @@
 ) -> Result<(oneshot::Sender<()>, JoinHandle<()>), StartError> {
     let incoming = incoming(listener)?;
     let token = PeerToken::from_secret(&shared.settings.secret);
-    let server = TrafficServer { shared: Arc::clone(shared) };
+    let server = TrafficServer {
+        shared: Arc::clone(shared),
+    };
     let service = TrafficService::with_interceptor(server, Verify(token));
     let (end, ended) = oneshot::channel::<()>();
     let served = tokio::spawn(async move {
@@ -292,7 +309,10 @@
     inbox: mpsc::Receiver<Event>,
     reporter: Reporter,
 ) -> Result<ControlThread, StartError> {
-    let runtime = Builder::new_current_thread().enable_all().build().context(ThreadsSnafu)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadsSnafu)?;
     let (end, ended) = oneshot::channel();
     let shared = Arc::clone(shared);
     let thread = thread::Builder::new()
@@ -317,13 +337,19 @@
         }
     };
     let token = PeerToken::from_secret(&shared.settings.secret);
-    let server = ControlServer { events: shared.events.clone() };
+    let server = ControlServer {
+        events: shared.events.clone(),
+    };
     let service = ControlService::with_interceptor(server, Verify(token));
-    let serving = Server::builder().add_service(service).serve_with_incoming(incoming);
+    let serving = Server::builder()
+        .add_service(service)
+        .serve_with_incoming(incoming);
     let serving = tokio::spawn(serving);
     let store = HttpStore::new(shared.settings.platform);
     let counted = store.clone();
     let calls = Box::new(move || counted.calls());
-    Control::new(shared, store, calls, reporter).run(inbox, ended).await;
+    Control::new(shared, store, calls, reporter)
+        .run(inbox, ended)
+        .await;
     serving.abort();
 }
--- a/components/daemon/src/entry.rs
+++ b/components/daemon/src/entry.rs
@@ -88,7 +88,12 @@
     #[must_use]
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
         let retry_after = Duration::from_millis(u64::from(kind.answer().retry_after_ms));
-        Self { kind, detail: detail.into(), retry_after, ticket: None }
+        Self {
+            kind,
+            detail: detail.into(),
+            retry_after,
+            ticket: None,
+        }
     }
 }
 
@@ -100,7 +105,10 @@
 
 impl From<allowance::Refusal> for Refusal {
     fn from(refusal: allowance::Refusal) -> Self {
-        Self { retry_after: refusal.retry_after, ..Self::from(refusal.kind) }
+        Self {
+            retry_after: refusal.retry_after,
+            ..Self::from(refusal.kind)
+        }
     }
 }
 
@@ -164,7 +172,11 @@
 impl From<ErrorKind> for Failed {
     fn from(kind: ErrorKind) -> Self {
         let retry_after_ms = kind.answer().retry_after_ms;
-        Self { kind, detail: String::new(), retry_after_ms }
+        Self {
+            kind,
+            detail: String::new(),
+            retry_after_ms,
+        }
     }
 }
 
@@ -200,25 +212,41 @@
     let terms = terms(shared, &call)?;
     let routes = shared.routes.load_full();
     let contract = contract(&routes, &call.service).ok_or(ErrorKind::NoBackEnd)?;
-    let operation = contract.operation(&call.operation).ok_or(ErrorKind::UnknownOperation)?;
+    let operation = contract
+        .operation(&call.operation)
+        .ok_or(ErrorKind::UnknownOperation)?;
     if contract.keyed && call.key.is_none() {
         return Err(ErrorKind::MissingKey.into());
     }
     let order = operation.order;
     if terms.allowance(order).is_none() {
         let kind = if order { "orders" } else { "lookups" };
-        return Err(Refusal::new(ErrorKind::NotInPlan, format!("the plan allows no {kind}")));
+        return Err(Refusal::new(
+            ErrorKind::NotInPlan,
+            format!("the plan allows no {kind}"),
+        ));
     }
-    let limit = call.deadline.map_or(terms.deadline, |wanted| wanted.min(terms.deadline));
+    let limit = call
+        .deadline
+        .map_or(terms.deadline, |wanted| wanted.min(terms.deadline));
     let deadline = started + limit;
-    let purpose =
-        Purpose { customer: call.customer.clone(), service: call.service.clone(), order };
+    let purpose = Purpose {
+        customer: call.customer.clone(),
+        service: call.service.clone(),
+        order,
+    };
     // An order is paid for when its ticket is issued, so that repetitions cost nothing.
     if !order || call.ticket.is_none() {
         allowance::pay(shared, &purpose).await?;
     }
     let keyed = contract.keyed;
-    let prepared = Prepared { head: head(&call, order, keyed), keyed, order, started, deadline };
+    let prepared = Prepared {
+        head: head(&call, order, keyed),
+        keyed,
+        order,
+        started,
+        deadline,
+    };
     if order && call.ticket.is_none() {
         return Err(ticket_refusal(shared, &prepared).await);
     }
@@ -228,12 +256,23 @@
 fn terms(shared: &Shared, call: &Call) -> Result<ServiceTerms, Refusal> {
     let lists = shared.lists.load();
     let lists = lists.as_ref().ok_or(ErrorKind::NotServing)?;
-    let plan = lists.lists.plan_of(&call.customer).ok_or(ErrorKind::UnknownCustomer)?;
+    let plan = lists
+        .lists
+        .plan_of(&call.customer)
+        .ok_or(ErrorKind::UnknownCustomer)?;
     if let Some(terms) = plan.services.get(&call.service) {
         return Ok(*terms);
     }
-    let listed = lists.lists.plans.values().any(|p| p.services.contains_key(&call.service));
-    let kind = if listed { ErrorKind::NotInPlan } else { ErrorKind::UnknownService };
+    let listed = lists
+        .lists
+        .plans
+        .values()
+        .any(|p| p.services.contains_key(&call.service));
+    let kind = if listed {
+        ErrorKind::NotInPlan
+    } else {
+        ErrorKind::UnknownService
+    };
     Err(kind.into())
 }
 
@@ -340,7 +379,11 @@
     match result {
         Ok((head, frame, source)) => {
             observed.on_answer(sent.elapsed(), head.in_flight);
-            let frames = Frames { source, first: Some(frame), _in_flight: in_flight };
+            let frames = Frames {
+                source,
+                first: Some(frame),
+                _in_flight: in_flight,
+            };
             Ok(Answer { head, frames })
         }
         Err(failed) => {
@@ -353,7 +396,11 @@
 }
 
 fn timed_out(prepared: &Prepared) -> ErrorKind {
-    if prepared.order { ErrorKind::OutcomeUnknown } else { ErrorKind::LookupTimedOut }
+    if prepared.order {
+        ErrorKind::OutcomeUnknown
+    } else {
+        ErrorKind::LookupTimedOut
+    }
 }
 
 /// Tells whether a failure speaks against the machine rather than against the request.
@@ -376,7 +423,9 @@
     let service = prepared.head.service.as_str();
     if prepared.keyed {
         let shard = KeyHash(prepared.head.key_hash).shard(table::shard_count(service));
-        return routes.owner(service, shard).ok_or_else(|| ErrorKind::NoOwner.into());
+        return routes
+            .owner(service, shard)
+            .ok_or_else(|| ErrorKind::NoOwner.into());
     }
     let candidates = candidates(shared, routes, service);
     let index = pick::pick(&candidates, tried, rand::random()).ok_or(ErrorKind::NoBackEnd)?;
@@ -387,7 +436,11 @@
 fn candidates(shared: &Shared, routes: &RouteTable, service: &str) -> Candidates {
     let now = shared.now();
     let settings = &shared.settings;
-    let machines = routes.machines.iter().enumerate().filter(|(_, m)| m.offers(service));
+    let machines = routes
+        .machines
+        .iter()
+        .enumerate()
+        .filter(|(_, m)| m.offers(service));
     machines
         .map(|(index, machine)| {
             let observed = shared.observed(&machine.name);
@@ -417,14 +470,22 @@
     } else {
         forward(shared, machine, head, body).await?
     };
-    let lost = if order { ErrorKind::OutcomeUnknown } else { ErrorKind::BackEndFailed };
+    let lost = if order {
+        ErrorKind::OutcomeUnknown
+    } else {
+        ErrorKind::BackEndFailed
+    };
     let mut frame = source.next().await.ok_or(lost)?;
     let head = frame.head.take().ok_or(lost)?;
     if head.error.is_empty() {
         return Ok((head, frame, source));
     }
     let kind = ErrorKind::from_code(&head.error).unwrap_or(ErrorKind::Internal);
-    Err(Failed { kind, detail: head.detail, retry_after_ms: head.retry_after_ms })
+    Err(Failed {
+        kind,
+        detail: head.detail,
+        retry_after_ms: head.retry_after_ms,
+    })
 }
 
 /// Gives a copy of a whole body, or the only one of a body that is still arriving.
@@ -456,7 +517,11 @@
     let body = take_body(body).ok_or(ErrorKind::Internal)?;
     let result = match body {
         Body::Whole(bytes) => {
-            let frame = RequestFrame { head: Some(head), body: bytes, end: true };
+            let frame = RequestFrame {
+                head: Some(head),
+                body: bytes,
+                end: true,
+            };
             client.forward(futures::stream::iter([frame])).await
         }
         Body::Stream(parts) => client.forward(frames(head, parts)).await,
@@ -470,14 +535,21 @@
                 true => ErrorKind::OutcomeUnknown,
                 false => ErrorKind::BackEndFailed,
             };
-            Err(Failed { detail: status.message().to_owned(), ..Failed::from(kind) })
+            Err(Failed {
+                detail: status.message().to_owned(),
+                ..Failed::from(kind)
+            })
         }
     }
 }
 
 /// What it means that a machine can't be connected to: a key's owner may have changed.
 fn unreachable(head: &RequestHead) -> ErrorKind {
-    if head.keyed { ErrorKind::NoOwner } else { ErrorKind::NoBackEnd }
+    if head.keyed {
+        ErrorKind::NoOwner
+    } else {
+        ErrorKind::NoBackEnd
+    }
 }
 
 /// Frames of a body that is still arriving; a cut body ends without an end mark.
@@ -485,22 +557,36 @@
     head: RequestHead,
     parts: mpsc::Receiver<Result<Bytes, BodyCut>>,
 ) -> impl futures::Stream<Item = RequestFrame> {
-    let first = RequestFrame { head: Some(head), body: Bytes::new(), end: false };
-    let end = RequestFrame { head: None, body: Bytes::new(), end: true };
+    let first = RequestFrame {
+        head: Some(head),
+        body: Bytes::new(),
+        end: false,
+    };
+    let end = RequestFrame {
+        head: None,
+        body: Bytes::new(),
+        end: true,
+    };
     let ended = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
     let flag = Arc::clone(&ended);
     let body = ReceiverStream::new(parts).filter_map(move |part| {
         if part.is_err() {
             flag.store(false, std::sync::atomic::Ordering::Relaxed);
         }
-        let frame = part.ok().map(|body| RequestFrame { head: None, body, end: false });
+        let frame = part.ok().map(|body| RequestFrame {
+            head: None,
+            body,
+            end: false,
+        });
         std::future::ready(frame)
     });
     let last = futures::stream::once(async move {
         let whole = ended.load(std::sync::atomic::Ordering::Relaxed);
         whole.then_some(end)
     });
-    futures::stream::iter([first]).chain(body).chain(last.filter_map(std::future::ready))
+    futures::stream::iter([first])
+        .chain(body)
+        .chain(last.filter_map(std::future::ready))
 }
 
 /// Refuses an order that has no ticket, with a ticket where one can be had.
@@ -538,14 +624,20 @@
     };
     let routes = shared.routes.load_full();
     let shard = KeyHash(head.key_hash).shard(table::shard_count(&head.service));
-    let owner = routes.owner(&head.service, shard).ok_or(ErrorKind::NoOwner)?;
+    let owner = routes
+        .owner(&head.service, shard)
+        .ok_or(ErrorKind::NoOwner)?;
     if owner.name == shared.settings.name {
         return Ok(owner::issue_ticket(shared, &request));
     }
     let address = owner.traffic_address;
     let call = async {
         let mut client = shared.pool.traffic(address).await.ok()?;
-        client.issue_ticket(request).await.ok().map(tonic::Response::into_inner)
+        client
+            .issue_ticket(request)
+            .await
+            .ok()
+            .map(tonic::Response::into_inner)
     };
     match tokio::time::timeout_at(prepared.deadline, call).await {
         Ok(Some(reply)) => Ok(reply),
--- a/components/daemon/src/gate.rs
+++ b/components/daemon/src/gate.rs
@@ -31,9 +31,9 @@
 }
 
 impl Gate {
-    /// An open gate.
+    /// An open gate of a tenure that starts at `now`.
     #[must_use]
-    pub fn new(holding: Holding, bounds: Bounds) -> Self {
+    pub fn new(holding: Holding, bounds: Bounds, now: Moment) -> Self {
         let orders = OrderTable::new(holding.fence, bounds);
         Self {
             holding,
@@ -43,7 +43,7 @@
             stuck_until: AtomicU64::new(0),
             requests: AtomicU32::new(0),
             orders: Mutex::new(orders),
-            keeper: Mutex::new(Keeper::default()),
+            keeper: Mutex::new(Keeper::new(now)),
         }
     }
 
@@ -73,7 +73,9 @@
     #[must_use]
     pub fn enter(self: &Arc<Self>) -> Option<Pass> {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        let pass = Pass { gate: Arc::clone(self) };
+        let pass = Pass {
+            gate: Arc::clone(self),
+        };
         if self.closing.load(Ordering::SeqCst) {
             return None;
         }
@@ -106,7 +108,8 @@
     /// Replaces "an abandoned request may still run" by the instant after which it can't.
     pub fn settle_abandoned(&self, until: Moment) {
         self.abandoned.store(false, Ordering::SeqCst);
-        self.stuck_until.fetch_max(until.as_nanos(), Ordering::SeqCst);
+        self.stuck_until
+            .fetch_max(until.as_nanos(), Ordering::SeqCst);
     }
 
     /// Notes that only a new back end proves that an abandoned request has ended.
@@ -164,7 +167,11 @@
     /// The gate of a shard.
     #[must_use]
     pub fn gate(&self, service: &str, shard: Shard) -> Option<&Arc<Gate>> {
-        let gates = self.services.iter().find(|(name, _)| name.as_str() == service)?.1;
+        let gates = self
+            .services
+            .iter()
+            .find(|(name, _)| name.as_str() == service)?
+            .1;
         gates.get(usize::from(shard.0))?.as_ref()
     }
 
@@ -172,7 +179,10 @@
     pub fn insert(&mut self, gate: Arc<Gate>) {
         let id = &gate.holding.id;
         let count = usize::from(table::shard_count(id.service.as_str()));
-        let gates = self.services.entry(id.service.clone()).or_insert_with(|| vec![None; count]);
+        let gates = self
+            .services
+            .entry(id.service.clone())
+            .or_insert_with(|| vec![None; count]);
         let shard = usize::from(id.shard.0);
         gates[shard] = Some(gate);
     }
@@ -200,8 +210,18 @@
     use super::*;
 
     fn gate() -> Arc<Gate> {
-        let id = ShardId { service: ServiceName::new("credits"), shard: Shard(3) };
-        Arc::new(Gate::new(Holding { id, fence: Fence(9) }, Bounds::default()))
+        let id = ShardId {
+            service: ServiceName::new("credits"),
+            shard: Shard(3),
+        };
+        Arc::new(Gate::new(
+            Holding {
+                id,
+                fence: Fence(9),
+            },
+            Bounds::default(),
+            Moment::from_millis(1),
+        ))
     }
 
     #[test]
--- a/components/daemon/src/lease.rs
+++ b/components/daemon/src/lease.rs
@@ -5,9 +5,9 @@
 use world::moment::Moment;
 
 /// The daemon's lease at one instant.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
-    /// Rises whenever requests sent earlier must no longer be extended.
+    /// Rises whenever requests sent earlier must no longer be extended; at least 1.
     pub session: u64,
     /// Instant until which the daemon owns what it holds.
     pub until: Moment,
@@ -22,9 +22,18 @@
 }
 
 /// Shared lease; session and end are always read together.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeaseCell(Mutex<Lease>);
 
+impl Default for LeaseCell {
+    fn default() -> Self {
+        Self(Mutex::new(Lease {
+            session: 1,
+            until: Moment::default(),
+        }))
+    }
+}
+
 impl LeaseCell {
     /// The lease now.
     #[must_use]
--- a/components/daemon/src/metrics.rs
+++ b/components/daemon/src/metrics.rs
@@ -134,7 +134,11 @@
                 StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
             }
         };
-        Ok(Self { client, counters, sent: Counts::default() })
+        Ok(Self {
+            client,
+            counters,
+            sent: Counts::default(),
+        })
     }
 
     /// Sends the increase of each counter since the last call.
--- a/components/daemon/src/owner.rs
+++ b/components/daemon/src/owner.rs
@@ -40,7 +40,10 @@
 
 impl From<ErrorKind> for Failure {
     fn from(kind: ErrorKind) -> Self {
-        Self { kind, detail: String::new() }
+        Self {
+            kind,
+            detail: String::new(),
+        }
     }
 }
 
@@ -107,11 +110,21 @@
     if contract.service.as_str() != head.service {
         return Err(ErrorKind::NoBackEnd.into());
     }
-    let operation = contract.operation(&head.operation).ok_or(ErrorKind::UnknownOperation)?;
+    let operation = contract
+        .operation(&head.operation)
+        .ok_or(ErrorKind::UnknownOperation)?;
     let is_order = operation.order;
-    let pass = if contract.keyed { Some(enter(shared, &head)?) } else { None };
+    let pass = if contract.keyed {
+        Some(enter(shared, &head)?)
+    } else {
+        None
+    };
     let tenure = pass.as_ref().map(|p| tenure(p.gate()));
-    let ticket = if is_order { Some(read_ticket(shared, &head)?) } else { None };
+    let ticket = if is_order {
+        Some(read_ticket(shared, &head)?)
+    } else {
+        None
+    };
     if let (Some(ticket), Some(pass)) = (&ticket, &pass)
         && let Some(answer) = check_order(shared, &head, ticket, pass.gate())?
     {
@@ -144,7 +157,10 @@
 }
 
 fn tenure(gate: &Gate) -> Tenure {
-    Tenure { shard: gate.holding().id.shard, fence: gate.fence() }
+    Tenure {
+        shard: gate.holding().id.shard,
+        fence: gate.fence(),
+    }
 }
 
 fn shard_of(service: &str, key_hash: u64) -> Shard {
@@ -161,7 +177,9 @@
 
 fn open_gate(shared: &Shared, service: &str, key_hash: u64) -> Result<Pass, Failure> {
     let gates = shared.gates.load();
-    let pass = gates.gate(service, shard_of(service, key_hash)).and_then(Gate::enter);
+    let pass = gates
+        .gate(service, shard_of(service, key_hash))
+        .and_then(Gate::enter);
     let held = shared.lease.load().is_held(shared.now());
     match pass {
         Some(pass) if held => Ok(pass),
@@ -229,7 +247,16 @@
 }
 
 async fn run(shared: &Arc<Shared>, admitted: Admitted, sender: &mpsc::Sender<ReplyFrame>) {
-    let Admitted { back_end, mut head, body, tenure, pass, order, deadline, _slot } = admitted;
+    let Admitted {
+        back_end,
+        mut head,
+        body,
+        tenure,
+        pass,
+        order,
+        deadline,
+        _slot,
+    } = admitted;
     let remaining = deadline.saturating_duration_since(Instant::now());
     if remaining < LEAST_REMAINING {
         finish(order.as_ref(), End::NotRun);
@@ -245,7 +272,9 @@
         shared.counters.orders.add();
     }
     let exchange = async {
-        let sent = shared.back_end_client.send(back_end.address, &head, tenure, lease, body);
+        let sent = shared
+            .back_end_client
+            .send(back_end.address, &head, tenure, lease, body);
         let answer = match sent.await {
             Ok(answer) => answer,
             Err(error) => return on_send_error(shared, error, order.as_ref()).await,
@@ -302,7 +331,10 @@
     match error {
         BackEndError::Refused => {
             let _ = shared.events.try_send(Event::BackEndRefused);
-            Ended::NotRun(Failure { kind: ErrorKind::NoBackEnd, detail })
+            Ended::NotRun(Failure {
+                kind: ErrorKind::NoBackEnd,
+                detail,
+            })
         }
         BackEndError::Broken => {
             let kind = match order {
@@ -339,25 +371,43 @@
         if end {
             record.finish(order);
         }
-        let frame = ReplyFrame { head: head.take(), body: part, end };
+        let frame = ReplyFrame {
+            head: head.take(),
+            body: part,
+            end,
+        };
         let _ = sender.send(frame).await;
         if end {
             return Ended::Whole;
         }
     }
     record.finish(order);
-    let last = ReplyFrame { head: head.take(), body: Bytes::new(), end: true };
+    let last = ReplyFrame {
+        head: head.take(),
+        body: Bytes::new(),
+        end: true,
+    };
     let _ = sender.send(last).await;
     Ended::Whole
 }
 
 fn cut_short(order: Option<&Order>) -> Ended {
-    let kind = if order.is_some() { ErrorKind::OutcomeUnknown } else { ErrorKind::BackEndFailed };
-    Ended::Unknown(Failure { kind, detail: "the answer was cut short".to_owned() })
+    let kind = if order.is_some() {
+        ErrorKind::OutcomeUnknown
+    } else {
+        ErrorKind::BackEndFailed
+    };
+    Ended::Unknown(Failure {
+        kind,
+        detail: "the answer was cut short".to_owned(),
+    })
 }
 
 fn refused_by_back_end<B>(answer: &Response<B>) -> Failure {
-    let reason = answer.headers().get(back_end::NOT_RUN).and_then(|v| v.to_str().ok());
+    let reason = answer
+        .headers()
+        .get(back_end::NOT_RUN)
+        .and_then(|v| v.to_str().ok());
     let detail = reason.unwrap_or_default().to_owned();
     let kind = match detail.as_str() {
         "fence" | "lease" => ErrorKind::NotOwner,
@@ -367,7 +417,11 @@
     Failure { kind, detail }
 }
 
-fn reply_head<B>(back_end: &LocalBackEnd, answer: &Response<B>, tenure: Option<Tenure>) -> ReplyHead {
+fn reply_head<B>(
+    back_end: &LocalBackEnd,
+    answer: &Response<B>,
+    tenure: Option<Tenure>,
+) -> ReplyHead {
     ReplyHead {
         status: u32::from(answer.status().as_u16()),
         content_type: content_type(answer),
@@ -385,7 +439,10 @@
 
 fn content_type<B>(answer: &Response<B>) -> String {
     let value = answer.headers().get(http::header::CONTENT_TYPE);
-    value.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+    value
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
 }
 
 /// Collects an order's answer as far as the table may keep it.
@@ -416,7 +473,11 @@
     fn finish(&mut self, order: Option<&Order>) {
         let body = self.body.split().freeze();
         let content_type = std::mem::take(&mut self.content_type);
-        let recorded = Recorded { status: self.status, content_type, body };
+        let recorded = Recorded {
+            status: self.status,
+            content_type,
+            body,
+        };
         finish(order, End::Answered(recorded));
     }
 }
@@ -434,7 +495,11 @@
         replayed: true,
         ..ReplyHead::default()
     };
-    ReplyFrame { head: Some(head), body: answer.body, end: true }
+    ReplyFrame {
+        head: Some(head),
+        body: answer.body,
+        end: true,
+    }
 }
 
 async fn send_failure(shared: &Shared, sender: &mpsc::Sender<ReplyFrame>, failure: Failure) {
@@ -446,7 +511,13 @@
         in_flight,
         ..ReplyHead::default()
     };
-    let _ = sender.send(ReplyFrame { head: Some(head), body: Bytes::new(), end: true }).await;
+    let _ = sender
+        .send(ReplyFrame {
+            head: Some(head),
+            body: Bytes::new(),
+            end: true,
+        })
+        .await;
 }
 
 /// Issues a ticket for a key that this daemon owns.
@@ -458,9 +529,10 @@
             valid_ms: u32::try_from(shared.settings.orders.lifetime.as_millis()).unwrap_or(0),
             ticket,
         },
-        Err(failure) => {
-            TicketReply { error: failure.kind.to_string(), ..TicketReply::default() }
-        }
+        Err(failure) => TicketReply {
+            error: failure.kind.to_string(),
+            ..TicketReply::default()
+        },
     }
 }
 
@@ -470,7 +542,11 @@
     let ticket = Ticket {
         shard: gate.holding().id.shard,
         fence: gate.fence(),
-        scope: Scope::new(&request.customer, &request.service, KeyHash(request.key_hash)),
+        scope: Scope::new(
+            &request.customer,
+            &request.service,
+            KeyHash(request.key_hash),
+        ),
         nonce: Nonce(rand::random()),
     };
     if !gate.orders().issue(shared.now(), &ticket) {
--- a/components/daemon/src/peer_server.rs
+++ b/components/daemon/src/peer_server.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 
 use futures::{Stream, StreamExt};
+use peers::convert;
 use peers::wire::control_server::Control;
 use peers::wire::traffic_server::Traffic;
 use peers::wire::{
     AdoptReply, AdoptRequest, BorrowReply, BorrowRequest, HeartbeatReply, HeartbeatRequest,
     ReplyFrame, RequestFrame, TicketReply, TicketRequest,
 };
-use peers::convert;
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
@@ -37,7 +37,11 @@
         let request = convert::request_from_wire(request.get_ref())
             .map_err(|e| Status::invalid_argument(e.to_string()))?;
         let (sender, receiver) = oneshot::channel();
-        self.send(Event::Heartbeat { request, reply: sender }).await?;
+        self.send(Event::Heartbeat {
+            request,
+            reply: sender,
+        })
+        .await?;
         receiver.await.map(Response::new).map_err(|_| stopping())
     }
 
@@ -46,9 +50,16 @@
             .map_err(|e| Status::invalid_argument(e.to_string()))?;
         let (sender, receiver) = oneshot::channel();
         let cell = request.into_inner().cell;
-        self.send(Event::Adopt { cell, coordinator, reply: sender }).await?;
+        self.send(Event::Adopt {
+            cell,
+            coordinator,
+            reply: sender,
+        })
+        .await?;
         let term = receiver.await.map_err(|_| stopping())?;
-        Ok(Response::new(AdoptReply { term: u64::from(term.0) }))
+        Ok(Response::new(AdoptReply {
+            term: u64::from(term.0),
+        }))
     }
 }
 
@@ -78,9 +89,18 @@
         request: Request<Streaming<RequestFrame>>,
     ) -> Result<Response<Self::ForwardStream>, Status> {
         let mut frames = request.into_inner();
-        let first = frames.message().await?.ok_or_else(|| malformed("no frame"))?;
-        let head = first.head.ok_or_else(|| malformed("the first frame has no head"))?;
-        let body = if first.end { Body::Whole(first.body) } else { receive(frames) };
+        let first = frames
+            .message()
+            .await?
+            .ok_or_else(|| malformed("no frame"))?;
+        let head = first
+            .head
+            .ok_or_else(|| malformed("the first frame has no head"))?;
+        let body = if first.end {
+            Body::Whole(first.body)
+        } else {
+            receive(frames)
+        };
         let reply = owner::serve(Arc::clone(&self.shared), head, body);
         Ok(Response::new(Box::pin(ReceiverStream::new(reply).map(Ok))))
     }
@@ -89,14 +109,20 @@
         &self,
         request: Request<TicketRequest>,
     ) -> Result<Response<TicketReply>, Status> {
-        Ok(Response::new(owner::issue_ticket(&self.shared, request.get_ref())))
+        Ok(Response::new(owner::issue_ticket(
+            &self.shared,
+            request.get_ref(),
+        )))
     }
 
     async fn borrow(
         &self,
         request: Request<BorrowRequest>,
     ) -> Result<Response<BorrowReply>, Status> {
-        Ok(Response::new(allowance::lend(&self.shared, request.get_ref())))
+        Ok(Response::new(allowance::lend(
+            &self.shared,
+            request.get_ref(),
+        )))
     }
 }
 
--- a/components/daemon/src/pool.rs
+++ b/components/daemon/src/pool.rs
@@ -45,7 +45,10 @@
     /// A pool without connections.
     #[must_use]
     pub fn new(token: PeerToken) -> Self {
-        Self { token, channels: Mutex::default() }
+        Self {
+            token,
+            channels: Mutex::default(),
+        }
     }
 
     /// Client of a daemon's control service.
@@ -57,7 +60,10 @@
         address: SocketAddr,
     ) -> Result<ControlClient<Signed>, ConnectFailed> {
         let channel = self.channel(address).await?;
-        Ok(ControlClient::with_interceptor(channel, Sign(self.token.clone())))
+        Ok(ControlClient::with_interceptor(
+            channel,
+            Sign(self.token.clone()),
+        ))
     }
 
     /// Client of a daemon's traffic service.
@@ -69,12 +75,18 @@
         address: SocketAddr,
     ) -> Result<TrafficClient<Signed>, ConnectFailed> {
         let channel = self.channel(address).await?;
-        Ok(TrafficClient::with_interceptor(channel, Sign(self.token.clone())))
+        Ok(TrafficClient::with_interceptor(
+            channel,
+            Sign(self.token.clone()),
+        ))
     }
 
     /// Forgets a connection after a failure, so that the next call opens a fresh one.
     pub fn forget(&self, address: SocketAddr) {
-        self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        self.channels
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&address);
     }
 
     async fn channel(&self, address: SocketAddr) -> Result<Channel, ConnectFailed> {
--- a/components/daemon/src/settings.rs
+++ b/components/daemon/src/settings.rs
@@ -118,15 +118,24 @@
     let mut faults = Vec::new();
     if timing.heartbeat.is_zero() || timing.heartbeat * 3 > timing.authority {
         let limit = timing.authority.as_millis() / 3;
-        faults.push(("heartbeat-ms", format!("use 1 to a third of --authority-ms, {limit}")));
+        faults.push((
+            "heartbeat-ms",
+            format!("use 1 to a third of --authority-ms, {limit}"),
+        ));
     }
     if timing.renewal.is_zero() || timing.renewal * 3 > timing.authority {
         let limit = timing.authority.as_millis() / 3;
-        faults.push(("renewal-ms", format!("use 1 to a third of --authority-ms, {limit}")));
+        faults.push((
+            "renewal-ms",
+            format!("use 1 to a third of --authority-ms, {limit}"),
+        ));
     }
     if timing.suspicion < timing.heartbeat * 2 {
         let limit = timing.heartbeat.as_millis() * 2;
-        faults.push(("suspicion-ms", format!("use at least two heartbeats, {limit}")));
+        faults.push((
+            "suspicion-ms",
+            format!("use at least two heartbeats, {limit}"),
+        ));
     }
     faults
 }
@@ -142,7 +151,12 @@
             cell: CellName::new("maroc"),
             region: RegionName::new("nord"),
             zone: ZoneName::new("nord-a"),
-            listen: Listen { callers: any, peers: any, traffic: any, admin: any },
+            listen: Listen {
+                callers: any,
+                peers: any,
+                traffic: any,
+                admin: any,
+            },
             platform: "127.0.0.1:9000".parse().expect("address"),
             secret: "0123456789abcdef".to_owned(),
             timing: Timing::default(),
@@ -167,8 +181,13 @@
         wrong.timing.heartbeat = Duration::from_secs(1);
         wrong.listen.admin = "192.0.2.1:0".parse().expect("address");
         let flags: Vec<_> = wrong.faults().iter().map(|f| f.flag).collect();
-        let expected =
-            ["secret", "admin-listen", "traffic-threads", "heartbeat-ms", "suspicion-ms"];
+        let expected = [
+            "secret",
+            "admin-listen",
+            "traffic-threads",
+            "heartbeat-ms",
+            "suspicion-ms",
+        ];
         assert_eq!(flags, expected);
     }
 }
--- a/components/daemon/src/shared.rs
+++ b/components/daemon/src/shared.rs
@@ -89,7 +89,9 @@
 
 impl std::fmt::Debug for Settings {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Settings").field("name", &self.name).finish_non_exhaustive()
+        f.debug_struct("Settings")
+            .field("name", &self.name)
+            .finish_non_exhaustive()
     }
 }
 
@@ -133,7 +135,10 @@
             return Arc::clone(observed);
         }
         drop(known);
-        let mut known = self.observed.write().unwrap_or_else(PoisonError::into_inner);
+        let mut known = self
+            .observed
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         Arc::clone(known.entry(name.clone()).or_default())
     }
 }
--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -65,7 +65,11 @@
     pub fn successor(rate: u32, burst: u32, now: Moment, expires: Moment) -> Self {
         let mut bucket = Self::full(rate, burst, now);
         bucket.outstanding = bucket.tokens;
-        bucket.loans.push(Loan { borrower: None, tokens: bucket.tokens, expires });
+        bucket.loans.push(Loan {
+            borrower: None,
+            tokens: bucket.tokens,
+            expires,
+        });
         bucket.tokens = 0.0;
         bucket
     }
@@ -91,12 +95,22 @@
         let block = (self.tokens / LOAN_DIVISOR).floor().max(1.0);
         let tokens = self.tokens.floor().min(f64::from(wanted)).min(block);
         if tokens < 1.0 {
-            return Lent { tokens: 0, retry_after: self.wait() };
+            return Lent {
+                tokens: 0,
+                retry_after: self.wait(now),
+            };
         }
         self.tokens -= tokens;
         self.outstanding += tokens;
-        self.loans.push(Loan { borrower: Some(borrower.clone()), tokens, expires });
-        Lent { tokens: tokens as u32, retry_after: Duration::ZERO }
+        self.loans.push(Loan {
+            borrower: Some(borrower.clone()),
+            tokens,
+            expires,
+        });
+        Lent {
+            tokens: tokens as u32,
+            retry_after: Duration::ZERO,
+        }
     }
 
     /// Strikes loans off that can't be spent any more.
@@ -105,7 +119,13 @@
         self.outstanding = self.loans.iter().map(|l| l.tokens).sum();
     }
 
-    fn wait(&self) -> Duration {
+    /// Time until a token may be there: until a loan expires when the bucket has no room.
+    fn wait(&self, now: Moment) -> Duration {
+        let room = self.burst - self.outstanding;
+        if room < 1.0 {
+            let expiry = self.next_expiry().map(|e| e.since(now));
+            return expiry.unwrap_or(LONG_WAIT).min(LONG_WAIT);
+        }
         if self.rate <= 0.0 {
             return LONG_WAIT;
         }
--- a/components/limits/tests/never_over.rs
+++ b/components/limits/tests/never_over.rs
@@ -76,7 +76,12 @@
 fn a_successor_lends_nothing_before_earlier_loans_expire() {
     let now = Moment::from_millis(1_000);
     let mut bucket = LendingBucket::successor(10, 10, now, now + VALID);
-    assert_eq!(bucket.lend(now + VALID / 2, &name(0), 5, now + VALID).tokens, 0);
+    assert_eq!(
+        bucket
+            .lend(now + VALID / 2, &name(0), 5, now + VALID)
+            .tokens,
+        0
+    );
     let later = now + VALID + Duration::from_millis(500);
     assert!(bucket.lend(later, &name(0), 5, later + VALID).tokens > 0);
 }
--- a/components/lists/src/document.rs
+++ b/components/lists/src/document.rs
@@ -107,10 +107,17 @@
             "the lists take {} bytes, the store holds at most {MAX_DOCUMENT_BYTES}",
             text.len()
         );
-        return Err(Faults(vec![Fault { line: 0, column: 0, message }]));
+        return Err(Faults(vec![Fault {
+            line: 0,
+            column: 0,
+            message,
+        }]));
     }
     let raw: RawDocument = toml::from_str(text).map_err(|e| syntax_fault(text, &e))?;
-    let mut checker = Checker { text, faults: Vec::new() };
+    let mut checker = Checker {
+        text,
+        faults: Vec::new(),
+    };
     let plans = checker.plans(raw.plans);
     let customers = checker.customers(raw.customers, &plans);
     if checker.faults.is_empty() {
@@ -123,13 +130,21 @@
 fn syntax_fault(text: &str, error: &toml::de::Error) -> Faults {
     let offset = error.span().map_or(0, |s| s.start);
     let (line, column) = position(text, offset);
-    Faults(vec![Fault { line, column, message: error.message().to_owned() }])
+    Faults(vec![Fault {
+        line,
+        column,
+        message: error.message().to_owned(),
+    }])
 }
 
 impl Checker<'_> {
     fn fault(&mut self, offset: usize, message: String) {
         let (line, column) = position(self.text, offset);
-        self.faults.push(Fault { line, column, message });
+        self.faults.push(Fault {
+            line,
+            column,
+            message,
+        });
     }
 
     fn name(&mut self, text: &Spanned<String>) {
@@ -149,7 +164,8 @@
             for (service, terms) in services {
                 self.name(&service);
                 let terms = self.terms(&terms);
-                plan.services.insert(ServiceName::new(service.get_ref()), terms);
+                plan.services
+                    .insert(ServiceName::new(service.get_ref()), terms);
             }
             plans.insert(PlanName::new(name.get_ref()), plan);
         }
@@ -171,11 +187,17 @@
 
     fn allowance(&mut self, raw: &RawAllowance) -> Allowance {
         let (rate, burst) = (*raw.rate.get_ref(), *raw.burst.get_ref());
-        if rate > MAX_RATE {
-            self.fault(raw.rate.span().start, format!("rate is {rate}; use 0 to {MAX_RATE}"));
+        if rate == 0 || rate > MAX_RATE {
+            self.fault(
+                raw.rate.span().start,
+                format!("rate is {rate}; use 1 to {MAX_RATE}"),
+            );
         }
         if burst == 0 || burst > MAX_RATE {
-            self.fault(raw.burst.span().start, format!("burst is {burst}; use 1 to {MAX_RATE}"));
+            self.fault(
+                raw.burst.span().start,
+                format!("burst is {burst}; use 1 to {MAX_RATE}"),
+            );
         }
         Allowance { rate, burst }
     }
@@ -221,25 +243,39 @@
     #[test]
     fn can_parse_both_lists() {
         let lists = parse(GOOD).expect("valid");
-        let plan = lists.plan_of(&CustomerName::new("tangier-4")).expect("plan");
+        let plan = lists
+            .plan_of(&CustomerName::new("tangier-4"))
+            .expect("plan");
         let terms = plan.services[&ServiceName::new("credits")];
-        assert_eq!(terms.allowance(true), Some(Allowance { rate: 5, burst: 10 }));
+        assert_eq!(
+            terms.allowance(true),
+            Some(Allowance { rate: 5, burst: 10 })
+        );
         assert_eq!(terms.deadline, Duration::from_secs(2));
     }
 
     #[test]
     fn reports_every_fault_with_its_place() {
-        let text = GOOD.replace("\"kiosk\"", "\"kios\"").replace("burst = 10 ", "burst = 0 ");
+        let text = GOOD
+            .replace("\"kiosk\"", "\"kios\"")
+            .replace("burst = 10 ", "burst = 0 ");
         let faults = parse(&text).expect_err("two faults").0;
         assert_eq!(faults.len(), 2);
         assert_eq!((faults[0].line, faults[0].column), (3, 13));
-        assert!(faults[0].message.contains("listed are: kiosk"), "{}", faults[0]);
+        assert!(
+            faults[0].message.contains("listed are: kiosk"),
+            "{}",
+            faults[0]
+        );
         assert_eq!(faults[1].line, 7);
     }
 
     #[test]
     fn errors_on_unknown_fields_and_broken_syntax() {
-        for text in [GOOD.replace("deadline_ms", "dedline_ms"), GOOD.replace("[customers]", "[")] {
+        for text in [
+            GOOD.replace("deadline_ms", "dedline_ms"),
+            GOOD.replace("[customers]", "["),
+        ] {
             let faults = parse(&text).expect_err("a fault").0;
             assert!(faults[0].line > 0);
         }
--- a/components/lists/src/fault.rs
+++ b/components/lists/src/fault.rs
@@ -18,7 +18,11 @@
         if self.line == 0 {
             return f.write_str(&self.message);
         }
-        write!(f, "line {}, column {}: {}", self.line, self.column, self.message)
+        write!(
+            f,
+            "line {}, column {}: {}",
+            self.line, self.column, self.message
+        )
     }
 }
 
--- a/components/orders/src/table.rs
+++ b/components/orders/src/table.rs
@@ -142,7 +142,10 @@
             return false;
         }
         let expires = now + self.bounds.lifetime;
-        let entry = Entry { scope: ticket.scope, state: State::Issued };
+        let entry = Entry {
+            scope: ticket.scope,
+            state: State::Issued,
+        };
         self.entries.insert(ticket.nonce, entry);
         self.expiry.push_back((expires, ticket.nonce));
         true
@@ -179,7 +182,9 @@
     pub fn finish(&mut self, ticket: &Ticket, end: End) {
         let bounds = self.bounds;
         let kept = self.answer_bytes;
-        let Some(entry) = self.entries.get_mut(&ticket.nonce) else { return };
+        let Some(entry) = self.entries.get_mut(&ticket.nonce) else {
+            return;
+        };
         if entry.state != State::Running {
             return;
         }
@@ -206,7 +211,10 @@
                 return;
             }
             self.expiry.pop_front();
-            let running = self.entries.get(&nonce).is_some_and(|e| e.state == State::Running);
+            let running = self
+                .entries
+                .get(&nonce)
+                .is_some_and(|e| e.state == State::Running);
             if running {
                 let later = now + self.bounds.lifetime;
                 self.expiry.push_back((later, nonce));
@@ -237,7 +245,13 @@
     }
 
     fn table(tickets: usize) -> OrderTable {
-        OrderTable::new(Fence(7), Bounds { tickets, ..Bounds::default() })
+        OrderTable::new(
+            Fence(7),
+            Bounds {
+                tickets,
+                ..Bounds::default()
+            },
+        )
     }
 
     fn answer(size: usize) -> Recorded {
@@ -255,9 +269,15 @@
         let now = Moment::from_millis(10);
         assert!(table.issue(now, &ticket));
         assert_eq!(table.admit(now, &ticket, &ticket.scope), Admission::Run);
-        assert_eq!(table.admit(now, &ticket, &ticket.scope), Admission::InProgress);
+        assert_eq!(
+            table.admit(now, &ticket, &ticket.scope),
+            Admission::InProgress
+        );
         table.finish(&ticket, End::Answered(answer(3)));
-        assert_eq!(table.admit(now, &ticket, &ticket.scope), Admission::Replay(answer(3)));
+        assert_eq!(
+            table.admit(now, &ticket, &ticket.scope),
+            Admission::Replay(answer(3))
+        );
     }
 
     #[test]
@@ -283,7 +303,10 @@
         assert!(!table.issue(now, &ticket(2)));
         let later = now + Bounds::default().lifetime;
         assert!(table.issue(later, &ticket(2)));
-        assert_eq!(table.admit(later, &ticket(1), &ticket(1).scope), Admission::Expired);
+        assert_eq!(
+            table.admit(later, &ticket(1), &ticket(1).scope),
+            Admission::Expired
+        );
     }
 
     #[test]
@@ -293,8 +316,14 @@
         let ticket = ticket(1);
         table.issue(now, &ticket);
         table.admit(now, &ticket, &ticket.scope);
-        table.finish(&ticket, End::Answered(answer(Bounds::default().one_answer + 1)));
-        assert_eq!(table.admit(now, &ticket, &ticket.scope), Admission::RanBefore);
+        table.finish(
+            &ticket,
+            End::Answered(answer(Bounds::default().one_answer + 1)),
+        );
+        assert_eq!(
+            table.admit(now, &ticket, &ticket.scope),
+            Admission::RanBefore
+        );
     }
 
     #[test]
--- a/components/orders/src/ticket.rs
+++ b/components/orders/src/ticket.rs
@@ -29,7 +29,11 @@
     #[must_use]
     pub fn new(customer: &str, service: &str, key: KeyHash) -> Self {
         let hash = |text: &str| KeyHash::new(text.as_bytes()).0;
-        Self { customer: hash(customer), service: hash(service), key }
+        Self {
+            customer: hash(customer),
+            service: hash(service),
+            key,
+        }
     }
 }
 
@@ -93,7 +97,9 @@
     /// # Errors
     /// Fails when the text is no ticket or was not signed with this key.
     pub fn decode(&self, text: &[u8]) -> Result<Ticket, TicketFault> {
-        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| TicketFault::Malformed)?;
+        let bytes = URL_SAFE_NO_PAD
+            .decode(text)
+            .map_err(|_| TicketFault::Malformed)?;
         if bytes.len() != TICKET_BYTES || bytes[0] != VERSION {
             return Err(TicketFault::Malformed);
         }
@@ -111,7 +117,10 @@
 
 /// Compares in a time that does not depend on where the bytes differ.
 fn same_bytes(left: &[u8], right: &[u8]) -> bool {
-    left.iter().zip(right).fold(0, |difference, (l, r)| difference | (l ^ r)) == 0
+    left.iter()
+        .zip(right)
+        .fold(0, |difference, (l, r)| difference | (l ^ r))
+        == 0
 }
 
 fn body(ticket: &Ticket) -> [u8; BODY_BYTES] {
@@ -136,7 +145,11 @@
     Ticket {
         shard: Shard(u16::from_be_bytes([body[1], body[2]])),
         fence: Fence(number(3)),
-        scope: Scope { customer: number(11), service: number(19), key: KeyHash(number(27)) },
+        scope: Scope {
+            customer: number(11),
+            service: number(19),
+            key: KeyHash(number(27)),
+        },
         nonce: Nonce(high | u128::from(number(43))),
     }
 }
--- a/components/ownership/src/coordinator.rs
+++ b/components/ownership/src/coordinator.rs
@@ -274,7 +274,12 @@
         for holding in &request.held {
             self.on_held(id, holding);
         }
-        for slot in self.services.values_mut().flatten().filter(|s| s.owner == Some(id)) {
+        for slot in self
+            .services
+            .values_mut()
+            .flatten()
+            .filter(|s| s.owner == Some(id))
+        {
             slot.load *= 1.0 - LOAD_SMOOTHING;
         }
         let period = self.timing.heartbeat.as_secs_f64();
--- a/components/ownership/tests/one_owner.rs
+++ b/components/ownership/tests/one_owner.rs
@@ -62,7 +62,7 @@
         to: usize,
         from: usize,
         sent: Moment,
-        request: Request,
+        request: Box<Request>,
     },
     Answer {
         to: usize,
@@ -495,7 +495,7 @@
             to,
             from: index,
             sent: now,
-            request,
+            request: Box::new(request),
         });
     }
 
--- a/components/peers/src/convert.rs
+++ b/components/peers/src/convert.rs
@@ -70,7 +70,10 @@
     let operations = contract
         .operations
         .iter()
-        .map(|o| wire::Operation { name: o.name.to_string(), order: o.order })
+        .map(|o| wire::Operation {
+            name: o.name.to_string(),
+            order: o.order,
+        })
         .collect();
     wire::BackEnd {
         service: contract.service.to_string(),
@@ -111,9 +114,13 @@
         ServiceName::from_input(&back_end.service).context(NameSnafu { field: "service" })?;
     let mut operations = smallvec::SmallVec::new();
     for operation in &back_end.operations {
-        let name = OperationName::from_input(&operation.name)
-            .context(NameSnafu { field: "operations" })?;
-        operations.push(Operation { name, order: operation.order });
+        let name = OperationName::from_input(&operation.name).context(NameSnafu {
+            field: "operations",
+        })?;
+        operations.push(Operation {
+            name,
+            order: operation.order,
+        });
     }
     let contract = Contract {
         service,
@@ -150,8 +157,14 @@
         let service = service_name(&set.service)?;
         for (shard, fence) in set.shards.iter().zip(&set.fences) {
             let shard = shard_number(&service, *shard)?;
-            let id = ShardId { service: service.clone(), shard };
-            holdings.push(Holding { id, fence: Fence(*fence) });
+            let id = ShardId {
+                service: service.clone(),
+                shard,
+            };
+            holdings.push(Holding {
+                id,
+                fence: Fence(*fence),
+            });
         }
     }
     Ok(holdings)
@@ -178,8 +191,14 @@
         let service = service_name(&set.service)?;
         for (shard, requests) in set.shards.iter().zip(&set.requests) {
             let shard = shard_number(&service, *shard)?;
-            let id = ShardId { service: service.clone(), shard };
-            loads.push(ShardLoad { id, requests: *requests });
+            let id = ShardId {
+                service: service.clone(),
+                shard,
+            };
+            loads.push(ShardLoad {
+                id,
+                requests: *requests,
+            });
         }
     }
     Ok(loads)
@@ -222,7 +241,10 @@
 /// # Errors
 /// Names the first field at fault.
 pub fn request_from_wire(message: &wire::HeartbeatRequest) -> Result<Request, WireFault> {
-    let member = message.member.as_ref().ok_or(WireFault::Missing { field: "member" })?;
+    let member = message
+        .member
+        .as_ref()
+        .ok_or(WireFault::Missing { field: "member" })?;
     Ok(Request {
         cell: CellName::from_input(&message.cell).context(NameSnafu { field: "cell" })?,
         term: term(message.term)?,
@@ -237,7 +259,9 @@
 }
 
 fn term(number: u64) -> Result<Term, WireFault> {
-    u32::try_from(number).map(Term).map_err(|_| WireFault::Range { field: "term" })
+    u32::try_from(number)
+        .map(Term)
+        .map_err(|_| WireFault::Range { field: "term" })
 }
 
 /// Makes the wire form of an answer to a heartbeat, without lists.
@@ -260,10 +284,9 @@
 }
 
 fn accepted_to_wire(accepted: &Accepted) -> wire::HeartbeatReply {
-    let grants = accepted
-        .grants
-        .as_ref()
-        .map(|grants| wire::GrantSet { grants: holdings_to_wire(grants) });
+    let grants = accepted.grants.as_ref().map(|grants| wire::GrantSet {
+        grants: holdings_to_wire(grants),
+    });
     wire::HeartbeatReply {
         accepted: true,
         lease_ms: u32::try_from(accepted.lease.as_millis()).unwrap_or(u32::MAX),
@@ -284,8 +307,14 @@
     if !message.accepted {
         return Ok(Reply::Refused(coordinator));
     }
-    let coordinator = coordinator.ok_or(WireFault::Missing { field: "coordinator" })?;
-    let grants = message.grants.as_ref().map(|set| holdings_from_wire(&set.grants)).transpose()?;
+    let coordinator = coordinator.ok_or(WireFault::Missing {
+        field: "coordinator",
+    })?;
+    let grants = message
+        .grants
+        .as_ref()
+        .map(|set| holdings_from_wire(&set.grants))
+        .transpose()?;
     let route = message.route.as_ref().map(route_from_wire).transpose()?;
     Ok(Reply::Accepted(Accepted {
         coordinator,
@@ -306,9 +335,13 @@
     let field = "coordinator_address";
     Ok(Some(CoordinatorRef {
         term: term(message.term)?,
-        name: MachineName::from_input(&message.coordinator)
-            .context(NameSnafu { field: "coordinator" })?,
-        address: message.coordinator_address.parse().context(AddressSnafu { field })?,
+        name: MachineName::from_input(&message.coordinator).context(NameSnafu {
+            field: "coordinator",
+        })?,
+        address: message
+            .coordinator_address
+            .parse()
+            .context(AddressSnafu { field })?,
     }))
 }
 
@@ -330,9 +363,13 @@
 pub fn adopt_from_wire(message: &wire::AdoptRequest) -> Result<CoordinatorRef, WireFault> {
     Ok(CoordinatorRef {
         term: term(message.term)?,
-        name: MachineName::from_input(&message.coordinator)
-            .context(NameSnafu { field: "coordinator" })?,
-        address: message.address.parse().context(AddressSnafu { field: "address" })?,
+        name: MachineName::from_input(&message.coordinator).context(NameSnafu {
+            field: "coordinator",
+        })?,
+        address: message
+            .address
+            .parse()
+            .context(AddressSnafu { field: "address" })?,
     })
 }
 
@@ -348,14 +385,21 @@
         })
         .collect();
     let members = table.machines.iter().map(machine_to_wire).collect();
-    wire::RouteTable { version: table.version, members, routes }
+    wire::RouteTable {
+        version: table.version,
+        members,
+        routes,
+    }
 }
 
 fn route_from_wire(message: &wire::RouteTable) -> Result<RouteTable, WireFault> {
     let machines: Result<Vec<Machine>, WireFault> =
         message.members.iter().map(machine_from_wire).collect();
-    let mut table =
-        RouteTable { version: message.version, machines: machines?, owners: BTreeMap::new() };
+    let mut table = RouteTable {
+        version: message.version,
+        machines: machines?,
+        owners: BTreeMap::new(),
+    };
     for route in &message.routes {
         let service = service_name(&route.service)?;
         let first = shard_number(&service, route.first)?;
@@ -364,7 +408,12 @@
             .ok()
             .filter(|index| usize::from(*index) < table.machines.len())
             .ok_or(WireFault::Range { field: "member" })?;
-        table.set_range(&OwnerRange { service, first, last, machine });
+        table.set_range(&OwnerRange {
+            service,
+            first,
+            last,
+            machine,
+        });
     }
     Ok(table)
 }
--- a/components/peers/src/secret.rs
+++ b/components/peers/src/secret.rs
@@ -30,7 +30,9 @@
 
     /// Tells whether a request carries this token, in a time that does not depend on the match.
     fn matches<T>(&self, request: &Request<T>) -> bool {
-        let Some(given) = request.metadata().get(TOKEN_ENTRY) else { return false };
+        let Some(given) = request.metadata().get(TOKEN_ENTRY) else {
+            return false;
+        };
         let (given, own) = (given.as_bytes(), self.0.as_bytes());
         let same = given.iter().zip(own).fold(0, |sum, (g, o)| sum | (g ^ o)) == 0;
         same && given.len() == own.len()
@@ -57,7 +59,9 @@
         if self.0.matches(&request) {
             return Ok(request);
         }
-        Err(Status::unauthenticated("the caller does not know the shared secret"))
+        Err(Status::unauthenticated(
+            "the caller does not know the shared secret",
+        ))
     }
 }
 
--- a/components/peers/tests/round_trip.rs
+++ b/components/peers/tests/round_trip.rs
@@ -4,8 +4,8 @@
 use ownership::heartbeat::{CoordinatorRef, Reply, Request};
 use ownership::timing::Timing;
 use peers::{convert, wire};
-use prost::Message;
 use proptest::prelude::*;
+use prost::Message;
 use world::contract::{Contract, Operation};
 use world::key::Term;
 use world::machine::{BackEnd, Incarnation, Machine};
@@ -13,7 +13,10 @@
 use world::name::{CellName, MachineName, OperationName, RegionName, ServiceName, ZoneName};
 
 fn machine(name: &str) -> Machine {
-    let operation = Operation { name: OperationName::new("post"), order: true };
+    let operation = Operation {
+        name: OperationName::new("post"),
+        order: true,
+    };
     Machine {
         name: MachineName::new(name),
         incarnation: Incarnation(9),
@@ -71,13 +74,18 @@
 fn a_heartbeat_survives_the_wire() {
     let request = request("m1");
     let message = convert::request_to_wire(&request);
-    assert_eq!(convert::request_from_wire(&message).expect("readable"), request);
+    assert_eq!(
+        convert::request_from_wire(&message).expect("readable"),
+        request
+    );
 }
 
 #[test]
 fn an_answer_survives_the_wire() {
     let reply = full_reply();
-    let Reply::Accepted(accepted) = &reply else { panic!("not accepted") };
+    let Reply::Accepted(accepted) = &reply else {
+        panic!("not accepted")
+    };
     assert!(accepted.grants.as_ref().is_some_and(|g| !g.is_empty()));
     let message = convert::reply_to_wire(&reply);
     assert_eq!(convert::reply_from_wire(&message).expect("readable"), reply);
--- a/components/platform/src/http_client.rs
+++ b/components/platform/src/http_client.rs
@@ -52,7 +52,11 @@
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         let client = Client::builder(TokioExecutor::new()).build_http();
-        Self { address, client, calls: Arc::default() }
+        Self {
+            address,
+            client,
+            calls: Arc::default(),
+        }
     }
 
     /// Calls made since the client was made.
@@ -79,7 +83,11 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, String> {
-        let response = self.client.request(request).await.map_err(|e| e.to_string())?;
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|e| e.to_string())?;
         let status = response.status();
         let version = response
             .headers()
@@ -89,11 +97,17 @@
             .unwrap_or(0);
         let body = Limited::new(response.into_body(), MAX_OBJECT_BYTES);
         let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
-        Ok(Answer { status, version, body })
+        Ok(Answer {
+            status,
+            version,
+            body,
+        })
     }
 
     fn request(&self, method: Method, path: &str) -> http::request::Builder {
-        Request::builder().method(method).uri(format!("http://{}{path}", self.address))
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
     }
 }
 
@@ -103,23 +117,34 @@
     if known || status == StatusCode::CONFLICT {
         return Ok(answer);
     }
-    Err(StoreError::Refused { object: name.to_owned(), status: status.as_u16() })
+    Err(StoreError::Refused {
+        object: name.to_owned(),
+        status: status.as_u16(),
+    })
 }
 
 fn no_answer<T>(name: &str, reason: &str) -> Result<T, StoreError> {
-    Err(StoreError::NoAnswer { object: name.to_owned(), reason: reason.to_owned() })
+    Err(StoreError::NoAnswer {
+        object: name.to_owned(),
+        reason: reason.to_owned(),
+    })
 }
 
 fn object(answer: Answer) -> Option<Object> {
     let present = answer.status == StatusCode::OK;
-    present.then_some(Object { version: answer.version, value: answer.body })
+    present.then_some(Object {
+        version: answer.version,
+        value: answer.body,
+    })
 }
 
 impl Store for HttpStore {
     async fn get(&self, name: &str) -> Result<Option<Object>, StoreError> {
         self.calls.add_read();
         let request = self.request(Method::GET, &format!("/objects/{name}"));
-        let request = request.body(Full::default()).or_else(|e| no_answer(name, &e.to_string()))?;
+        let request = request
+            .body(Full::default())
+            .or_else(|e| no_answer(name, &e.to_string()))?;
         Ok(object(self.call(name, request, CALL_TIMEOUT).await?))
     }
 
@@ -150,6 +175,8 @@
             .request(Method::GET, &path)
             .body(Full::default())
             .or_else(|e| no_answer(name, &e.to_string()))?;
-        Ok(object(self.call(name, request, patience + WATCH_GRACE).await?))
+        Ok(object(
+            self.call(name, request, patience + WATCH_GRACE).await?,
+        ))
     }
 }
--- a/components/routing/src/observed.rs
+++ b/components/routing/src/observed.rs
@@ -61,7 +61,8 @@
         }
         let doublings = (failures - EJECT_AFTER).min(EJECT_DOUBLINGS);
         let until = now + EJECT_BASE * (1 << doublings);
-        self.ejected_until.store(until.as_nanos(), Ordering::Relaxed);
+        self.ejected_until
+            .store(until.as_nanos(), Ordering::Relaxed);
     }
 
     /// Tells whether the machine is ejected at `now`.
--- a/components/routing/src/pick.rs
+++ b/components/routing/src/pick.rs
@@ -47,14 +47,22 @@
 #[must_use]
 pub fn pick(candidates: &Candidates, tried: &[usize], random: u64) -> Option<usize> {
     let fresh = without(candidates, |c| tried.contains(&c.machine));
-    let fresh = if fresh.is_empty() { candidates.clone() } else { fresh };
+    let fresh = if fresh.is_empty() {
+        candidates.clone()
+    } else {
+        fresh
+    };
     let healthy = without_ejected(&fresh);
     let nearest = nearest_with_room(&healthy);
     two_choices(&nearest, random)
 }
 
 fn without(candidates: &Candidates, excluded: impl Fn(&Candidate) -> bool) -> Candidates {
-    candidates.iter().filter(|c| !excluded(c)).copied().collect()
+    candidates
+        .iter()
+        .filter(|c| !excluded(c))
+        .copied()
+        .collect()
 }
 
 /// Drops ejected candidates unless too many are ejected for that to be believed.
@@ -85,7 +93,11 @@
     let first = (random & 0xffff_ffff) as usize % count;
     let second = (random >> 32) as usize % count;
     let (first, second) = (&candidates[first], &candidates[second]);
-    let best = if first.cost() <= second.cost() { first } else { second };
+    let best = if first.cost() <= second.cost() {
+        first
+    } else {
+        second
+    };
     Some(best.machine)
 }
 
@@ -96,7 +108,14 @@
     use super::*;
 
     fn candidate(machine: usize, link: Link, in_flight: u32) -> Candidate {
-        Candidate { machine, link, slots: 4, in_flight, latency_us: 1000, ejected: false }
+        Candidate {
+            machine,
+            link,
+            slots: 4,
+            in_flight,
+            latency_us: 1000,
+            ejected: false,
+        }
     }
 
     #[test]
@@ -112,7 +131,10 @@
     fn avoids_machines_that_were_tried() {
         let first = candidate(0, Link::Zone, 0);
         let second = candidate(1, Link::Region, 0);
-        assert_eq!(pick(&Candidates::from_slice(&[first, second]), &[0], 7), Some(1));
+        assert_eq!(
+            pick(&Candidates::from_slice(&[first, second]), &[0], 7),
+            Some(1)
+        );
         assert_eq!(pick(&Candidates::from_slice(&[first]), &[0], 7), Some(0));
     }
 
@@ -122,8 +144,9 @@
         for candidate in candidates.iter_mut().skip(1) {
             candidate.ejected = true;
         }
-        let picked: Vec<_> =
-            (0..64u64).filter_map(|r| pick(&candidates, &[], r * 0x1_0001_2345)).collect();
+        let picked: Vec<_> = (0..64u64)
+            .filter_map(|r| pick(&candidates, &[], r * 0x1_0001_2345))
+            .collect();
         assert!(picked.iter().any(|p| *p != 0));
     }
 
--- a/components/routing/src/retry.rs
+++ b/components/routing/src/retry.rs
@@ -28,16 +28,21 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { millitokens: AtomicI64::new(BUDGET_CAP) }
+        Self {
+            millitokens: AtomicI64::new(BUDGET_CAP),
+        }
     }
 }
 
 impl RetryBudget {
     /// Earns the share of one request.
     pub fn earn(&self) {
-        let before = self.millitokens.fetch_add(EARNED_PER_REQUEST, Ordering::Relaxed);
+        let before = self
+            .millitokens
+            .fetch_add(EARNED_PER_REQUEST, Ordering::Relaxed);
         if before > BUDGET_CAP {
-            self.millitokens.fetch_sub(EARNED_PER_REQUEST, Ordering::Relaxed);
+            self.millitokens
+                .fetch_sub(EARNED_PER_REQUEST, Ordering::Relaxed);
         }
     }
 
--- /dev/null
+++ b/src/bin/plantaingauged/cli.rs
@@ -0,0 +1,167 @@
+//! Settings of the daemon as flags and environment variables.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use daemon::settings::{Listen, Settings};
+use orders::table::Bounds;
+use ownership::timing::Timing;
+use world::name::{CellName, MachineName, RegionName, ZoneName};
+
+/// Route requests to the back end beside this daemon and to those beside others.
+///
+/// Each flag has an environment variable of the same name. All durations are in milliseconds.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub(crate) struct Options {
+    /// Name of the machine, unique in the deployment; a replaced VM keeps it
+    #[bpaf(env("PLANTAINGAUGE_NAME"), argument("NAME"))]
+    name: String,
+
+    /// Cell that the machine belongs to
+    #[bpaf(env("PLANTAINGAUGE_CELL"), argument("NAME"))]
+    cell: String,
+
+    /// Region that the machine stands in
+    #[bpaf(env("PLANTAINGAUGE_REGION"), argument("NAME"))]
+    region: String,
+
+    /// Availability zone that the machine stands in
+    #[bpaf(env("PLANTAINGAUGE_ZONE"), argument("NAME"))]
+    zone: String,
+
+    /// Address for callers
+    #[bpaf(env("PLANTAINGAUGE_CALLER_LISTEN"), argument("IP:PORT"))]
+    caller_listen: SocketAddr,
+
+    /// Address for control messages of other daemons; they must reach it under this address
+    #[bpaf(env("PLANTAINGAUGE_PEER_LISTEN"), argument("IP:PORT"))]
+    peer_listen: SocketAddr,
+
+    /// Address for requests forwarded by other daemons; they must reach it under this address
+    #[bpaf(env("PLANTAINGAUGE_TRAFFIC_LISTEN"), argument("IP:PORT"))]
+    traffic_listen: SocketAddr,
+
+    /// Loopback address for the back end beside the daemon and for operators
+    #[bpaf(env("PLANTAINGAUGE_ADMIN_LISTEN"), argument("IP:PORT"))]
+    admin_listen: SocketAddr,
+
+    /// Address of the platform's object API
+    #[bpaf(env("PLANTAINGAUGE_PLATFORM"), argument("IP:PORT"))]
+    platform: SocketAddr,
+
+    /// Secret shared by all daemons of the deployment, at least 16 bytes; prefer the variable
+    #[bpaf(env("PLANTAINGAUGE_SECRET"), argument("TEXT"))]
+    secret: String,
+
+    /// Time between two heartbeats, at most a third of the authority
+    #[bpaf(env("PLANTAINGAUGE_HEARTBEAT_MS"), argument("MS"), fallback(millis(Timing::default().heartbeat)), display_fallback)]
+    heartbeat_ms: u64,
+
+    /// Time between two renewals of the coordinator's record, at most a third of the authority
+    #[bpaf(env("PLANTAINGAUGE_RENEWAL_MS"), argument("MS"), fallback(millis(Timing::default().renewal)), display_fallback)]
+    renewal_ms: u64,
+
+    /// Time for which a confirmed renewal lets a coordinator grant; the same in the whole cell
+    #[bpaf(env("PLANTAINGAUGE_AUTHORITY_MS"), argument("MS"), fallback(millis(Timing::default().authority)), display_fallback)]
+    authority_ms: u64,
+
+    /// Time without an answer after which the coordinator is suspected
+    #[bpaf(env("PLANTAINGAUGE_SUSPICION_MS"), argument("MS"), fallback(millis(Timing::default().suspicion)), display_fallback)]
+    suspicion_ms: u64,
+
+    /// Tickets that each shard remembers
+    #[bpaf(env("PLANTAINGAUGE_TICKETS"), argument("COUNT"), fallback(Bounds::default().tickets), display_fallback)]
+    tickets: usize,
+
+    /// Time for which a ticket may be used
+    #[bpaf(env("PLANTAINGAUGE_TICKET_LIFETIME_MS"), argument("MS"), fallback(millis(Bounds::default().lifetime)), display_fallback)]
+    ticket_lifetime_ms: u64,
+
+    /// Threads for requests
+    #[bpaf(
+        env("PLANTAINGAUGE_TRAFFIC_THREADS"),
+        argument("COUNT"),
+        fallback(2),
+        display_fallback
+    )]
+    traffic_threads: usize,
+
+    /// Largest request body in bytes
+    #[bpaf(
+        env("PLANTAINGAUGE_MAX_BODY"),
+        argument("BYTES"),
+        fallback(DEFAULT_MAX_BODY),
+        display_fallback
+    )]
+    max_body: usize,
+
+    /// Longest time that a planned stop waits for requests and shards
+    #[bpaf(
+        env("PLANTAINGAUGE_STOP_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(DEFAULT_STOP_TIMEOUT_MS),
+        display_fallback
+    )]
+    stop_timeout_ms: u64,
+
+    /// Address that metrics are sent to over UDP in StatsD format
+    #[bpaf(env("PLANTAINGAUGE_METRICS"), argument("IP:PORT"))]
+    metrics: Option<SocketAddr>,
+
+    /// Level of detail of the log: error, warn, info, debug or trace
+    #[bpaf(
+        env("PLANTAINGAUGE_LOG_LEVEL"),
+        argument("LEVEL"),
+        fallback(log::LevelFilter::Info),
+        display_fallback
+    )]
+    pub(crate) log_level: log::LevelFilter,
+}
+
+const DEFAULT_MAX_BODY: usize = 8 << 20;
+const DEFAULT_STOP_TIMEOUT_MS: u64 = 30_000;
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Options {
+    /// The settings, still to be checked.
+    pub(crate) fn into_settings(self) -> Settings {
+        let timing = Timing {
+            heartbeat: Duration::from_millis(self.heartbeat_ms),
+            renewal: Duration::from_millis(self.renewal_ms),
+            authority: Duration::from_millis(self.authority_ms),
+            suspicion: Duration::from_millis(self.suspicion_ms),
+            formation: Duration::from_millis(self.heartbeat_ms) * 2 + Timing::default().margin,
+            ..Timing::default()
+        };
+        let orders = Bounds {
+            tickets: self.tickets,
+            lifetime: Duration::from_millis(self.ticket_lifetime_ms),
+            ..Bounds::default()
+        };
+        Settings {
+            name: MachineName::new(&self.name),
+            cell: CellName::new(&self.cell),
+            region: RegionName::new(&self.region),
+            zone: ZoneName::new(&self.zone),
+            listen: Listen {
+                callers: self.caller_listen,
+                peers: self.peer_listen,
+                traffic: self.traffic_listen,
+                admin: self.admin_listen,
+            },
+            platform: self.platform,
+            secret: self.secret,
+            timing,
+            orders,
+            traffic_threads: self.traffic_threads,
+            max_body: self.max_body,
+            stop_timeout: Duration::from_millis(self.stop_timeout_ms),
+            metrics: self.metrics,
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! One module a subcommand.
+
+pub(crate) mod lists;
+pub(crate) mod status;
