--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -11,6 +11,9 @@
     /// Run both users' deployments in small, replay their traces and judge the outcomes
     #[bpaf(command("demo"))]
     Demo(#[bpaf(external(demo_options))] DemoOptions),
+    /// Measure what the path adds to a direct call, at a given rate
+    #[bpaf(command("load"))]
+    Load(#[bpaf(external(load_options))] LoadOptions),
     /// Write the trace of a user to standard output
     #[bpaf(command("trace"))]
     Trace(#[bpaf(external(trace_options))] TraceOptions),
@@ -37,3 +40,20 @@
     #[bpaf(argument("N"), fallback(1))]
     pub(crate) seed: u64,
 }
+
+/// Options of `load`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct LoadOptions {
+    /// Requests a second at each daemon
+    #[bpaf(argument("R"), fallback(2000))]
+    pub(crate) rate: u32,
+    /// Seconds of each phase
+    #[bpaf(argument("S"), fallback(5))]
+    pub(crate) seconds: u64,
+    /// Regions, of two daemons a service in all: 1 or 2
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) regions: u32,
+    /// Seed for keys
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+}
--- a/bench/src/cmd/mod.rs
+++ b/bench/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One module a subcommand.
 
 pub(crate) mod demo;
+pub(crate) mod load;
 pub(crate) mod trace;
 
 /// Error of a subcommand for people.
--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -53,6 +53,8 @@
     pub services: Vec<ServiceSpec>,
     /// Requests that a target runs at the same time.
     pub slots: u32,
+    /// True when targets check fences and lease sessions.
+    pub checks_fences: bool,
     /// Traffic threads of each daemon.
     pub traffic_threads: usize,
     /// Durations of the lease protocol.
@@ -218,7 +220,7 @@
             machine: site.name.clone(),
             service: service.name.to_owned(),
             keyed: service.keyed,
-            checks_fences: true,
+            checks_fences: self.spec.checks_fences,
             lookups: owned(service.lookups),
             orders: owned(service.orders),
             slots: self.spec.slots,
@@ -301,6 +303,17 @@
             .collect()
     }
 
+    /// Addresses of the back ends that run, and whether their service is divided by key.
+    #[must_use]
+    pub fn back_ends(&self) -> Vec<(SocketAddr, bool)> {
+        let nodes = self.nodes.values();
+        let addresses = nodes.filter_map(|node| {
+            let keyed = self.spec.services[node.site.service].keyed;
+            Some((node.back_end.as_ref()?.address(), keyed))
+        });
+        addresses.collect()
+    }
+
     /// Ends a machine's daemon and back end at once.
     pub async fn kill(&mut self, name: &str) {
         let Some(node) = self.nodes.get_mut(name) else {
@@ -325,7 +338,7 @@
         Some(tokio::task::spawn_blocking(move || daemon.stop()))
     }
 
-    /// Name of the machine that coordinates the cell, as far as a daemon knows.
+    /// Name of the machine that owns a key, as far as a daemon knows.
     #[must_use]
     pub fn owner_of(&self, service: &str, key: &[u8]) -> Option<String> {
         let daemon = self.nodes.values().find_map(|n| n.daemon.as_ref())?;
@@ -395,6 +408,7 @@
             service("credits", true, &["balance"], &["post"]),
         ],
         slots: 18,
+        checks_fences: true,
         traffic_threads: 1,
         timing: Timing::default(),
         lists,
@@ -430,12 +444,49 @@
             service("extracts", true, &["state"], &["order"]),
         ],
         slots: 12,
+        checks_fences: true,
         traffic_threads: 1,
         timing: Timing::default(),
         lists,
     }
 }
 
+/// One region for load measurements: a service without keys and one divided by key, targets
+/// that take no time, and plans that allow everything.
+#[must_use]
+pub fn plain(zones: Vec<(&'static str, &'static str)>) -> Spec {
+    let terms = |service| {
+        format!(
+            "[plans.all.{service}]\nlookups = {{ rate = 1000000, burst = 1000000 }}\n\
+             orders = {{ rate = 1000000, burst = 1000000 }}\ndeadline_ms = 2000\n\n"
+        )
+    };
+    let instant = Duration::ZERO;
+    Spec {
+        cell: "plain",
+        zones,
+        services: vec![
+            ServiceSpec {
+                service_time: instant,
+                ..service("open", false, &["get"], &[])
+            },
+            ServiceSpec {
+                service_time: instant,
+                ..service("keyed", true, &["get"], &["put"])
+            },
+        ],
+        slots: 64,
+        checks_fences: false,
+        traffic_threads: 2,
+        timing: Timing::default(),
+        lists: format!(
+            "[customers]\nload = \"all\"\n\n{}{}",
+            terms("open"),
+            terms("keyed")
+        ),
+    }
+}
+
 fn service(
     name: &'static str,
     keyed: bool,
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -24,6 +24,7 @@
     let result = runtime.block_on(async {
         match command {
             Command::Demo(options) => cmd::demo::run(&options).await,
+            Command::Load(options) => cmd::load::run(&options).await,
             Command::Trace(options) => cmd::trace::run(&options),
         }
     });
--- a/bench/src/stand_in/back_end.rs
+++ b/bench/src/stand_in/back_end.rs
@@ -238,7 +238,9 @@
         Ok(running) => running,
         Err(refused) => return Some(not_run(refused)),
     };
-    tokio::time::sleep(shared.profile.service_time).await;
+    if !shared.profile.service_time.is_zero() {
+        tokio::time::sleep(shared.profile.service_time).await;
+    }
     shared.thaw().await;
     Some(commit(shared, &parsed))
 }
--- a/components/daemon/src/entry.rs
+++ b/components/daemon/src/entry.rs
@@ -8,6 +8,7 @@
 use lists::document::ServiceTerms;
 use ownership::table::{self, RouteTable};
 use peers::wire::{ReplyFrame, ReplyHead, RequestFrame, RequestHead, TicketReply, TicketRequest};
+use prost::Message;
 use routing::observed::Observed;
 use routing::pick::{self, Candidate, Candidates};
 use routing::retry::{self, Next};
@@ -24,6 +25,7 @@
 
 use crate::allowance::{self, Purpose};
 use crate::back_end::{Body, BodyCut};
+use crate::metrics::Counters;
 use crate::owner;
 use crate::shared::Shared;
 
@@ -117,6 +119,8 @@
 pub struct Frames {
     source: Source,
     first: Option<ReplyFrame>,
+    /// Counts what crosses the link between regions, when the request went over it.
+    distant: Option<Arc<Counters>>,
     _in_flight: InFlight,
 }
 
@@ -138,10 +142,14 @@
 impl Frames {
     /// The next frame; none when the reply has ended or was cut.
     pub async fn next(&mut self) -> Option<ReplyFrame> {
-        match self.first.take() {
-            Some(frame) => Some(frame),
-            None => self.source.next().await,
+        let frame = match self.first.take() {
+            Some(frame) => frame,
+            None => self.source.next().await?,
+        };
+        if let Some(counters) = &self.distant {
+            counters.distant_bytes.add_many(frame.encoded_len() as u64);
         }
+        Some(frame)
     }
 }
 
@@ -379,9 +387,11 @@
     match result {
         Ok((head, frame, source)) => {
             observed.on_answer(sent.elapsed(), head.in_flight);
+            let distant = is_distant(shared, machine).then(|| Arc::clone(&shared.counters));
             let frames = Frames {
                 source,
                 first: Some(frame),
+                distant,
                 _in_flight: in_flight,
             };
             Ok(Answer { head, frames })
@@ -503,16 +513,21 @@
     body: &mut Option<Body>,
 ) -> Result<Source, Failed> {
     let address = machine.traffic_address;
-    let distant =
-        machine.link_from(&shared.settings.region, &shared.settings.zone) == Link::Distant;
     let mut client = shared.pool.traffic(address).await.map_err(|error| Failed {
         detail: error.to_string(),
         ..Failed::from(unreachable(&head))
     })?;
     shared.counters.forwarded.add();
+    let distant = is_distant(shared, machine);
     if distant {
         shared.counters.distant.add();
     }
+    let count = Arc::clone(&shared.counters);
+    let count = move |frame: &RequestFrame| {
+        if distant {
+            count.distant_bytes.add_many(frame.encoded_len() as u64);
+        }
+    };
     let order = head.order;
     let body = take_body(body).ok_or(ErrorKind::Internal)?;
     let result = match body {
@@ -522,9 +537,10 @@
                 body: bytes,
                 end: true,
             };
+            count(&frame);
             client.forward(futures::stream::iter([frame])).await
         }
-        Body::Stream(parts) => client.forward(frames(head, parts)).await,
+        Body::Stream(parts) => client.forward(frames(head, parts).inspect(count)).await,
     };
     match result {
         Ok(response) => Ok(Source::Remote(Box::new(response.into_inner()))),
@@ -543,6 +559,10 @@
     }
 }
 
+fn is_distant(shared: &Shared, machine: &Machine) -> bool {
+    machine.link_from(&shared.settings.region, &shared.settings.zone) == Link::Distant
+}
+
 /// What it means that a machine can't be connected to: a key's owner may have changed.
 fn unreachable(head: &RequestHead) -> ErrorKind {
     if head.keyed {
