--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -50,6 +50,9 @@
     /// Seconds of each phase
     #[bpaf(argument("S"), fallback(5))]
     pub(crate) seconds: u64,
+    /// Traffic threads of each daemon
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) threads: usize,
     /// Regions, of two daemons a service in all: 1 or 2
     #[bpaf(argument("N"), fallback(1))]
     pub(crate) regions: u32,
--- a/components/daemon/src/caller_api.rs
+++ b/components/daemon/src/caller_api.rs
@@ -236,12 +236,16 @@
 }
 
 fn pass_on(answer: Answer) -> Response<dropshot::Body> {
+    let Answer {
+        head,
+        frames: mut rest,
+    } = answer;
     let ReplyHead {
         status,
         content_type,
         replayed,
         ..
-    } = answer.head;
+    } = head;
     let status = u16::try_from(status)
         .ok()
         .and_then(|s| StatusCode::from_u16(s).ok());
@@ -252,7 +256,10 @@
     if replayed {
         response = response.header(REPLAYED, "1");
     }
-    let body = dropshot::Body::wrap(SyncBody::new(StreamBody::new(frames(answer.frames))));
+    let body = match rest.take_whole() {
+        Some(whole) => dropshot::Body::from(whole),
+        None => dropshot::Body::wrap(SyncBody::new(StreamBody::new(frames(rest)))),
+    };
     response
         .body(body)
         .unwrap_or_else(|_| refuse(&ErrorKind::Internal.into()))
--- a/components/daemon/src/entry.rs
+++ b/components/daemon/src/entry.rs
@@ -140,15 +140,27 @@
 }
 
 impl Frames {
+    /// The whole body, when it came with the head.
+    pub fn take_whole(&mut self) -> Option<Bytes> {
+        let whole = self.first.as_ref().is_some_and(|frame| frame.end);
+        let frame = self.first.take_if(|_| whole)?;
+        self.count(&frame);
+        Some(frame.body)
+    }
+
+    fn count(&self, frame: &ReplyFrame) {
+        if let Some(counters) = &self.distant {
+            counters.distant_bytes.add_many(frame.encoded_len() as u64);
+        }
+    }
+
     /// The next frame; none when the reply has ended or was cut.
     pub async fn next(&mut self) -> Option<ReplyFrame> {
         let frame = match self.first.take() {
             Some(frame) => frame,
             None => self.source.next().await?,
         };
-        if let Some(counters) = &self.distant {
-            counters.distant_bytes.add_many(frame.encoded_len() as u64);
-        }
+        self.count(&frame);
         Some(frame)
     }
 }
