--- /dev/null
+++ b/bench/tests/whole_path.rs
@@ -0,0 +1,284 @@
+//! The whole path over real sockets, with what can go wrong on it.
+
+use std::time::Duration;
+
+use bench::caller::{Caller, Outcome, Wish};
+use bench::deployment::{self, Deployment, Spec};
+use bytes::Bytes;
+use daemon::announcement::{AnnouncedOperation, Announcement};
+use daemon::caller_api;
+use daemon::pool::PeerPool;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use peers::secret::PeerToken;
+use peers::wire::{HeartbeatRequest, RequestFrame, TicketRequest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+fn spec() -> Spec {
+    let mut spec = deployment::plain(vec![("nord", "nord-a"), ("nord", "nord-b")], 1);
+    spec.checks_fences = true;
+    spec
+}
+
+async fn ready(spec: Spec) -> Deployment {
+    let deployment = Deployment::start(spec).await.expect("a deployment");
+    deployment.await_ready().await.expect("every shard owned");
+    deployment
+}
+
+fn order(request: &str, body: String) -> Wish {
+    Wish {
+        request: request.to_owned(),
+        customer: Some("load".to_owned()),
+        service: "keyed".to_owned(),
+        operation: "put".to_owned(),
+        key: Some("key-1".to_owned()),
+        ticket: None,
+        body: Some(body),
+        deadline_ms: None,
+        patience: Duration::from_secs(10),
+    }
+}
+
+fn lookup(request: &str) -> Wish {
+    Wish {
+        operation: "get".to_owned(),
+        body: None,
+        ..order(request, String::new())
+    }
+}
+
+fn entries(deployment: &Deployment) -> Vec<std::net::SocketAddr> {
+    deployment
+        .entries()
+        .into_iter()
+        .map(|(_, address)| address)
+        .collect()
+}
+
+fn http_client() -> HttpClient {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_order_gets_the_recorded_answer() {
+    let deployment = ready(spec()).await;
+    let entries = entries(&deployment);
+    let caller = Caller::new();
+    let first = caller
+        .pursue(&entries, &order("1", "amount=5".to_owned()))
+        .await;
+    let again = Wish {
+        ticket: first.ticket.clone(),
+        ..order("1", "amount=5".to_owned())
+    };
+    let second = caller.pursue(&entries[1..], &again).await;
+    assert!(matches!(first.outcome, Outcome::Answered(_)), "{first:?}");
+    assert_eq!(first.outcome, second.outcome);
+    assert_eq!(deployment.recorder.len(), 1);
+    deployment.end().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_pass_whole_both_ways() {
+    let deployment = ready(spec()).await;
+    let entries = entries(&deployment);
+    let caller = Caller::new();
+    let body = "0123456789abcdef".repeat(40_000);
+    let report = caller.pursue(&entries, &order("1", body.clone())).await;
+    let Outcome::Answered(echo) = &report.outcome else {
+        panic!("{:?}", report.outcome)
+    };
+    assert!(echo.body == body, "the body came back changed");
+    let again = Wish {
+        ticket: report.ticket,
+        ..order("1", body)
+    };
+    let Outcome::Refused(problem) = caller.pursue(&entries, &again).await.outcome else {
+        panic!("answered twice");
+    };
+    assert_eq!(
+        (problem.error.as_str(), problem.ran.as_str()),
+        ("answer-not-kept", "yes")
+    );
+    assert_eq!(deployment.recorder.len(), 1);
+    deployment.end().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_oversized_body_is_refused() {
+    let deployment = ready(spec()).await;
+    let entries = entries(&deployment);
+    let report = Caller::new()
+        .pursue(&entries, &order("1", "x".repeat(2 << 20)))
+        .await;
+    let Outcome::Refused(problem) = report.outcome else {
+        panic!("{:?}", report.outcome)
+    };
+    assert_eq!(problem.error, "body-too-large");
+    assert!(deployment.recorder.is_empty());
+    deployment.end().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_without_the_secret_are_refused() {
+    let deployment = ready(spec()).await;
+    let node = deployment.nodes.values().next().expect("a node");
+    let listen = *node.daemon.as_ref().expect("a daemon").listen();
+    let stranger = PeerPool::new(PeerToken::from_secret("some other secret"));
+    let mut control = stranger.control(listen.peers).await.expect("a connection");
+    let refused = control
+        .heartbeat(HeartbeatRequest::default())
+        .await
+        .expect_err("refused");
+    assert_eq!(refused.code(), tonic::Code::Unauthenticated);
+    let mut traffic = stranger
+        .traffic(listen.traffic)
+        .await
+        .expect("a connection");
+    let refused = traffic
+        .issue_ticket(TicketRequest::default())
+        .await
+        .expect_err("refused");
+    assert_eq!(refused.code(), tonic::Code::Unauthenticated);
+    deployment.end().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_messages_of_peers_are_refused() {
+    let deployment = ready(spec()).await;
+    let node = deployment.nodes.values().next().expect("a node");
+    let daemon = node.daemon.as_ref().expect("a daemon");
+    let listen = *daemon.listen();
+    let peer = PeerPool::new(PeerToken::from_secret(&daemon.shared().settings.secret));
+    let mut control = peer.control(listen.peers).await.expect("a connection");
+    let refused = control
+        .heartbeat(HeartbeatRequest::default())
+        .await
+        .expect_err("refused");
+    assert_eq!(refused.code(), tonic::Code::InvalidArgument);
+    assert!(
+        refused.message().contains("member"),
+        "{}",
+        refused.message()
+    );
+    let mut traffic = peer.traffic(listen.traffic).await.expect("a connection");
+    let empty = futures::stream::iter([RequestFrame::default()]);
+    let refused = traffic.forward(empty).await.expect_err("refused");
+    assert_eq!(refused.code(), tonic::Code::InvalidArgument);
+    let report = Caller::new()
+        .pursue(&entries(&deployment), &lookup("1"))
+        .await;
+    assert!(matches!(report.outcome, Outcome::Answered(_)), "{report:?}");
+    deployment.end().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_off_no_request() {
+    let mut spec = spec();
+    for service in &mut spec.services {
+        service.service_time = Duration::from_millis(150);
+    }
+    let mut deployment = ready(spec).await;
+    let owner = deployment.owner_of("keyed", b"key-1").expect("an owner");
+    let entries = entries(&deployment);
+    let mut running = Vec::new();
+    let mut stop = None;
+    for number in 0..30 {
+        let wish = if number % 2 == 0 {
+            order(&format!("{number}"), "amount=1".to_owned())
+        } else {
+            lookup(&format!("{number}"))
+        };
+        let entries = entries.clone();
+        running.push(tokio::spawn(async move {
+            Caller::new().pursue(&entries, &wish).await
+        }));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        if number == 10 {
+            stop = deployment.stop(&owner);
+        }
+    }
+    let mut answered = 0;
+    for task in running {
+        let report = task.await.expect("a report");
+        assert!(matches!(report.outcome, Outcome::Answered(_)), "{report:?}");
+        answered += 1;
+    }
+    assert_eq!(answered, 30);
+    stop.expect("a stop").await.expect("stopped");
+    deployment.end().await;
+}
+
+/// Announces a back end that promises 100 bytes, sends 10 and closes.
+async fn announce_cutting_back_end(admin: std::net::SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let announcement = Announcement {
+        address: listener.local_addr().expect("an address").to_string(),
+        instance: 77,
+        service: "open".to_owned(),
+        keyed: false,
+        checks_fences: false,
+        operations: vec![AnnouncedOperation {
+            name: "get".to_owned(),
+            order: false,
+        }],
+        slots: 4,
+        draining: false,
+    };
+    tokio::spawn(async move {
+        loop {
+            let Ok((mut socket, _)) = listener.accept().await else {
+                return;
+            };
+            let mut request = [0; 4096];
+            let _ = socket.read(&mut request).await;
+            let _ = socket
+                .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n0123456789")
+                .await;
+            let _ = socket.shutdown().await;
+        }
+    });
+    let request = Request::put(format!("http://{admin}/v1/back-end"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(
+            serde_json::to_vec(&announcement).expect("JSON"),
+        )))
+        .expect("a request");
+    let answer = http_client().request(request).await.expect("an answer");
+    assert!(answer.status().is_success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_cut_short_is_seen_as_cut_short() {
+    let mut deployment = ready(spec()).await;
+    deployment.crash_back_end("nord-a-open");
+    deployment.crash_back_end("nord-b-open");
+    let admin = deployment.nodes["nord-a-open"]
+        .daemon
+        .as_ref()
+        .expect("a daemon")
+        .listen()
+        .admin;
+    announce_cutting_back_end(admin).await;
+    let entry = deployment.nodes["nord-a-open"]
+        .daemon
+        .as_ref()
+        .expect("a daemon")
+        .listen()
+        .callers;
+    let request = Request::get(format!("http://{entry}/v1/open/get?request=1"))
+        .header(caller_api::CUSTOMER, "load")
+        .body(Full::default())
+        .expect("a request");
+    let answer = http_client().request(request).await.expect("a head");
+    let whole = answer.status().is_success() && answer.into_body().collect().await.is_ok();
+    assert!(!whole, "a cut answer passed for a whole one");
+    deployment.end().await;
+}
