Let two witnesses confirm a coordinator while the store is silent

Cause: with the store as the only confirmer, an outage longer than the authority period stopped every key of a cell; the users name long outages of the store as ordinary. Change: the cell's record lists two witnesses; a confirmation of either counts when the store is silent. A successor closes every earlier term first: by the promise of each witness, or by its coordinator's own word, and then waits one authority period. Losing the coordinator while the store is down still stops the cell.

--- /dev/null
+++ b/components/ownership/src/closing.rs
@@ -0,0 +1,204 @@
+//! Closing earlier terms before a new one grants.
+
+use std::net::SocketAddr;
+
+use world::key::Term;
+use world::moment::Moment;
+use world::name::MachineName;
+
+use crate::record::OpenTerm;
+use crate::timing::Timing;
+
+/// One machine that is asked to close a term.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Term to close.
+    pub term: Term,
+    /// The machine.
+    pub name: MachineName,
+    /// Where its daemon listens for others.
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct Predecessor {
+    term: OpenTerm,
+    /// Instants at which the witnesses' promises were received, in the order of the witnesses.
+    promises: Vec<Option<Moment>>,
+    /// Instant since which the term is known to be confirmed no more.
+    ended: Option<Moment>,
+}
+
+/// Collects the promises that end all earlier terms.
+///
+/// A term has ended when its coordinator, in whatever life, has given it up, or when each of its
+/// witnesses has promised not to confirm it again. Authority that was confirmed before a promise
+/// was given lasts at the most one authority period after that promise is received.
+#[derive(Clone, Debug)]
+pub struct Closing {
+    timing: Timing,
+    /// Since when no write of an earlier term can be confirmed by the store.
+    store_ended: Moment,
+    predecessors: Vec<Predecessor>,
+}
+
+impl Closing {
+    /// Starts to close `terms`, of which the store has confirmed nothing since `store_ended`.
+    #[must_use]
+    pub fn new(timing: Timing, terms: Vec<OpenTerm>, store_ended: Moment) -> Self {
+        let predecessors = terms.into_iter().map(|term| {
+            let promises = vec![None; term.witnesses.len()];
+            let ended = promises.is_empty().then_some(store_ended);
+            Predecessor {
+                term,
+                promises,
+                ended,
+            }
+        });
+        Self {
+            timing,
+            store_ended,
+            predecessors: predecessors.collect(),
+        }
+    }
+
+    /// Machines that still have to be asked.
+    #[must_use]
+    pub fn requests(&self) -> Vec<Request> {
+        let mut requests = Vec::new();
+        for predecessor in self.predecessors.iter().filter(|p| p.ended.is_none()) {
+            let OpenTerm {
+                term,
+                coordinator,
+                witnesses,
+            } = &predecessor.term;
+            let silent = witnesses.iter().zip(&predecessor.promises);
+            let silent = silent
+                .filter(|(_, promise)| promise.is_none())
+                .map(|(w, _)| w);
+            for machine in silent.chain([coordinator]) {
+                let (name, address) = (machine.name.clone(), machine.address);
+                requests.push(Request {
+                    term: *term,
+                    name,
+                    address,
+                });
+            }
+        }
+        requests
+    }
+
+    /// Notes at `now` that a machine, in its present life, has closed `term` and all earlier ones.
+    pub fn on_closed(&mut self, now: Moment, name: &MachineName, term: Term) {
+        for predecessor in &mut self.predecessors {
+            if predecessor.ended.is_some() || predecessor.term.term > term {
+                continue;
+            }
+            if predecessor.term.coordinator.name == *name {
+                predecessor.ended = Some(now);
+            }
+            for (witness, promise) in predecessor
+                .term
+                .witnesses
+                .iter()
+                .zip(&mut predecessor.promises)
+            {
+                if witness.name == *name && promise.is_none() {
+                    *promise = Some(now);
+                }
+            }
+            if predecessor.promises.iter().all(Option::is_some) {
+                predecessor.ended = predecessor.promises.iter().copied().flatten().max();
+            }
+        }
+    }
+
+    /// The instant from which the new term may grant, once all earlier ones have ended.
+    #[must_use]
+    pub fn grants_from(&self) -> Option<Moment> {
+        let absence = self
+            .timing
+            .outlast(self.timing.store_absence + self.timing.authority);
+        let mut latest = self.store_ended;
+        for predecessor in &self.predecessors {
+            match predecessor.ended {
+                Some(ended) => latest = latest.max(ended),
+                None => return Some(self.store_ended + absence),
+            }
+        }
+        Some(latest + self.timing.outlast(self.timing.authority))
+    }
+
+    /// Tells whether every earlier term has ended.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.predecessors.iter().all(|p| p.ended.is_some())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use world::machine::Incarnation;
+
+    use super::*;
+    use crate::record::WitnessRef;
+
+    fn machine(name: &str) -> WitnessRef {
+        WitnessRef {
+            name: MachineName::new(name),
+            incarnation: Incarnation(1),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        }
+    }
+
+    fn closing() -> Closing {
+        let term = OpenTerm {
+            term: Term(4),
+            coordinator: machine("c"),
+            witnesses: vec![machine("w1"), machine("w2")],
+        };
+        Closing::new(Timing::default(), vec![term], Moment::from_millis(1_000))
+    }
+
+    fn at(millis: u64) -> Moment {
+        Moment::from_millis(millis)
+    }
+
+    #[test]
+    fn waits_for_both_witnesses() {
+        let mut closing = closing();
+        closing.on_closed(at(1_100), &MachineName::new("w1"), Term(4));
+        assert!(!closing.is_done());
+        assert_eq!(closing.requests().len(), 2);
+        closing.on_closed(at(1_200), &MachineName::new("w2"), Term(4));
+        assert!(closing.is_done());
+        let timing = Timing::default();
+        assert_eq!(
+            closing.grants_from(),
+            Some(at(1_200) + timing.outlast(timing.authority))
+        );
+    }
+
+    #[test]
+    fn the_coordinator_itself_is_enough() {
+        let mut closing = closing();
+        closing.on_closed(at(1_100), &MachineName::new("c"), Term(4));
+        assert!(closing.is_done());
+        assert!(closing.requests().is_empty());
+    }
+
+    #[test]
+    fn a_promise_about_an_older_term_does_not_count() {
+        let mut closing = closing();
+        closing.on_closed(at(1_100), &MachineName::new("c"), Term(3));
+        assert!(!closing.is_done());
+    }
+
+    #[test]
+    fn an_unreachable_witness_is_waited_for_during_the_longest_store_absence() {
+        let closing = closing();
+        let timing = Timing::default();
+        let until = at(1_000) + timing.outlast(timing.store_absence + timing.authority);
+        assert_eq!(closing.grants_from(), Some(until));
+    }
+}
--- a/components/ownership/src/coordinator.rs
+++ b/components/ownership/src/coordinator.rs
@@ -11,6 +11,7 @@
 
 use crate::assignment::{self, Weighted};
 use crate::heartbeat::{Accepted, CoordinatorRef, Reply, Request};
+use crate::record::WitnessRef;
 use crate::table::{self, Holding, MachineIndex, RouteTable, ShardId};
 use crate::timing::Timing;
 
@@ -23,6 +24,9 @@
 /// Time between two rounds of balancing.
 const BALANCE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Machines that confirm a coordinator while the store does not.
+pub const WITNESSES: usize = 2;
+
 /// Incarnations of one machine that are remembered as replaced.
 const RETIRED_INCARNATIONS: usize = 8;
 
@@ -60,6 +64,8 @@
     me: CoordinatorRef,
     /// No grant is made earlier. Invariant: the previous term's authority has lapsed by then.
     grants_from: Moment,
+    /// End of the formation period.
+    formed: Moment,
     sequence: u32,
     peers: Vec<Peer>,
     names: BTreeMap<MachineName, MemberId>,
@@ -91,11 +97,13 @@
     /// authority; the formation period is added here.
     #[must_use]
     pub fn new(timing: Timing, me: CoordinatorRef, now: Moment, grants_from: Moment) -> Self {
-        let grants_from = grants_from.max(now + timing.formation);
+        let formed = now + timing.formation;
+        let grants_from = grants_from.max(formed);
         let mut coordinator = Self {
             timing,
             me,
             grants_from,
+            formed,
             sequence: 0,
             peers: Vec::new(),
             names: BTreeMap::new(),
@@ -110,6 +118,45 @@
         coordinator
     }
 
+    /// Changes the instant from which grants are made, as earlier terms turn out to have ended.
+    /// Has no effect once a grant was made.
+    pub fn set_grants_from(&mut self, now: Moment, grants_from: Moment) {
+        if self.sequence == 0 {
+            let formed = self.formed.max(grants_from);
+            self.grants_from = formed.max(now);
+        }
+    }
+
+    /// Chooses up to [`WITNESSES`] machines to confirm the coordinator without the store: live
+    /// members of other zones, of its own region first, each from a zone of its own if possible.
+    #[must_use]
+    pub fn choose_witnesses(&self, present: &[WitnessRef]) -> Vec<WitnessRef> {
+        let Some(me) = self
+            .names
+            .get(&self.me.name)
+            .map(|id| &self.peers[*id].machine)
+        else {
+            return present.to_vec();
+        };
+        let mut chosen: Vec<&Machine> = Vec::new();
+        while chosen.len() < WITNESSES {
+            let free = self.peers.iter().filter(|p| p.live && !p.machine.leaving);
+            let free = free
+                .map(|p| &p.machine)
+                .filter(|m| m.name != me.name && !chosen.iter().any(|c| c.name == m.name));
+            let best = free.min_by_key(|m| {
+                let zone_taken = m.zone == me.zone || chosen.iter().any(|c| c.zone == m.zone);
+                let listed = present.iter().any(|w| is_witness(w, m));
+                (m.region != me.region, zone_taken, !listed)
+            });
+            let Some(best) = best else { break };
+            chosen.push(best);
+        }
+        let mut witnesses: Vec<WitnessRef> = chosen.into_iter().map(witness_ref).collect();
+        witnesses.sort_by(|a, b| a.name.cmp(&b.name));
+        witnesses
+    }
+
     /// The coordinator's term.
     #[must_use]
     pub fn term(&self) -> Term {
@@ -528,6 +575,18 @@
     }
 }
 
+fn is_witness(witness: &WitnessRef, machine: &Machine) -> bool {
+    witness.name == machine.name && witness.incarnation == machine.incarnation
+}
+
+fn witness_ref(machine: &Machine) -> WitnessRef {
+    WitnessRef {
+        name: machine.name.clone(),
+        incarnation: machine.incarnation,
+        address: machine.peer_address,
+    }
+}
+
 fn same_back_end(left: &Machine, right: &Machine) -> bool {
     let instance = |m: &Machine| m.back_end.as_ref().map(|b| b.instance);
     instance(left) == instance(right)
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -4,6 +4,7 @@
 //! machines, and the property tests drive the same code with a clock of their own.
 
 pub mod assignment;
+pub mod closing;
 pub mod coordinator;
 pub mod heartbeat;
 pub mod member;
@@ -12,3 +13,4 @@
 pub mod succession;
 pub mod table;
 pub mod timing;
+pub mod witness;
--- a/components/ownership/src/record.rs
+++ b/components/ownership/src/record.rs
@@ -26,6 +26,35 @@
     pub write_id: u64,
     /// True once the coordinator has given up the term.
     pub resigned: bool,
+    /// Machines whose confirmations count beside the store's. Invariant: a confirmation counts
+    /// only from a witness of the record as last confirmed and as last written.
+    #[serde(default)]
+    pub witnesses: Vec<WitnessRef>,
+    /// Earlier terms that may still be confirmed by their witnesses.
+    #[serde(default)]
+    pub open_terms: Vec<OpenTerm>,
+}
+
+/// One life of a machine that confirms a coordinator's authority while the store does not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessRef {
+    /// The machine.
+    pub name: MachineName,
+    /// Life of its daemon; a later life never confirms.
+    pub incarnation: Incarnation,
+    /// Where that daemon listens for others.
+    pub address: SocketAddr,
+}
+
+/// An earlier term that is not known to have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenTerm {
+    /// The term.
+    pub term: Term,
+    /// Its coordinator, as if it were a witness.
+    pub coordinator: WitnessRef,
+    /// Its witnesses.
+    pub witnesses: Vec<WitnessRef>,
 }
 
 impl CellRecord {
@@ -39,6 +68,27 @@
         }
     }
 
+    /// Terms that a successor has to close: those that were open, and this one unless its
+    /// coordinator has given it up.
+    #[must_use]
+    pub fn terms_to_close(&self) -> Vec<OpenTerm> {
+        let mut open = self.open_terms.clone();
+        if !self.resigned {
+            let coordinator = WitnessRef {
+                name: self.coordinator.clone(),
+                incarnation: self.incarnation,
+                address: self.address,
+            };
+            let witnesses = self.witnesses.clone();
+            open.push(OpenTerm {
+                term: self.term,
+                coordinator,
+                witnesses,
+            });
+        }
+        open
+    }
+
     /// Tells whether the record's term belongs to the given life of a daemon.
     #[must_use]
     pub fn is_held_by(&self, name: &MachineName, incarnation: Incarnation) -> bool {
--- a/components/ownership/src/renewal.rs
+++ b/components/ownership/src/renewal.rs
@@ -2,14 +2,15 @@
 
 use world::moment::Moment;
 
-use crate::record::CellRecord;
+use crate::record::{CellRecord, WitnessRef};
 use crate::timing::Timing;
 
 /// A write of the record on its way to the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Pending {
     write_id: u64,
     sent: Moment,
+    witnesses: Vec<WitnessRef>,
 }
 
 /// What became of a claim after the record was read back.
@@ -29,6 +30,10 @@
     version: u64,
     /// Instant until which the coordinator may grant.
     authority_until: Moment,
+    /// Sending time of the last write that the store confirmed.
+    store_confirmed: Moment,
+    /// Witnesses of the record as last confirmed by the store.
+    listed: Vec<WitnessRef>,
     pending: Option<Pending>,
 }
 
@@ -37,11 +42,14 @@
     #[must_use]
     pub fn new(timing: Timing, record: CellRecord, version: u64, sent: Moment) -> Self {
         let authority_until = sent + timing.authority;
+        let listed = record.witnesses.clone();
         Self {
             timing,
             record,
             version,
             authority_until,
+            store_confirmed: sent,
+            listed,
             pending: None,
         }
     }
@@ -64,12 +72,47 @@
         self.authority_until
     }
 
+    /// Replaces the witnesses. Those that are dropped stop counting at once, new ones count once
+    /// the store has confirmed a record that lists them.
+    pub fn set_witnesses(&mut self, witnesses: Vec<WitnessRef>) {
+        self.record.witnesses = witnesses;
+    }
+
+    /// Strikes off the earlier terms, once all of them have been closed.
+    pub fn clear_open_terms(&mut self) {
+        self.record.open_terms.clear();
+    }
+
+    /// Witnesses whose confirmations count.
+    pub fn counting_witnesses(&self) -> impl Iterator<Item = &WitnessRef> {
+        self.listed
+            .iter()
+            .filter(|w| self.record.witnesses.contains(w))
+    }
+
+    /// Tells whether the store has been silent for so long that witnesses should be asked.
+    #[must_use]
+    pub fn needs_witnesses(&self, now: Moment) -> bool {
+        now.since(self.store_confirmed) >= self.timing.renewal * 2
+    }
+
+    /// Notes that a witness confirmed the term when asked at `sent`.
+    pub fn on_witness_confirmed(&mut self, witness: &WitnessRef, sent: Moment) {
+        let counts = self.counting_witnesses().any(|w| w == witness);
+        let absent = sent.since(self.store_confirmed) >= self.timing.store_absence;
+        if counts && !absent && !self.record.resigned {
+            self.authority_until = self.authority_until.max(sent + self.timing.authority);
+        }
+    }
+
     /// The record to write now, to be conditional on [`Renewal::version`].
     pub fn start(&mut self, now: Moment, write_id: u64) -> CellRecord {
         self.record.write_id = write_id;
+        let witnesses = self.record.witnesses.clone();
         self.pending = Some(Pending {
             write_id,
             sent: now,
+            witnesses,
         });
         self.record.clone()
     }
@@ -80,6 +123,8 @@
             return;
         };
         self.version = version;
+        self.listed = pending.witnesses;
+        self.store_confirmed = self.store_confirmed.max(pending.sent);
         self.authority_until = self
             .authority_until
             .max(pending.sent + self.timing.authority);
@@ -95,11 +140,16 @@
         if !ours {
             return Claim::Lost;
         }
-        if self.pending.is_some_and(|p| p.write_id == found.write_id) {
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|p| p.write_id == found.write_id)
+        {
             self.on_confirmed(version);
             return Claim::Held;
         }
         self.version = self.version.max(version);
+        self.listed.clone_from(&found.witnesses);
         self.pending = None;
         Claim::Held
     }
--- a/components/ownership/src/succession.rs
+++ b/components/ownership/src/succession.rs
@@ -28,9 +28,10 @@
 /// Watches the coordinator on behalf of one member.
 ///
 /// A renewal makes a new version. When a take-over against version `v` succeeds, no renewal
-/// after `v` was or will be confirmed, and the renewal that made `v` was sent before `v` was
-/// first seen here. The old authority therefore ends at the latest one authority period,
-/// measured on the slower clock, after that first sight.
+/// after `v` was or will be confirmed by the store, and the renewal that made `v` was sent before
+/// `v` was first seen here. What the store confirmed of the old term therefore ends at the latest
+/// one authority period, measured on the slower clock, after that first sight. What witnesses
+/// confirmed ends by [`crate::closing::Closing`].
 #[derive(Clone, Debug)]
 pub struct Succession {
     timing: Timing,
@@ -91,6 +92,12 @@
         self.resigned = record.resigned;
     }
 
+    /// Instant since which the record is known at its present version.
+    #[must_use]
+    pub fn version_since(&self) -> Option<Moment> {
+        self.observation.map(|o| o.since)
+    }
+
     /// What to do at `now`, given that the record was read at its current version just before
     /// when `fresh` is true.
     #[must_use]
@@ -107,9 +114,11 @@
         let Some(observation) = self.observation else {
             return Step::TakeOver(0);
         };
-        if now >= observation.since + self.timing.outlast(self.timing.authority) {
-            return Step::TakeOver(observation.version);
+        // A coordinator that still renews its record is left alone.
+        let renewing = now < observation.since + self.timing.suspicion && !self.resigned;
+        if renewing {
+            return Step::Wait;
         }
-        Step::Wait
+        Step::TakeOver(observation.version)
     }
 }
--- a/components/ownership/src/timing.rs
+++ b/components/ownership/src/timing.rs
@@ -21,17 +21,21 @@
     pub margin: Duration,
     /// Time that a new coordinator collects heartbeats before it grants.
     pub formation: Duration,
+    /// Longest time for which witnesses may confirm a coordinator without the store, and after
+    /// which an earlier term counts as ended without their word.
+    pub store_absence: Duration,
 }
 
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(200),
-            renewal: Duration::from_millis(250),
-            authority: Duration::from_millis(900),
-            suspicion: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(150),
+            renewal: Duration::from_millis(200),
+            authority: Duration::from_millis(750),
+            suspicion: Duration::from_millis(450),
             margin: Duration::from_millis(20),
-            formation: Duration::from_millis(450),
+            formation: Duration::from_millis(320),
+            store_absence: Duration::from_secs(4 * 3600),
         }
     }
 }
--- a/components/ownership/tests/one_owner.rs
+++ b/components/ownership/tests/one_owner.rs
@@ -7,15 +7,20 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use ownership::closing::Closing;
 use ownership::coordinator::Coordinator;
 use ownership::heartbeat::{Reply, Request};
 use ownership::member::Member;
-use ownership::record::CellRecord;
+use ownership::record::{CellRecord, WitnessRef};
 use ownership::renewal::{Claim, Renewal};
 use ownership::succession::{Step, Succession};
 use ownership::table::ShardId;
 use ownership::timing::Timing;
+use ownership::witness::Witness;
 use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use rstest::rstest;
 use world::key::Term;
 use world::machine::{Incarnation, Machine};
 use world::moment::Moment;
@@ -31,6 +36,12 @@
     Nothing,
     /// A successor grants without waiting for the previous authority to end.
     SuccessionWait,
+    /// A successor does not close the earlier terms.
+    Close,
+    /// A restarted witness confirms as if it were the listed one.
+    WitnessLife,
+    /// A witness that promised to close a term confirms it all the same.
+    Promise,
     /// A member counts its lease from the arrival of the answer.
     LeaseFromArrival,
     /// The coordinator's authority is extended by reading the record.
@@ -51,7 +62,9 @@
     Pause(usize),
     CutFrom(usize),
     CutTo(usize),
+    CutPair(usize, usize),
     CutStore(usize),
+    CutWrites(usize),
     Restart(usize),
     StoreDown,
     AnswersLost,
@@ -71,6 +84,30 @@
         reported: usize,
         reply: Reply,
     },
+    Confirm {
+        to: usize,
+        from: usize,
+        sent: Moment,
+        term: Term,
+        witness: WitnessRef,
+    },
+    Confirmed {
+        to: usize,
+        incarnation: Incarnation,
+        sent: Moment,
+        witness: WitnessRef,
+    },
+    Close {
+        to: usize,
+        from: usize,
+        term: Term,
+    },
+    Closed {
+        to: usize,
+        incarnation: Incarnation,
+        from: usize,
+        term: Term,
+    },
     StoreWrite {
         from: usize,
         incarnation: Incarnation,
@@ -94,8 +131,9 @@
     machine: Machine,
     member: Member,
     succession: Succession,
-    coordinator: Option<(Coordinator, Renewal)>,
-    claim: Option<(CellRecord, Moment)>,
+    coordinator: Option<Role>,
+    witness: Witness,
+    claim: Option<Claimed>,
     next_beat: u64,
     next_renewal: u64,
     next_read: u64,
@@ -104,6 +142,19 @@
     rate: u64,
 }
 
+struct Role {
+    coordinator: Coordinator,
+    renewal: Renewal,
+    closing: Closing,
+    next_close: u64,
+}
+
+struct Claimed {
+    record: CellRecord,
+    sent: Moment,
+    store_ended: Moment,
+}
+
 struct Run {
     timing: Timing,
     omission: Omission,
@@ -115,6 +166,8 @@
     faults: Vec<Fault>,
     delays: Vec<u64>,
     owned_steps: u64,
+    /// False for a cell that is too small for witnesses.
+    witnesses: bool,
 }
 
 impl Run {
@@ -132,6 +185,7 @@
             faults,
             delays,
             owned_steps: 0,
+            witnesses: true,
         }
     }
 
@@ -151,6 +205,7 @@
         self.active(|k| match k {
             FaultKind::CutFrom(i) => i == from,
             FaultKind::CutTo(i) => i == to,
+            FaultKind::CutPair(a, b) => (a, b) == (from, to) || (b, a) == (from, to),
             _ => false,
         })
     }
@@ -237,6 +292,52 @@
                     self.on_answer(to, sent, reported, reply);
                 }
             }
+            Delivery::Confirm { to, from, .. } | Delivery::Close { to, from, .. }
+                if self.cut(from, to) => {}
+            Delivery::Confirm { to, .. }
+            | Delivery::Confirmed { to, .. }
+            | Delivery::Close { to, .. }
+            | Delivery::Closed { to, .. }
+                if self.nodes[to].paused =>
+            {
+                self.send(delivery);
+            }
+            Delivery::Confirm {
+                to,
+                from,
+                sent,
+                term,
+                witness,
+            } => self.on_confirm(to, from, sent, term, witness),
+            Delivery::Confirmed {
+                to,
+                incarnation,
+                sent,
+                witness,
+            } => {
+                let node = &mut self.nodes[to];
+                if node.machine.incarnation == incarnation
+                    && let Some(role) = &mut node.coordinator
+                {
+                    role.renewal.on_witness_confirmed(&witness, sent);
+                }
+            }
+            Delivery::Close { to, from, term } => self.on_close(to, from, term),
+            Delivery::Closed {
+                to,
+                incarnation,
+                from,
+                term,
+            } => {
+                let now = self.local(to);
+                let name = self.nodes[from].machine.name.clone();
+                let node = &mut self.nodes[to];
+                if node.machine.incarnation == incarnation
+                    && let Some(role) = &mut node.coordinator
+                {
+                    role.closing.on_closed(now, &name, term);
+                }
+            }
             Delivery::StoreWrite {
                 from,
                 incarnation,
@@ -258,9 +359,127 @@
         }
     }
 
+    fn on_confirm(
+        &mut self,
+        to: usize,
+        from: usize,
+        sent: Moment,
+        term: Term,
+        witness: WitnessRef,
+    ) {
+        let node = &self.nodes[to];
+        let own = node.machine.incarnation;
+        let asked = if self.omission == Omission::WitnessLife {
+            own
+        } else {
+            witness.incarnation
+        };
+        if !node.witness.confirms(term, asked, own, node.member.term()) || self.cut(to, from) {
+            return;
+        }
+        let incarnation = self.nodes[from].machine.incarnation;
+        self.send(Delivery::Confirmed {
+            to: from,
+            incarnation,
+            sent,
+            witness,
+        });
+    }
+
+    fn on_close(&mut self, to: usize, from: usize, term: Term) {
+        let promise = self.omission != Omission::Promise;
+        let node = &mut self.nodes[to];
+        if promise {
+            node.witness.close(term);
+        }
+        if node
+            .coordinator
+            .as_ref()
+            .is_some_and(|r| r.coordinator.term() <= term)
+        {
+            node.coordinator = None;
+        }
+        if !self.cut(to, from) {
+            let incarnation = self.nodes[from].machine.incarnation;
+            self.send(Delivery::Closed {
+                to: from,
+                incarnation,
+                from: to,
+                term,
+            });
+        }
+    }
+
+    /// Asks witnesses, closes earlier terms and lists fresh witnesses.
+    fn coordinate(&mut self, index: usize, now: Moment) {
+        let omission = self.omission;
+        let step = self.step;
+        let Some(role) = &mut self.nodes[index].coordinator else {
+            return;
+        };
+        let grants_from = match omission {
+            Omission::SuccessionWait | Omission::Close => Some(now),
+            _ => role.closing.grants_from(),
+        };
+        if let Some(grants_from) = grants_from {
+            role.coordinator.set_grants_from(now, grants_from);
+        }
+        if role.closing.is_done() {
+            role.renewal.clear_open_terms();
+        }
+        let present = role.renewal.record().witnesses.clone();
+        if self.witnesses {
+            let witnesses = role.coordinator.choose_witnesses(&present);
+            role.renewal.set_witnesses(witnesses);
+        }
+        let until = role.renewal.authority_until();
+        role.coordinator.tick(now, until);
+        if step < role.next_close {
+            return;
+        }
+        role.next_close = step + 10;
+        let closes = role.closing.requests();
+        for close in closes {
+            if let Some(to) = index_of(&close.name) {
+                self.send(Delivery::Close {
+                    to,
+                    from: index,
+                    term: close.term,
+                });
+            }
+        }
+    }
+
+    fn ask_witnesses(&mut self, index: usize, now: Moment) {
+        let Some(role) = &self.nodes[index].coordinator else {
+            return;
+        };
+        if !role.renewal.needs_witnesses(now) {
+            return;
+        }
+        let term = role.coordinator.term();
+        let witnesses: Vec<WitnessRef> = role.renewal.counting_witnesses().cloned().collect();
+        for witness in witnesses {
+            if let Some(to) = index_of(&witness.name) {
+                self.send(Delivery::Confirm {
+                    to,
+                    from: index,
+                    sent: now,
+                    term,
+                    witness,
+                });
+            }
+        }
+    }
+
     fn on_heartbeat(&mut self, to: usize, from: usize, sent: Moment, request: &Request) {
         let now = self.local(to);
-        let Some((coordinator, renewal)) = &mut self.nodes[to].coordinator else {
+        let Some(Role {
+            coordinator,
+            renewal,
+            ..
+        }) = &mut self.nodes[to].coordinator
+        else {
             return;
         };
         let until = renewal.authority_until();
@@ -352,23 +571,35 @@
             Outcome::Conflict(record, version) | Outcome::Read(Some((record, version))) => {
                 self.on_record(to, &record, version);
             }
-            Outcome::Read(None) => self.try_take_over(to),
+            Outcome::Read(None) => self.try_take_over(to, None),
         }
     }
 
     fn on_written(&mut self, to: usize, version: u64) {
         let now = self.local(to);
         let node = &mut self.nodes[to];
-        if let Some((record, sent)) = node.claim.take() {
+        if let Some(Claimed {
+            record,
+            sent,
+            store_ended,
+        }) = node.claim.take()
+        {
             let me = record.coordinator_ref();
+            let closing = Closing::new(self.timing, record.open_terms.clone(), store_ended);
             let renewal = Renewal::new(self.timing, record, version, sent);
-            let coordinator = Coordinator::new(self.timing, me.clone(), now, now);
-            node.coordinator = Some((coordinator, renewal));
+            let blocked = now + self.timing.store_absence;
+            let coordinator = Coordinator::new(self.timing, me.clone(), now, blocked);
+            node.coordinator = Some(Role {
+                coordinator,
+                renewal,
+                closing,
+                next_close: 0,
+            });
             node.member.adopt(me);
             return;
         }
-        if let Some((_, renewal)) = &mut node.coordinator {
-            renewal.on_confirmed(version);
+        if let Some(role) = &mut node.coordinator {
+            role.renewal.on_confirmed(version);
         }
     }
 
@@ -377,14 +608,14 @@
         let omission = self.omission;
         let timing = self.timing;
         let node = &mut self.nodes[to];
-        if let Some((claimed, sent)) = node.claim.take()
-            && claimed.write_id == record.write_id
+        if let Some(claimed) = node.claim.take()
+            && claimed.record.write_id == record.write_id
         {
-            node.claim = Some((claimed, sent));
+            node.claim = Some(claimed);
             self.on_written(to, version);
             return;
         }
-        if let Some((_, renewal)) = &mut node.coordinator {
+        if let Some(Role { renewal, .. }) = &mut node.coordinator {
             if renewal.on_read_back(record, version) == Claim::Lost {
                 node.coordinator = None;
             } else if omission == Omission::ReadConfirms {
@@ -394,23 +625,16 @@
         }
         node.member.adopt(record.coordinator_ref());
         node.succession.on_record(record, version, now);
-        self.try_take_over(to);
+        self.try_take_over(to, Some(record));
     }
 
-    fn try_take_over(&mut self, index: usize) {
+    fn try_take_over(&mut self, index: usize, previous: Option<&CellRecord>) {
         let now = self.local(index);
         let node = &self.nodes[index];
         if node.coordinator.is_some() || node.claim.is_some() {
             return;
         }
-        let mut step = node.succession.step(now, true);
-        if self.omission == Omission::SuccessionWait && step == Step::Wait {
-            let suspicious = node.succession.step(now, false) == Step::Read;
-            if let Some((_, version)) = self.store.as_ref().filter(|_| suspicious) {
-                step = Step::TakeOver(*version);
-            }
-        }
-        let Step::TakeOver(expected) = step else {
+        let Step::TakeOver(expected) = node.succession.step(now, true) else {
             return;
         };
         let record = CellRecord {
@@ -421,13 +645,23 @@
             address: node.machine.peer_address,
             write_id: self.serial * 16 + index as u64,
             resigned: false,
+            witnesses: Vec::new(),
+            open_terms: previous.map(CellRecord::terms_to_close).unwrap_or_default(),
         };
-        self.nodes[index].claim = Some((record.clone(), now));
+        let store_ended = node.succession.version_since().unwrap_or(now);
+        self.nodes[index].claim = Some(Claimed {
+            record: record.clone(),
+            sent: now,
+            store_ended,
+        });
         self.write_store(index, expected, record);
     }
 
     fn write_store(&mut self, index: usize, expected: u64, record: CellRecord) {
-        let cut = self.active(|k| matches!(k, FaultKind::CutStore(i) if i == index));
+        let cut = self.active(|k| match k {
+            FaultKind::CutStore(i) | FaultKind::CutWrites(i) => i == index,
+            _ => false,
+        });
         if cut {
             return;
         }
@@ -443,9 +677,7 @@
     fn act(&mut self, index: usize) {
         let now = self.local(index);
         self.nodes[index].member.check_lapse(now);
-        if let Some((coordinator, renewal)) = &mut self.nodes[index].coordinator {
-            coordinator.tick(now, renewal.authority_until());
-        }
+        self.coordinate(index, now);
         self.renew(index, now);
         self.beat(index, now);
         self.watch(index, now);
@@ -453,7 +685,7 @@
 
     fn renew(&mut self, index: usize, now: Moment) {
         let node = &mut self.nodes[index];
-        let Some((_, renewal)) = &mut node.coordinator else {
+        let Some(Role { renewal, .. }) = &mut node.coordinator else {
             return;
         };
         if self.step < node.next_renewal {
@@ -463,6 +695,7 @@
         let expected = renewal.version();
         let record = renewal.start(now, self.serial * 16 + index as u64);
         self.write_store(index, expected, record);
+        self.ask_witnesses(index, now);
         if self.step.is_multiple_of(5) {
             self.read_store(index);
         }
@@ -510,7 +743,7 @@
         if node
             .claim
             .as_ref()
-            .is_some_and(|(_, sent)| now.since(*sent) > Duration::from_secs(1))
+            .is_some_and(|c| now.since(c.sent) > Duration::from_secs(1))
         {
             node.claim = None;
         }
@@ -564,6 +797,7 @@
         member: Member::new(),
         succession,
         coordinator: None,
+        witness: Witness::default(),
         claim: None,
         next_beat: 0,
         next_renewal: 0,
@@ -578,6 +812,7 @@
         (0..MACHINES).prop_map(FaultKind::Pause),
         (0..MACHINES).prop_map(FaultKind::CutFrom),
         (0..MACHINES).prop_map(FaultKind::CutTo),
+        (0..MACHINES, 0..MACHINES).prop_map(|(a, b)| FaultKind::CutPair(a, b)),
         (0..MACHINES).prop_map(FaultKind::CutStore),
         (0..MACHINES).prop_map(FaultKind::Restart),
         Just(FaultKind::StoreDown),
@@ -598,6 +833,52 @@
     )
 }
 
+/// Histories around a first coordinator that is cut off from the store and from some members
+/// while its witnesses may restart.
+fn cut_off_coordinator() -> impl Strategy<Value = (Vec<Fault>, Vec<u64>, Vec<u64>)> {
+    let start = 200u64..400;
+    let pair = (1..MACHINES, 0u64..300, 200u64..900);
+    let restart = (1..MACHINES, 100u64..900);
+    let pause = (0..MACHINES, 0u64..900, 20u64..200);
+    let faults = (
+        start,
+        400u64..1_400,
+        any::<bool>(),
+        proptest::collection::vec(pair, 1..4),
+        proptest::collection::vec(restart, 0..4),
+        proptest::collection::vec(pause, 0..3),
+    );
+    let faults = faults.prop_map(|(start, length, writes, pairs, restarts, pauses)| {
+        let fault = |at_step, length, kind| Fault {
+            at_step,
+            length,
+            kind,
+        };
+        let cut = if writes {
+            FaultKind::CutWrites(0)
+        } else {
+            FaultKind::CutStore(0)
+        };
+        let mut faults = vec![fault(start, length, cut)];
+        for (other, delay, length) in pairs {
+            faults.push(fault(start + delay, length, FaultKind::CutPair(0, other)));
+        }
+        for (machine, delay) in restarts {
+            faults.push(fault(start + delay, 1, FaultKind::Restart(machine)));
+        }
+        for (machine, delay, length) in pauses {
+            faults.push(fault(start + delay, length, FaultKind::Pause(machine)));
+        }
+        faults
+    });
+    let delays = proptest::collection::vec(0u64..4, 16..64);
+    (
+        faults,
+        delays,
+        proptest::collection::vec(0u64..900, MACHINES),
+    )
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -606,6 +887,35 @@
         let mut run = Run::new(Omission::Nothing, faults, delays, &rates);
         prop_assert_eq!(run.run(), Ok(()));
     }
+
+    #[test]
+    fn a_cut_off_coordinator_makes_no_second_owner(
+        (faults, delays, rates) in cut_off_coordinator()
+    ) {
+        let mut run = Run::new(Omission::Nothing, faults, delays, &rates);
+        prop_assert_eq!(run.run(), Ok(()));
+    }
+}
+
+#[test]
+fn a_cell_outlives_a_long_outage_of_the_store() {
+    let outage = Fault {
+        at_step: 300,
+        length: STEPS,
+        kind: FaultKind::StoreDown,
+    };
+    let mut run = Run::new(
+        Omission::Nothing,
+        vec![outage],
+        vec![1],
+        &[0, 300, 600, 900],
+    );
+    run.run().expect("one owner");
+    assert!(
+        run.owned_steps > STEPS * 9 / 10,
+        "owned in {} steps",
+        run.owned_steps
+    );
 }
 
 #[test]
@@ -620,32 +930,31 @@
 }
 
 /// Counts the histories in which leaving a rule out gives two owners.
-fn violations(omission: Omission, histories: u32) -> u32 {
-    use proptest::strategy::ValueTree;
-    use proptest::test_runner::TestRunner;
+fn violations(omission: Omission, witnesses: bool, histories: u32) -> u32 {
     let mut runner = TestRunner::deterministic();
     let mut found = 0;
     for _ in 0..histories {
-        let (faults, delays, rates) = history()
-            .new_tree(&mut runner)
-            .expect("a history")
-            .current();
-        found += u32::from(Run::new(omission, faults, delays, &rates).run().is_err());
+        let strategy = cut_off_coordinator();
+        let (faults, delays, rates) = strategy.new_tree(&mut runner).expect("a history").current();
+        let mut run = Run::new(omission, faults, delays, &rates);
+        run.witnesses = witnesses;
+        found += u32::from(run.run().is_err());
     }
     found
 }
 
-#[test]
-fn leaving_out_a_rule_is_noticed() {
-    assert_eq!(violations(Omission::Nothing, 60), 0);
-    for omission in [
-        Omission::SuccessionWait,
-        Omission::LeaseFromArrival,
-        Omission::ReadConfirms,
-        Omission::LeaseCheck,
-    ] {
-        let found = violations(omission, 60);
-        println!("omission={omission:?} histories=60 violations={found}");
-        assert!(found > 0, "{omission:?} was not noticed");
-    }
+#[rstest]
+#[case::nothing(Omission::Nothing, true)]
+#[case::nothing_without_witnesses(Omission::Nothing, false)]
+#[case::succession_wait(Omission::SuccessionWait, true)]
+#[case::close(Omission::Close, true)]
+#[case::witness_life(Omission::WitnessLife, true)]
+#[case::promise(Omission::Promise, true)]
+#[case::lease_from_arrival(Omission::LeaseFromArrival, true)]
+#[case::read_confirms(Omission::ReadConfirms, false)]
+#[case::lease_check(Omission::LeaseCheck, true)]
+fn leaving_out_a_rule_is_noticed(#[case] omission: Omission, #[case] witnesses: bool) {
+    let found = violations(omission, witnesses, 400);
+    println!("omission={omission:?} witnesses={witnesses} histories=400 violations={found}");
+    assert_eq!(found > 0, omission != Omission::Nothing);
 }
