Add bench faults; carry witnesses and closing in the daemon

Cause: the witnesses of the model had no messages, and losses between real daemons were not measured.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -14,6 +14,9 @@
     /// Measure what the path adds to a direct call, at a given rate
     #[bpaf(command("load"))]
     Load(#[bpaf(external(load_options))] LoadOptions),
+    /// Bring losses about and measure for how long keys are unavailable
+    #[bpaf(command("faults"))]
+    Faults(#[bpaf(external(faults_options))] FaultsOptions),
     /// Write the trace of a user to standard output
     #[bpaf(command("trace"))]
     Trace(#[bpaf(external(trace_options))] TraceOptions),
@@ -60,3 +63,14 @@
     #[bpaf(argument("N"), fallback(1))]
     pub(crate) seed: u64,
 }
+
+/// Options of `faults`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct FaultsOptions {
+    /// Seed for keys
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+    /// Run only this case
+    #[bpaf(argument("NAME"))]
+    pub(crate) case: Option<String>,
+}
--- a/bench/src/cmd/mod.rs
+++ b/bench/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One module a subcommand.
 
 pub(crate) mod demo;
+pub(crate) mod faults;
 pub(crate) mod load;
 pub(crate) mod trace;
 
--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -314,6 +314,88 @@
         addresses.collect()
     }
 
+    /// Names of the machines in a zone.
+    #[must_use]
+    pub fn zone(&self, zone: &str) -> Vec<String> {
+        let nodes = self.nodes.iter().filter(|(_, node)| node.site.zone == zone);
+        nodes.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Zone of a machine.
+    #[must_use]
+    pub fn zone_of(&self, name: &str) -> Option<&'static str> {
+        self.nodes.get(name).map(|node| node.site.zone)
+    }
+
+    /// The machine that coordinates the cell, as the majority of daemons last heard.
+    pub async fn coordinator(&self) -> Option<String> {
+        let mut votes: BTreeMap<String, usize> = BTreeMap::new();
+        for node in self.nodes.values() {
+            let Some(daemon) = &node.daemon else { continue };
+            let (sender, receiver) = tokio::sync::oneshot::channel();
+            let event = daemon::control::Event::Status(sender);
+            if daemon.shared().events.send(event).await.is_err() {
+                continue;
+            }
+            if let Some(name) = receiver.await.ok().and_then(|status| status.coordinator) {
+                *votes.entry(name).or_default() += 1;
+            }
+        }
+        votes
+            .into_iter()
+            .max_by_key(|(_, count)| *count)
+            .map(|(name, _)| name)
+    }
+
+    /// Owners of all shards of a service, as a daemon that runs knows them.
+    #[must_use]
+    pub fn owners(&self, service: &str) -> Vec<Option<String>> {
+        let Some(daemon) = self.nodes.values().find_map(|n| n.daemon.as_ref()) else {
+            return Vec::new();
+        };
+        let routes = daemon.shared().routes.load();
+        let shards = 0..ownership::table::shard_count(service);
+        let owner = |shard| routes.owner(service, world::key::Shard(shard));
+        shards
+            .map(|shard| owner(shard).map(|m| m.name.to_string()))
+            .collect()
+    }
+
+    /// Cuts the links from each machine of one group to each of the other; both ways on demand.
+    pub fn cut(&self, from: &[String], to: &[String], both_ways: bool) {
+        self.block(from, to);
+        if both_ways {
+            self.block(to, from);
+        }
+    }
+
+    fn block(&self, from: &[String], to: &[String]) {
+        let daemons = |names: &[String]| {
+            let nodes = names
+                .iter()
+                .filter_map(|name| self.nodes.get(name)?.daemon.as_ref());
+            nodes.collect::<Vec<_>>()
+        };
+        let addresses = daemons(to).into_iter().flat_map(|daemon| {
+            let listen = daemon.listen();
+            [listen.peers, listen.traffic]
+        });
+        let addresses: std::collections::HashSet<SocketAddr> = addresses.collect();
+        for daemon in daemons(from) {
+            daemon.shared().reach.set_cut(addresses.clone());
+        }
+    }
+
+    /// Mends all links.
+    pub fn mend(&self) {
+        for daemon in self.nodes.values().filter_map(|n| n.daemon.as_ref()) {
+            daemon
+                .shared()
+                .reach
+                .set_cut(std::collections::HashSet::new());
+        }
+    }
+
     /// Ends a machine's daemon and back end at once.
     pub async fn kill(&mut self, name: &str) {
         let Some(node) = self.nodes.get_mut(name) else {
--- a/bench/tests/whole_path.rs
+++ b/bench/tests/whole_path.rs
@@ -8,6 +8,7 @@
 use daemon::announcement::{AnnouncedOperation, Announcement};
 use daemon::caller_api;
 use daemon::pool::PeerPool;
+use daemon::reach::Reach;
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -131,7 +132,10 @@
     let deployment = ready(spec()).await;
     let node = deployment.nodes.values().next().expect("a node");
     let listen = *node.daemon.as_ref().expect("a daemon").listen();
-    let stranger = PeerPool::new(PeerToken::from_secret("some other secret"));
+    let stranger = PeerPool::new(
+        PeerToken::from_secret("some other secret"),
+        Reach::default(),
+    );
     let mut control = stranger.control(listen.peers).await.expect("a connection");
     let refused = control
         .heartbeat(HeartbeatRequest::default())
@@ -156,7 +160,10 @@
     let node = deployment.nodes.values().next().expect("a node");
     let daemon = node.daemon.as_ref().expect("a daemon");
     let listen = *daemon.listen();
-    let peer = PeerPool::new(PeerToken::from_secret(&daemon.shared().settings.secret));
+    let peer = PeerPool::new(
+        PeerToken::from_secret(&daemon.shared().settings.secret),
+        Reach::default(),
+    );
     let mut control = peer.control(listen.peers).await.expect("a connection");
     let refused = control
         .heartbeat(HeartbeatRequest::default())
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use lists::LISTS_OBJECT;
+use ownership::closing::Closing;
 use ownership::coordinator::Coordinator;
 use ownership::heartbeat::{Reply, Request};
 use ownership::record::CellRecord;
@@ -38,21 +39,29 @@
 impl<S: Store> Control<S> {
     /// Renews the term, acts on lapsed members, and gives the term up when isolated.
     pub(super) fn coordinate(&mut self, now: Moment) {
+        self.close_earlier_terms(now);
         let Some(role) = &mut self.role else { return };
+        let listed = role.renewal.record().witnesses.clone();
+        let witnesses = role.coordinator.choose_witnesses(&listed);
+        role.renewal.set_witnesses(witnesses);
         role.coordinator.tick(now, role.renewal.authority_until());
         if is_isolated(&role.coordinator, now) {
             log::warn!(event = "isolated", term = role.coordinator.term().0; "");
             return self.resign(now);
         }
-        if now >= role.next_renewal && !self.writing {
+        if now >= role.next_renewal {
             role.next_renewal = now + self.shared.settings.timing.renewal;
+            if self.writing {
+                return self.ask_witnesses(now);
+            }
             let expected = role.renewal.version();
             let record = role.renewal.start(now, rand::random());
-            self.write_record(WriteKind::Renewal, now, expected, record);
+            self.write_record(WriteKind::Renewal, expected, &record);
+            self.ask_witnesses(now);
         }
     }
 
-    fn write_record(&mut self, kind: WriteKind, sent: Moment, expected: u64, record: CellRecord) {
+    fn write_record(&mut self, kind: WriteKind, expected: u64, record: &CellRecord) {
         self.writing = true;
         let store = self.store.clone();
         let name = self.record_name();
@@ -60,28 +69,19 @@
         let value = Bytes::from(record.to_bytes());
         tokio::spawn(async move {
             let result = store.put(&name, expected, value).await;
-            let written = RecordWritten {
-                kind,
-                record,
-                sent,
-                result,
-            };
+            let written = RecordWritten { kind, result };
             let _ = events.send(Event::RecordWritten(written)).await;
         });
     }
 
     pub(super) fn on_record_written(&mut self, now: Moment, written: RecordWritten) {
         self.writing = false;
-        let RecordWritten {
-            kind,
-            record,
-            sent,
-            result,
-        } = written;
+        let RecordWritten { kind, result } = written;
         match (kind, result) {
             (WriteKind::TakeOver, Ok(Update::Written(version))) => {
-                self.claim = None;
-                self.become_coordinator(now, record, version, sent);
+                if let Some(claim) = self.claim.take() {
+                    self.become_coordinator(now, claim, version);
+                }
             }
             (WriteKind::TakeOver, Ok(Update::Conflict(_))) => self.claim = None,
             (WriteKind::TakeOver, Err(error)) => {
@@ -108,7 +108,7 @@
             }
         };
         let Some(object) = object else {
-            return self.step_forward(now, Term(0));
+            return self.step_forward(now, None);
         };
         match CellRecord::from_bytes(&object.value) {
             Ok(record) => self.on_record(now, &record, &object),
@@ -135,7 +135,7 @@
         if let Some(claim) = self.claim.take()
             && claim.record.write_id == record.write_id
         {
-            return self.become_coordinator(now, claim.record, object.version, claim.sent);
+            return self.become_coordinator(now, claim, object.version);
         }
         let adopted = record.term > self.member.term();
         self.member.adopt(record.coordinator_ref());
@@ -146,7 +146,7 @@
             self.next_beat = now;
             return;
         }
-        self.step_forward(now, record.term);
+        self.step_forward(now, Some(record));
     }
 
     fn names_me(&self, record: &CellRecord) -> bool {
@@ -154,40 +154,53 @@
     }
 
     /// Takes the term over if the time has come, given that the record was just read.
-    fn step_forward(&mut self, now: Moment, term: Term) {
+    fn step_forward(&mut self, now: Moment, previous: Option<&CellRecord>) {
         if self.writing || self.stopping.is_some() {
             return;
         }
         let Step::TakeOver(expected) = self.succession.step(now, true) else {
             return;
         };
+        let previous_term = previous.map_or(Term(0), |r| r.term);
         let machine = self.shared.machine.load();
         let record = CellRecord {
             cell: self.shared.settings.cell.clone(),
-            term: Term(term.max(self.member.term()).0 + 1),
+            term: Term(previous_term.max(self.member.term()).0 + 1),
             coordinator: machine.name.clone(),
             incarnation: machine.incarnation,
             address: machine.peer_address,
             write_id: rand::random(),
             resigned: false,
+            witnesses: Vec::new(),
+            open_terms: previous.map(CellRecord::terms_to_close).unwrap_or_default(),
         };
+        let store_ended = self.succession.version_since().unwrap_or(now);
         self.claim = Some(PendingClaim {
             record: record.clone(),
             sent: now,
+            store_ended,
         });
-        self.write_record(WriteKind::TakeOver, now, expected, record);
+        self.write_record(WriteKind::TakeOver, expected, &record);
     }
 
-    fn become_coordinator(&mut self, now: Moment, record: CellRecord, version: u64, sent: Moment) {
+    fn become_coordinator(&mut self, now: Moment, claim: PendingClaim, version: u64) {
+        let PendingClaim {
+            record,
+            sent,
+            store_ended,
+        } = claim;
         let timing = self.shared.settings.timing;
         let me = record.coordinator_ref();
         log::info!(event = "term_taken", term = me.term.0, version = version; "");
         self.shared.counters.take_overs.add();
         self.announce_term(&me);
+        let closing = Closing::new(timing, record.open_terms.clone(), store_ended);
+        let grants_from = closing.grants_from().unwrap_or(now);
         self.role = Some(Role {
-            // The succession has waited for the end of the previous authority.
-            coordinator: Coordinator::new(timing, me.clone(), now, now),
+            coordinator: Coordinator::new(timing, me.clone(), now, grants_from),
             renewal: Renewal::new(timing, record, version, sent),
+            closing,
+            next_close: now,
             lists_watch: watch_lists(self.store.clone(), self.events.clone()),
             lists: None,
             next_renewal: now + timing.renewal,
@@ -251,7 +264,7 @@
         }
     }
 
-    fn step_down(&mut self, reason: &str) {
+    pub(super) fn step_down(&mut self, reason: &str) {
         if self.role.take().is_some() {
             log::warn!(event = "term_lost", reason = reason; "");
             self.shared.counters.terms_lost.add();
@@ -266,7 +279,7 @@
         let record = role.renewal.start(now, rand::random());
         self.step_down("resigned");
         self.succession.hold_off(now + HOLD_OFF);
-        self.write_record(WriteKind::Resignation, now, expected, record);
+        self.write_record(WriteKind::Resignation, expected, &record);
     }
 }
 
--- a/components/daemon/src/control/event.rs
+++ b/components/daemon/src/control/event.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 
 use ownership::heartbeat::{CoordinatorRef, Request};
-use ownership::record::CellRecord;
+use ownership::record::WitnessRef;
 use peers::wire::{HeartbeatReply, ListsDocument};
 use platform::client::{Object, StoreError, Update};
 use tokio::sync::oneshot;
 use world::key::Term;
-use world::machine::BackEnd;
+use world::machine::{BackEnd, Incarnation};
 use world::moment::Moment;
+use world::name::MachineName;
 
 use crate::status::Status;
 
@@ -36,10 +37,6 @@
 pub struct RecordWritten {
     /// What the write was for.
     pub kind: WriteKind,
-    /// The record written.
-    pub record: CellRecord,
-    /// When the write was sent.
-    pub sent: Moment,
     /// What the store answered.
     pub result: Result<Update, StoreError>,
 }
@@ -63,6 +60,40 @@
         /// Gets the highest term known here.
         reply: oneshot::Sender<Term>,
     },
+    /// A coordinator asks for a witness's confirmation.
+    Confirm {
+        /// Its cell.
+        cell: String,
+        /// Its term.
+        term: Term,
+        /// Life of this daemon that the cell's record lists.
+        incarnation: Incarnation,
+        /// Gets whether the term is confirmed.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A successor asks for the promise never to confirm or hold a term again.
+    Close {
+        /// Its cell.
+        cell: String,
+        /// The term to close.
+        term: Term,
+        /// Gets whether the promise is given.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A witness confirmed this daemon's term.
+    Confirmed {
+        /// The witness.
+        witness: WitnessRef,
+        /// When it was asked.
+        sent: Moment,
+    },
+    /// A machine has closed an earlier term.
+    Closed {
+        /// The machine.
+        name: MachineName,
+        /// The term.
+        term: Term,
+    },
     /// The answer to this daemon's heartbeat.
     HeartbeatDone {
         /// When the heartbeat was sent.
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -8,15 +8,18 @@
 mod membership;
 mod report;
 mod stopping;
+mod witnessing;
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use ownership::closing::Closing;
 use ownership::coordinator::Coordinator;
 use ownership::member::Member;
 use ownership::record::CellRecord;
 use ownership::renewal::Renewal;
 use ownership::succession::Succession;
+use ownership::witness::Witness;
 use peers::secret::PeerToken;
 use peers::wire::ListsDocument;
 use platform::client::Store;
@@ -49,6 +52,9 @@
 struct Role {
     coordinator: Coordinator,
     renewal: Renewal,
+    /// Ends the earlier terms before this one grants.
+    closing: Closing,
+    next_close: Moment,
     /// Watches the lists for as long as the term is held.
     lists_watch: JoinHandle<()>,
     /// The lists as relayed to members.
@@ -66,6 +72,8 @@
 struct PendingClaim {
     record: CellRecord,
     sent: Moment,
+    /// Since when the store can't have confirmed the previous term.
+    store_ended: Moment,
 }
 
 /// State of the control thread.
@@ -80,6 +88,7 @@
     succession: Succession,
     role: Option<Role>,
     claim: Option<PendingClaim>,
+    witness: Witness,
     closing: Vec<Arc<Gate>>,
     next_beat: Moment,
     /// Sending time of the heartbeat on its way.
@@ -108,7 +117,7 @@
         succession.set_rank(0);
         Self {
             events: shared.events.clone(),
-            pool: Arc::new(PeerPool::new(token)),
+            pool: Arc::new(PeerPool::new(token, shared.reach.clone())),
             shared,
             store,
             store_calls,
@@ -117,6 +126,7 @@
             succession,
             role: None,
             claim: None,
+            witness: Witness::default(),
             closing: Vec::new(),
             next_beat: now,
             beat_sent: None,
@@ -169,6 +179,19 @@
                 self.on_adopt(now, &cell, coordinator);
                 let _ = reply.send(self.member.term());
             }
+            Event::Confirm {
+                cell,
+                term,
+                incarnation,
+                reply,
+            } => {
+                let _ = reply.send(self.confirms(&cell, term, incarnation));
+            }
+            Event::Close { cell, term, reply } => {
+                let _ = reply.send(self.close_term(&cell, term));
+            }
+            Event::Confirmed { witness, sent } => self.on_confirmed(&witness, sent),
+            Event::Closed { name, term } => self.on_closed(now, &name, term),
             Event::HeartbeatDone {
                 sent,
                 reported,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod owner;
 pub mod peer_server;
 pub mod pool;
+pub mod reach;
 pub mod settings;
 pub mod shared;
 pub mod status;
--- a/components/daemon/src/peer_server.rs
+++ b/components/daemon/src/peer_server.rs
@@ -8,13 +8,16 @@
 use peers::wire::control_server::Control;
 use peers::wire::traffic_server::Traffic;
 use peers::wire::{
-    AdoptReply, AdoptRequest, BorrowReply, BorrowRequest, HeartbeatReply, HeartbeatRequest,
-    ReplyFrame, RequestFrame, TicketReply, TicketRequest,
+    AdoptReply, AdoptRequest, BorrowReply, BorrowRequest, CloseReply, CloseRequest, ConfirmReply,
+    ConfirmRequest, HeartbeatReply, HeartbeatRequest, ReplyFrame, RequestFrame, TicketReply,
+    TicketRequest,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
+use world::machine::Incarnation;
+
 use crate::allowance;
 use crate::back_end::{Body, BodyCut};
 use crate::control::Event;
@@ -61,6 +64,36 @@
             term: u64::from(term.0),
         }))
     }
+
+    async fn confirm(
+        &self,
+        request: Request<ConfirmRequest>,
+    ) -> Result<Response<ConfirmReply>, Status> {
+        let request = request.into_inner();
+        let term = convert::term(request.term).map_err(|e| malformed(&e.to_string()))?;
+        let incarnation = Incarnation(request.incarnation);
+        let (reply, receiver) = oneshot::channel();
+        let cell = request.cell;
+        self.send(Event::Confirm {
+            cell,
+            term,
+            incarnation,
+            reply,
+        })
+        .await?;
+        let confirmed = receiver.await.map_err(|_| stopping())?;
+        Ok(Response::new(ConfirmReply { confirmed }))
+    }
+
+    async fn close(&self, request: Request<CloseRequest>) -> Result<Response<CloseReply>, Status> {
+        let request = request.into_inner();
+        let term = convert::term(request.term).map_err(|e| malformed(&e.to_string()))?;
+        let (reply, receiver) = oneshot::channel();
+        let cell = request.cell;
+        self.send(Event::Close { cell, term, reply }).await?;
+        let closed = receiver.await.map_err(|_| stopping())?;
+        Ok(Response::new(CloseReply { closed }))
+    }
 }
 
 impl ControlServer {
--- a/components/daemon/src/pool.rs
+++ b/components/daemon/src/pool.rs
@@ -12,6 +12,8 @@
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::{Channel, Endpoint};
 
+use crate::reach::Reach;
+
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -26,27 +28,38 @@
 
 /// No connection could be opened; nothing was sent.
 #[derive(Debug, Snafu)]
-#[snafu(display("cannot connect to {address}: {source}"))]
-pub struct ConnectFailed {
-    /// Address of the daemon.
-    address: SocketAddr,
-    /// What the transport said.
-    source: tonic::transport::Error,
+pub enum ConnectFailed {
+    /// The daemon does not take connections.
+    #[snafu(display("cannot connect to {address}: {source}"))]
+    Refused {
+        /// Address of the daemon.
+        address: SocketAddr,
+        /// What the transport said.
+        source: tonic::transport::Error,
+    },
+    /// An experiment has cut the link.
+    #[snafu(display("the link to {address} is cut"))]
+    Cut {
+        /// Address of the daemon.
+        address: SocketAddr,
+    },
 }
 
 /// Keeps one connection a daemon open.
 #[derive(Debug)]
 pub struct PeerPool {
     token: PeerToken,
+    reach: Reach,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
 impl PeerPool {
     /// A pool without connections.
     #[must_use]
-    pub fn new(token: PeerToken) -> Self {
+    pub fn new(token: PeerToken, reach: Reach) -> Self {
         Self {
             token,
+            reach,
             channels: Mutex::default(),
         }
     }
@@ -90,14 +103,17 @@
     }
 
     async fn channel(&self, address: SocketAddr) -> Result<Channel, ConnectFailed> {
+        if !self.reach.allows(address) {
+            return CutSnafu { address }.fail();
+        }
         if let Some(channel) = self.known(address) {
             return Ok(channel);
         }
         let channel = endpoint(address)
-            .context(ConnectFailedSnafu { address })?
+            .context(RefusedSnafu { address })?
             .connect()
             .await
-            .context(ConnectFailedSnafu { address })?;
+            .context(RefusedSnafu { address })?;
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         Ok(channels.entry(address).or_insert(channel).clone())
     }
--- a/components/daemon/src/shared.rs
+++ b/components/daemon/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::lease::LeaseCell;
 use crate::metrics::Counters;
 use crate::pool::PeerPool;
+use crate::reach::Reach;
 use crate::settings::Settings;
 
 /// The lists that a daemon has in force.
@@ -72,6 +73,8 @@
     pub back_end: ArcSwapOption<LocalBackEnd>,
     /// Client of that back end.
     pub back_end_client: BackEndClient,
+    /// Daemons that can be reached.
+    pub reach: Reach,
     /// Connections for requests.
     pub pool: PeerPool,
     /// Budget of retries.
@@ -100,6 +103,7 @@
     #[must_use]
     pub fn new(settings: Settings, machine: Machine, events: mpsc::Sender<Event>) -> Self {
         let token = PeerToken::from_secret(&settings.secret);
+        let reach = Reach::default();
         let ticket_key = TicketKey::from_secret(&settings.secret);
         Self {
             settings,
@@ -111,7 +115,8 @@
             lease: LeaseCell::default(),
             back_end: ArcSwapOption::empty(),
             back_end_client: BackEndClient::new(),
-            pool: PeerPool::new(token),
+            reach: reach.clone(),
+            pool: PeerPool::new(token, reach),
             budget: RetryBudget::default(),
             ticket_key,
             purses: Purses::default(),
--- a/components/ownership/src/renewal.rs
+++ b/components/ownership/src/renewal.rs
@@ -93,7 +93,7 @@
     /// Tells whether the store has been silent for so long that witnesses should be asked.
     #[must_use]
     pub fn needs_witnesses(&self, now: Moment) -> bool {
-        now.since(self.store_confirmed) >= self.timing.renewal * 2
+        now.since(self.store_confirmed) >= self.timing.renewal * 3 / 2
     }
 
     /// Notes that a witness confirmed the term when asked at `sent`.
--- a/components/peers/src/convert.rs
+++ b/components/peers/src/convert.rs
@@ -258,7 +258,11 @@
     })
 }
 
-fn term(number: u64) -> Result<Term, WireFault> {
+/// Reads a term.
+///
+/// # Errors
+/// Fails when the number is out of range.
+pub fn term(number: u64) -> Result<Term, WireFault> {
     u32::try_from(number)
         .map(Term)
         .map_err(|_| WireFault::Range { field: "term" })
--- a/src/bin/plantaingauged/cli.rs
+++ b/src/bin/plantaingauged/cli.rs
@@ -11,7 +11,7 @@
 
 /// Route requests to the back end beside this daemon and to those beside others.
 ///
-/// Each flag has an environment variable of the same name. All durations are in milliseconds.
+/// Each flag has an environment variable of the same name. A name's ending gives the unit: `-ms` for milliseconds, `-s` for seconds.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub(crate) struct Options {
@@ -71,6 +71,10 @@
     #[bpaf(env("PLANTAINGAUGE_SUSPICION_MS"), argument("MS"), fallback(millis(Timing::default().suspicion)), display_fallback)]
     suspicion_ms: u64,
 
+    /// Longest time in seconds for which witnesses may stand in for the store; the same in the whole cell
+    #[bpaf(env("PLANTAINGAUGE_STORE_ABSENCE_S"), argument("SECONDS"), fallback(Timing::default().store_absence.as_secs()), display_fallback)]
+    store_absence_s: u64,
+
     /// Tickets that each shard remembers
     #[bpaf(env("PLANTAINGAUGE_TICKETS"), argument("COUNT"), fallback(Bounds::default().tickets), display_fallback)]
     tickets: usize,
@@ -136,6 +140,7 @@
             authority: Duration::from_millis(self.authority_ms),
             suspicion: Duration::from_millis(self.suspicion_ms),
             formation: Duration::from_millis(self.heartbeat_ms) * 2 + Timing::default().margin,
+            store_absence: Duration::from_secs(self.store_absence_s),
             ..Timing::default()
         };
         let orders = Bounds {
