Place witnesses outside the coordinator's zone; tell members of changes at once

Cause: losing the coordinator's zone stopped the cell for more than 10 s: both machines whose word ends a term stood in the lost zone, since the own region went before other zones in the choice. A moved shard waited for two heartbeats before it was served. Change: other zones go first, then the own region; a coordinator asks members for a heartbeat at once when ownership has changed.

--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -13,6 +13,7 @@
 use bench::stand_in::back_end::Behaviour;
 use bench::stand_in::platform::Faults;
 use bench::trace::{Expect, RequestLine};
+use ownership::record::CellRecord;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -313,7 +314,7 @@
             }
             Loss::CoordinatorAndWitness => {
                 lost.insert(coordinator.to_owned());
-                lost.extend(witness(deployment, coordinator));
+                lost.extend(witness(deployment));
             }
             Loss::Zone => {
                 let mut zones = ["nord-b", "sud-a"].into_iter();
@@ -329,14 +330,11 @@
     lost
 }
 
-/// A machine that the coordinator is likely to have as a witness: the first in another zone.
-fn witness(deployment: &Deployment, coordinator: &str) -> Option<String> {
-    let zone = deployment.zone_of(coordinator);
-    deployment
-        .nodes
-        .keys()
-        .find(|name| deployment.zone_of(name) != zone)
-        .cloned()
+/// The first witness that the cell's record lists.
+fn witness(deployment: &Deployment) -> Option<String> {
+    let record = deployment.platform.object("cell.maroc")?;
+    let record = CellRecord::from_bytes(&record).ok()?;
+    record.witnesses.first().map(|w| w.name.to_string())
 }
 
 fn surviving_entries(deployment: &Deployment, lost: &BTreeSet<String>) -> Vec<SocketAddr> {
--- a/bench/src/stand_in/platform.rs
+++ b/bench/src/stand_in/platform.rs
@@ -109,6 +109,12 @@
         self.state.lock().calls
     }
 
+    /// Content of an object.
+    #[must_use]
+    pub fn object(&self, name: &str) -> Option<Bytes> {
+        self.state.lock().objects.get(name).map(|o| o.value.clone())
+    }
+
     /// Writes an object as an operator's tool would, without condition.
     pub fn put(&self, name: &str, value: impl Into<Bytes>) -> u64 {
         let version = store(&mut self.state.lock(), name, value.into());
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -27,6 +27,9 @@
 /// Pause after a failed watch.
 const LISTS_PAUSE: Duration = Duration::from_millis(200);
 
+/// Shortest time between two rounds of telling members that ownership has changed.
+const TELLING_PERIOD: Duration = Duration::from_millis(40);
+
 /// Silence of all other members after which a coordinator gives its term up.
 const ISOLATION: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +52,14 @@
             log::warn!(event = "isolated", term = role.coordinator.term().0; "");
             return self.resign(now);
         }
+        let version = role.coordinator.routes().version;
+        if version != role.told_version && now >= role.next_telling {
+            role.told_version = version;
+            role.next_telling = now + TELLING_PERIOD;
+            let me = role.coordinator.identity().clone();
+            self.announce_term(&me);
+        }
+        let Some(role) = &mut self.role else { return };
         if now >= role.next_renewal {
             role.next_renewal = now + self.shared.settings.timing.renewal;
             if self.writing {
@@ -204,12 +215,14 @@
             lists_watch: watch_lists(self.store.clone(), self.events.clone()),
             lists: None,
             next_renewal: now + timing.renewal,
+            told_version: 0,
+            next_telling: now,
         });
         self.member.adopt(me);
         self.next_beat = now;
     }
 
-    /// Tells the members that this daemon knows of about the new term.
+    /// Tells the members that this daemon knows of to send a heartbeat to it at once.
     fn announce_term(&self, me: &ownership::heartbeat::CoordinatorRef) {
         let message = convert::adopt_to_wire(&self.shared.settings.cell, me);
         for machine in &self.shared.routes.load().machines {
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -377,6 +377,10 @@
         if cell != self.shared.settings.cell.as_str() {
             return;
         }
+        if self.member.coordinator() == Some(&coordinator) {
+            self.next_beat = now;
+            return;
+        }
         let newer = coordinator.term > self.member.term();
         if newer && self.member.adopt(coordinator) {
             self.step_down_if_overtaken();
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -60,6 +60,9 @@
     /// The lists as relayed to members.
     lists: Option<ListsDocument>,
     next_renewal: Moment,
+    /// Version of the routes that members were last told to fetch.
+    told_version: u64,
+    next_telling: Moment,
 }
 
 impl Drop for Role {
--- a/components/ownership/src/coordinator.rs
+++ b/components/ownership/src/coordinator.rs
@@ -128,7 +128,8 @@
     }
 
     /// Chooses up to [`WITNESSES`] machines to confirm the coordinator without the store: live
-    /// members of other zones, of its own region first, each from a zone of its own if possible.
+    /// members of other zones than its own, so that no zone takes both away; of its own region
+    /// first, so that a cut between regions does not separate them.
     #[must_use]
     pub fn choose_witnesses(&self, present: &[WitnessRef]) -> Vec<WitnessRef> {
         let Some(me) = self
@@ -145,9 +146,9 @@
                 .map(|p| &p.machine)
                 .filter(|m| m.name != me.name && !chosen.iter().any(|c| c.name == m.name));
             let best = free.min_by_key(|m| {
-                let zone_taken = m.zone == me.zone || chosen.iter().any(|c| c.zone == m.zone);
+                let shared = chosen.iter().any(|c| c.zone == m.zone);
                 let listed = present.iter().any(|w| is_witness(w, m));
-                (m.region != me.region, zone_taken, !listed)
+                (m.zone == me.zone, m.region != me.region, shared, !listed)
             });
             let Some(best) = best else { break };
             chosen.push(best);
