Use three witnesses with quorums of two

Weighed: either of two (bears a lost witness in an outage, not in a take-over), both of two (the reverse), two of three (bears one both ways, one message more per 200 ms and only while the store is silent). Change: confirmations count by quorum, over the old and the new list while it changes; two witnesses of the coordinator's region, one from a further zone.

--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -145,7 +145,7 @@
     },
     Case {
         name: "coordinator-and-witness-lost",
-        bounded: false,
+        bounded: true,
         losses: &[Loss::CoordinatorAndWitness],
     },
     Case {
--- a/components/ownership/src/closing.rs
+++ b/components/ownership/src/closing.rs
@@ -6,7 +6,7 @@
 use world::moment::Moment;
 use world::name::MachineName;
 
-use crate::record::OpenTerm;
+use crate::record::{self, OpenTerm};
 use crate::timing::Timing;
 
 /// One machine that is asked to close a term.
@@ -29,10 +29,20 @@
     ended: Option<Moment>,
 }
 
+impl Predecessor {
+    /// The instant by which so many witnesses had promised that the rest are no quorum.
+    fn ended_by_promises(&self) -> Option<Moment> {
+        let mut promises: Vec<Moment> = self.promises.iter().copied().flatten().collect();
+        promises.sort_unstable();
+        let needed = record::closing_quorum(self.promises.len());
+        promises.get(needed.checked_sub(1)?).copied()
+    }
+}
+
 /// Collects the promises that end all earlier terms.
 ///
-/// A term has ended when its coordinator, in whatever life, has given it up, or when each of its
-/// witnesses has promised not to confirm it again. Authority that was confirmed before a promise
+/// A term has ended when its coordinator, in whatever life, has given it up, or when so many of its
+/// witnesses have promised not to confirm it again that the rest are no quorum. Authority that was confirmed before a promise
 /// was given lasts at the most one authority period after that promise is received.
 #[derive(Clone, Debug)]
 pub struct Closing {
@@ -107,8 +117,8 @@
                     *promise = Some(now);
                 }
             }
-            if predecessor.promises.iter().all(Option::is_some) {
-                predecessor.ended = predecessor.promises.iter().copied().flatten().max();
+            if predecessor.ended.is_none() {
+                predecessor.ended = predecessor.ended_by_promises();
             }
         }
     }
@@ -155,7 +165,7 @@
         let term = OpenTerm {
             term: Term(4),
             coordinator: machine("c"),
-            witnesses: vec![machine("w1"), machine("w2")],
+            witnesses: vec![machine("w1"), machine("w2"), machine("w3")],
         };
         Closing::new(Timing::default(), vec![term], Moment::from_millis(1_000))
     }
@@ -165,11 +175,11 @@
     }
 
     #[test]
-    fn waits_for_both_witnesses() {
+    fn waits_for_two_of_three_witnesses() {
         let mut closing = closing();
         closing.on_closed(at(1_100), &MachineName::new("w1"), Term(4));
         assert!(!closing.is_done());
-        assert_eq!(closing.requests().len(), 2);
+        assert_eq!(closing.requests().len(), 3);
         closing.on_closed(at(1_200), &MachineName::new("w2"), Term(4));
         assert!(closing.is_done());
         let timing = Timing::default();
@@ -195,7 +205,7 @@
     }
 
     #[test]
-    fn an_unreachable_witness_is_waited_for_during_the_longest_store_absence() {
+    fn unreachable_witnesses_are_waited_for_during_the_longest_store_absence() {
         let closing = closing();
         let timing = Timing::default();
         let until = at(1_000) + timing.outlast(timing.store_absence + timing.authority);
--- a/components/ownership/src/coordinator.rs
+++ b/components/ownership/src/coordinator.rs
@@ -25,7 +25,11 @@
 const BALANCE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Machines that confirm a coordinator while the store does not.
-pub const WITNESSES: usize = 2;
+pub const WITNESSES: usize = 3;
+
+/// Witnesses that are chosen from the coordinator's own region where possible; the others are
+/// chosen from zones of their own.
+const NEAR_WITNESSES: usize = 2;
 
 /// Incarnations of one machine that are remembered as replaced.
 const RETIRED_INCARNATIONS: usize = 8;
@@ -128,8 +132,9 @@
     }
 
     /// Chooses up to [`WITNESSES`] machines to confirm the coordinator without the store: live
-    /// members of other zones than its own, so that no zone takes both away; of its own region
-    /// first, so that a cut between regions does not separate them.
+    /// members of other zones than its own, so that no zone takes it away with them; a quorum of
+    /// its own region, so that a cut between regions does not separate them; the last one of a
+    /// zone of its own.
     #[must_use]
     pub fn choose_witnesses(&self, present: &[WitnessRef]) -> Vec<WitnessRef> {
         let Some(me) = self
@@ -145,10 +150,17 @@
             let free = free
                 .map(|p| &p.machine)
                 .filter(|m| m.name != me.name && !chosen.iter().any(|c| c.name == m.name));
+            let near = chosen.len() < NEAR_WITNESSES;
             let best = free.min_by_key(|m| {
                 let shared = chosen.iter().any(|c| c.zone == m.zone);
                 let listed = present.iter().any(|w| is_witness(w, m));
-                (m.zone == me.zone, m.region != me.region, shared, !listed)
+                let distant = m.region != me.region;
+                let rest = if near {
+                    (distant, shared)
+                } else {
+                    (shared, distant)
+                };
+                (m.zone == me.zone, rest, !listed)
             });
             let Some(best) = best else { break };
             chosen.push(best);
--- a/components/ownership/src/record.rs
+++ b/components/ownership/src/record.rs
@@ -109,3 +109,34 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 }
+
+/// Number of witnesses, of `listed` ones, whose confirmations stand in for the store's.
+#[must_use]
+pub fn confirming_quorum(listed: usize) -> usize {
+    listed.div_ceil(2)
+}
+
+/// Number of witnesses, of `listed` ones, whose promises rule out a confirming quorum.
+#[must_use]
+pub fn closing_quorum(listed: usize) -> usize {
+    listed + 1 - confirming_quorum(listed)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_closing_quorum_leaves_no_confirming_quorum() {
+        for listed in 1..8 {
+            let left = listed - closing_quorum(listed);
+            assert!(left < confirming_quorum(listed), "{listed} witnesses");
+        }
+    }
+
+    #[test]
+    fn three_witnesses_bear_the_loss_of_one_both_ways() {
+        assert_eq!(confirming_quorum(3), 2);
+        assert_eq!(closing_quorum(3), 2);
+    }
+}
--- a/components/ownership/src/renewal.rs
+++ b/components/ownership/src/renewal.rs
@@ -2,7 +2,7 @@
 
 use world::moment::Moment;
 
-use crate::record::{CellRecord, WitnessRef};
+use crate::record::{self, CellRecord, WitnessRef};
 use crate::timing::Timing;
 
 /// A write of the record on its way to the store.
@@ -13,6 +13,13 @@
     witnesses: Vec<WitnessRef>,
 }
 
+/// The latest confirmation of one witness.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Confirmation {
+    witness: WitnessRef,
+    sent: Moment,
+}
+
 /// What became of a claim after the record was read back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claim {
@@ -34,6 +41,7 @@
     store_confirmed: Moment,
     /// Witnesses of the record as last confirmed by the store.
     listed: Vec<WitnessRef>,
+    confirmations: Vec<Confirmation>,
     pending: Option<Pending>,
 }
 
@@ -50,6 +58,7 @@
             authority_until,
             store_confirmed: sent,
             listed,
+            confirmations: Vec::new(),
             pending: None,
         }
     }
@@ -75,6 +84,8 @@
     /// Replaces the witnesses. Those that are dropped stop counting at once, new ones count once
     /// the store has confirmed a record that lists them.
     pub fn set_witnesses(&mut self, witnesses: Vec<WitnessRef>) {
+        self.confirmations
+            .retain(|c| witnesses.contains(&c.witness));
         self.record.witnesses = witnesses;
     }
 
@@ -96,13 +107,51 @@
         now.since(self.store_confirmed) >= self.timing.renewal * 3 / 2
     }
 
-    /// Notes that a witness confirmed the term when asked at `sent`.
+    /// Notes that a witness confirmed the term when asked at `sent`. The authority lasts from the
+    /// oldest of the latest confirmations that make up a quorum.
     pub fn on_witness_confirmed(&mut self, witness: &WitnessRef, sent: Moment) {
         let counts = self.counting_witnesses().any(|w| w == witness);
         let absent = sent.since(self.store_confirmed) >= self.timing.store_absence;
-        if counts && !absent && !self.record.resigned {
-            self.authority_until = self.authority_until.max(sent + self.timing.authority);
+        if !counts || absent || self.record.resigned {
+            return;
         }
+        self.note_confirmation(witness, sent);
+        let Some(quorum_sent) = self.quorum_sent() else {
+            return;
+        };
+        let until = quorum_sent + self.timing.authority;
+        self.authority_until = self.authority_until.max(until);
+    }
+
+    fn note_confirmation(&mut self, witness: &WitnessRef, sent: Moment) {
+        let known = self
+            .confirmations
+            .iter_mut()
+            .find(|c| c.witness == *witness);
+        match known {
+            Some(known) => known.sent = known.sent.max(sent),
+            None => self.confirmations.push(Confirmation {
+                witness: witness.clone(),
+                sent,
+            }),
+        }
+    }
+
+    /// The latest instant at or after which a quorum of the witnesses was asked and confirmed.
+    /// While the witnesses change, the quorum must hold among the old and the new ones.
+    fn quorum_sent(&self) -> Option<Moment> {
+        let counting = |c: &&Confirmation| self.counting_witnesses().any(|w| *w == c.witness);
+        let mut sent: Vec<Moment> = self
+            .confirmations
+            .iter()
+            .filter(counting)
+            .map(|c| c.sent)
+            .collect();
+        sent.sort_unstable_by(|a, b| b.cmp(a));
+        let old = record::confirming_quorum(self.listed.len());
+        let new = record::confirming_quorum(self.record.witnesses.len());
+        let needed = old.max(new);
+        sent.get(needed.checked_sub(1)?).copied()
     }
 
     /// The record to write now, to be conditional on [`Renewal::version`].
--- a/components/ownership/tests/one_owner.rs
+++ b/components/ownership/tests/one_owner.rs
@@ -26,7 +26,7 @@
 use world::moment::Moment;
 use world::name::{CellName, MachineName, RegionName, ZoneName};
 
-const MACHINES: usize = 4;
+const MACHINES: usize = 5;
 const STEP_MS: u64 = 10;
 const STEPS: u64 = 2_000;
 
@@ -908,7 +908,7 @@
         Omission::Nothing,
         vec![outage],
         vec![1],
-        &[0, 300, 600, 900],
+        &[0, 200, 400, 600, 900],
     );
     run.run().expect("one owner");
     assert!(
@@ -920,7 +920,12 @@
 
 #[test]
 fn a_quiet_cell_owns_its_shards() {
-    let mut run = Run::new(Omission::Nothing, Vec::new(), vec![1], &[0, 300, 600, 900]);
+    let mut run = Run::new(
+        Omission::Nothing,
+        Vec::new(),
+        vec![1],
+        &[0, 200, 400, 600, 900],
+    );
     run.run().expect("one owner");
     assert!(
         run.owned_steps > STEPS * 9 / 10,
--- a/components/ownership/tests/witness_choice.rs
+++ b/components/ownership/tests/witness_choice.rs
@@ -70,10 +70,13 @@
 #[rstest]
 #[case::two_regions(
     &[("n", "na"), ("n", "na"), ("n", "nb"), ("n", "nb"), ("s", "sa"), ("s", "sb")],
-    &["nb", "nb"]
+    &["nb", "nb", "sa"]
 )]
-#[case::three_zones(&[("n", "na"), ("n", "na"), ("n", "nb"), ("n", "nb"), ("n", "nc")], &["nb", "nc"])]
-#[case::one_zone_a_region(&[("n", "na"), ("n", "na"), ("s", "sa"), ("s", "sa")], &["sa", "sa"])]
+#[case::three_zones(
+    &[("n", "na"), ("n", "na"), ("n", "nb"), ("n", "nb"), ("n", "nc")],
+    &["nb", "nb", "nc"]
+)]
+#[case::one_zone_a_region(&[("n", "na"), ("n", "na"), ("s", "sa"), ("s", "sa")], &["na", "sa", "sa"])]
 #[case::one_zone(&[("n", "na"), ("n", "na"), ("n", "na")], &["na", "na"])]
 #[case::two_machines(&[("n", "na"), ("n", "nb")], &["nb"])]
 #[case::alone(&[("n", "na")], &[])]
