--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -17,6 +17,9 @@
     /// Bring losses about and measure for how long keys are unavailable
     #[bpaf(command("faults"))]
     Faults(#[bpaf(external(faults_options))] FaultsOptions),
+    /// Measure what each role costs, against the sizes that it grows with
+    #[bpaf(command("capacity"))]
+    Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
     /// Write the trace of a user to standard output
     #[bpaf(command("trace"))]
     Trace(#[bpaf(external(trace_options))] TraceOptions),
@@ -54,7 +57,7 @@
     #[bpaf(argument("S"), fallback(5))]
     pub(crate) seconds: u64,
     /// Traffic threads of each daemon
-    #[bpaf(argument("N"), fallback(1))]
+    #[bpaf(argument("N"), fallback(2))]
     pub(crate) threads: usize,
     /// Regions, of two daemons a service in all: 1 or 2
     #[bpaf(argument("N"), fallback(1))]
@@ -74,3 +77,10 @@
     #[bpaf(argument("NAME"))]
     pub(crate) case: Option<String>,
 }
+
+/// Options of `capacity`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct CapacityOptions {
+    /// Print tab-separated values instead of a table
+    pub(crate) tsv: bool,
+}
--- a/bench/src/cpu.rs
+++ b/bench/src/cpu.rs
@@ -1,36 +1,38 @@
-//! Processor time and memory of this process, by thread name.
+//! Processor time, memory and loopback traffic of this process.
 
 use std::fs;
 use std::time::Duration;
 
-/// Ticks a second in which the kernel counts processor time.
-const TICKS_PER_SECOND: u64 = 100;
+/// Bytes of a thread's name that the kernel keeps.
+const NAME_BYTES: usize = 15;
 
 /// Sum of the processor time of all threads whose name starts with `prefix`.
 ///
-/// Names are cut at 15 bytes by the kernel.
+/// The kernel cuts names at 15 bytes, and so does this function.
 #[must_use]
 pub fn thread_time(prefix: &str) -> Duration {
+    let prefix = prefix.get(..NAME_BYTES).unwrap_or(prefix);
     let Ok(tasks) = fs::read_dir("/proc/self/task") else {
         return Duration::ZERO;
     };
-    let mut ticks = 0;
+    let mut nanos = 0;
     for task in tasks.flatten() {
         let path = task.path();
         let name = fs::read_to_string(path.join("comm")).unwrap_or_default();
         if name.trim_end().starts_with(prefix) {
-            ticks += fs::read_to_string(path.join("stat")).map_or(0, |stat| parse_ticks(&stat));
+            nanos += fs::read_to_string(path.join("schedstat")).map_or(0, |s| parse_nanos(&s));
         }
     }
-    Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND)
+    Duration::from_nanos(nanos)
 }
 
-/// User and system time from a line of `/proc/*/stat`.
-fn parse_ticks(stat: &str) -> u64 {
-    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let fields: Vec<&str> = after_name.split_whitespace().collect();
-    let field = |index: usize| fields.get(index).and_then(|f| f.parse().ok()).unwrap_or(0);
-    field(11) + field(12)
+/// Time on a processor in nanoseconds, from a line of `/proc/*/schedstat`.
+fn parse_nanos(schedstat: &str) -> u64 {
+    schedstat
+        .split_whitespace()
+        .next()
+        .and_then(|f| f.parse().ok())
+        .unwrap_or(0)
 }
 
 /// Resident memory of this process in bytes.
@@ -42,14 +44,25 @@
     kilobytes.and_then(|k| k.parse::<u64>().ok()).unwrap_or(0) * 1024
 }
 
+/// Bytes received on the loopback interface, with all headers.
+#[must_use]
+pub fn loopback_bytes() -> u64 {
+    let devices = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = devices
+        .lines()
+        .find_map(|l| l.trim_start().strip_prefix("lo:"));
+    let received = line.and_then(|l| l.split_whitespace().next());
+    received.and_then(|r| r.parse().ok()).unwrap_or(0)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
     #[test]
-    fn can_parse_ticks_after_a_name_with_spaces() {
-        let stat = "7 (a b) S 1 2 3 4 5 6 7 8 9 10 30 12 0 0 20 0";
-        assert_eq!(parse_ticks(stat), 42);
+    fn can_parse_processor_time() {
+        assert_eq!(parse_nanos("1234 56 7\n"), 1234);
+        assert_eq!(parse_nanos(""), 0);
     }
 
     #[test]
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -26,6 +26,7 @@
             Command::Demo(options) => cmd::demo::run(&options).await,
             Command::Load(options) => cmd::load::run(&options).await,
             Command::Faults(options) => cmd::faults::run(&options).await,
+            Command::Capacity(options) => cmd::capacity::run(&options).await,
             Command::Trace(options) => cmd::trace::run(&options),
         }
     });
