--- a/src/bin/plantaingauged/cli.rs
+++ b/src/bin/plantaingauged/cli.rs
@@ -170,3 +170,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::path::Path;
+
+    /// Run with `UPDATE_DOCS=1` to rewrite the page.
+    #[test]
+    fn settings_page_is_current() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/operations/settings.md");
+        let text = super::options().render_markdown("plantaingauged");
+        if std::env::var_os("UPDATE_DOCS").is_some() {
+            std::fs::write(&path, &text).expect("writable");
+        }
+        let committed = std::fs::read_to_string(&path).expect("the page");
+        assert_eq!(committed, text, "run with UPDATE_DOCS=1");
+    }
+}
