Run daemons as processes that are paused, killed and stopped

Cause: one process can't show a paused daemon; and the route table of a cell had a range for nearly every shard, since free shards were dealt out one by one. Found on the way: records of a killed back end were lost by the stand-in, not by the path, so it now writes them before it answers.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -20,6 +20,19 @@
     /// Measure what each role costs, against the sizes that it grows with
     #[bpaf(command("capacity"))]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
+    /// Run a stand-in of the platform with the press office's lists, until ended
+    #[bpaf(command("platform"))]
+    Platform {
+        /// Address to listen on
+        #[bpaf(argument("IP:PORT"))]
+        listen: std::net::SocketAddr,
+    },
+    /// Run a stand-in back end of service `credits`, until ended
+    #[bpaf(command("back-end"))]
+    BackEnd(#[bpaf(external(back_end_options))] BackEndOptions),
+    /// Probe keys of service `credits`, then judge what back ends recorded
+    #[bpaf(command("probe"))]
+    Probe(#[bpaf(external(probe_options))] ProbeOptions),
     /// Write the trace of a user to standard output
     #[bpaf(command("trace"))]
     Trace(#[bpaf(external(trace_options))] TraceOptions),
@@ -84,3 +97,37 @@
     /// Print tab-separated values instead of a table
     pub(crate) tsv: bool,
 }
+
+/// Options of `back-end`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct BackEndOptions {
+    /// Name of the machine
+    #[bpaf(argument("NAME"))]
+    pub(crate) machine: String,
+    /// Admin address of the daemon beside it
+    #[bpaf(argument("IP:PORT"))]
+    pub(crate) admin: std::net::SocketAddr,
+    /// File that executions are appended to, one JSON object a line
+    #[bpaf(argument("FILE"))]
+    pub(crate) record: PathBuf,
+}
+
+/// Options of `probe`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ProbeOptions {
+    /// Daemon to send to; repeat for each
+    #[bpaf(argument("IP:PORT"), some("name at least one daemon"))]
+    pub(crate) entry: Vec<std::net::SocketAddr>,
+    /// Record of a back end; repeat for each
+    #[bpaf(argument("FILE"))]
+    pub(crate) record: Vec<PathBuf>,
+    /// Seconds of probing
+    #[bpaf(argument("S"), fallback(10))]
+    pub(crate) seconds: u64,
+    /// Longest time in milliseconds for which a key may be unavailable; 0 for any
+    #[bpaf(argument("MS"), fallback(2000))]
+    pub(crate) bound_ms: u64,
+    /// Seed for keys
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+}
--- a/bench/src/cmd/capacity.rs
+++ b/bench/src/cmd/capacity.rs
@@ -156,7 +156,11 @@
         name: MachineName::new(&format!("machine-{number}")),
         incarnation: Incarnation(number as u64 + 1),
         region: RegionName::new("nord"),
-        zone: ZoneName::new(if number % 2 == 0 { "nord-a" } else { "nord-b" }),
+        zone: ZoneName::new(if number.is_multiple_of(2) {
+            "nord-a"
+        } else {
+            "nord-b"
+        }),
         peer_address: address(7001),
         traffic_address: address(7002),
         caller_address: address(7003),
--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -6,16 +6,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bench::caller::{Caller, Outcome, Report, Wish};
 use bench::checker::{self, Violation};
 use bench::deployment::{self, Deployment};
-use bench::replay::Sent;
+use bench::prober;
 use bench::stand_in::back_end::Behaviour;
 use bench::stand_in::platform::Faults;
-use bench::trace::{Expect, RequestLine};
 use ownership::record::CellRecord;
-use tokio::task::JoinHandle;
-use tokio::time::Instant;
 
 use crate::cli::FaultsOptions;
 use crate::cmd::Error;
@@ -23,12 +19,6 @@
 /// Keys that are probed, each by a caller of its own.
 const KEYS: usize = 48;
 
-/// Time between the probes of a key.
-const PROBE_PERIOD: Duration = Duration::from_millis(20);
-
-/// Every so many probes of a key, one is an order.
-const ORDER_EVERY: usize = 7;
-
 /// Time before the loss.
 const LEAD: Duration = Duration::from_secs(1);
 
@@ -44,8 +34,6 @@
 /// Most shards that may change their owner, over the least possible.
 const MAX_CHURN: f64 = 1.2;
 
-const SERVICE: &str = "credits";
-
 /// One case: a loss, and whether keys must be served again within the bound.
 struct Case {
     name: &'static str,
@@ -248,18 +236,18 @@
     deployment.await_ready().await?;
     // The coordinator lists its witnesses with one of its next renewals.
     tokio::time::sleep(LEAD).await;
-    let before = deployment.owners(SERVICE);
+    let before = deployment.owners(prober::SERVICE);
     let coordinator = deployment.coordinator().await.ok_or("no coordinator")?;
     let lost = victims(&deployment, case, &coordinator);
     let entries = surviving_entries(&deployment, &lost);
     let ended = Arc::new(AtomicBool::new(false));
     let probers: Vec<_> = (0..KEYS)
-        .map(|key| probe(key, seed, entries.clone(), Arc::clone(&ended)))
+        .map(|key| prober::probe(key, seed, entries.clone(), Arc::clone(&ended)))
         .collect();
     tokio::time::sleep(LEAD).await;
     for loss in case.losses {
         bring_about(&mut deployment, *loss, &lost, &coordinator).await;
-        tokio::time::sleep(PROBE_PERIOD).await;
+        tokio::time::sleep(prober::PROBE_PERIOD).await;
     }
     tokio::time::sleep(LENGTH).await;
     deployment.platform.set_faults(Faults::default());
@@ -279,7 +267,7 @@
         sent.extend(probed.sent);
     }
     gaps.sort();
-    let after = deployment.owners(SERVICE);
+    let after = deployment.owners(prober::SERVICE);
     let executions = deployment.recorder.executions();
     let violations = checker::judge(&executions, &sent);
     let measured = Measured {
@@ -305,7 +293,7 @@
     let owners = deployment
         .nodes
         .keys()
-        .filter(|n| n.ends_with(SERVICE) && *n != coordinator);
+        .filter(|n| n.ends_with(prober::SERVICE) && *n != coordinator);
     for loss in case.losses {
         match loss {
             Loss::Owner | Loss::BackEndCrashed => lost.extend(owners.clone().next().cloned()),
@@ -380,7 +368,7 @@
             },
         ),
         Loss::BackEndFrozen => {
-            let name = all.iter().find(|n| n.ends_with(SERVICE));
+            let name = all.iter().find(|n| n.ends_with(prober::SERVICE));
             if let Some(back_end) = name.and_then(|n| deployment.nodes[n].back_end.as_ref()) {
                 back_end.set_behaviour(Behaviour {
                     frozen: true,
@@ -422,95 +410,3 @@
     let most = counts.values().copied().fold(0.0, f64::max);
     most * counts.len() as f64 / total.max(1.0)
 }
-
-/// What a prober of one key saw.
-struct Probed {
-    sent: Vec<Sent>,
-    /// Instants at which a probe was answered, and the start of probing.
-    answered: Vec<Instant>,
-    ended: Instant,
-}
-
-impl Probed {
-    /// Longest time between two answers, less the time that probing itself takes.
-    fn longest_gap(&self) -> Duration {
-        let ends = self.answered.iter().skip(1).chain([&self.ended]);
-        let gaps = self.answered.iter().zip(ends).map(|(from, to)| *to - *from);
-        gaps.max().unwrap_or_default().saturating_sub(PROBE_PERIOD)
-    }
-}
-
-/// Probes one key until `ended`: mostly lookups, now and then an order.
-fn probe(
-    key: usize,
-    seed: u64,
-    mut entries: Vec<SocketAddr>,
-    ended: Arc<AtomicBool>,
-) -> JoinHandle<Probed> {
-    let shift = key % entries.len();
-    entries.rotate_left(shift);
-    tokio::spawn(async move {
-        let caller = Caller::new();
-        let mut probed = Probed {
-            sent: Vec::new(),
-            answered: vec![Instant::now()],
-            ended: Instant::now(),
-        };
-        let mut number = 0;
-        while !ended.load(Ordering::Relaxed) {
-            let order = number % ORDER_EVERY == ORDER_EVERY - 1;
-            let line = line(key, seed, number, order);
-            let report = caller.pursue(&entries, &wish(&line)).await;
-            if is_answered(&report) {
-                probed.answered.push(Instant::now());
-            }
-            probed.sent.push(Sent {
-                line,
-                reports: vec![report],
-            });
-            number += 1;
-            tokio::time::sleep(PROBE_PERIOD).await;
-        }
-        probed.ended = Instant::now();
-        probed
-    })
-}
-
-fn is_answered(report: &Report) -> bool {
-    matches!(report.outcome, Outcome::Answered(_))
-}
-
-fn line(key: usize, seed: u64, number: usize, order: bool) -> RequestLine {
-    RequestLine {
-        at_ms: 0,
-        id: format!("p{key}-{number}"),
-        zone: String::new(),
-        customer: Some(format!("vendor-{}", key % 40)),
-        service: SERVICE.to_owned(),
-        operation: if order { "post" } else { "balance" }.to_owned(),
-        key: Some(format!("probe-{seed}-{key}")),
-        body: order.then(|| "amount=1".to_owned()),
-        ticket: None,
-        copies: 0,
-        patience_ms: 10_000,
-        expect: if order {
-            Expect::Settled
-        } else {
-            Expect::Answered
-        },
-    }
-}
-
-fn wish(line: &RequestLine) -> Wish {
-    Wish {
-        request: line.id.clone(),
-        customer: line.customer.clone(),
-        service: line.service.clone(),
-        operation: line.operation.clone(),
-        key: line.key.clone(),
-        ticket: None,
-        body: line.body.clone(),
-        deadline_ms: None,
-        patience: Duration::from_millis(line.patience_ms),
-    }
-}
--- /dev/null
+++ b/bench/src/cmd/processes.rs
@@ -0,0 +1,115 @@
+//! Stand-ins and probes as processes of their own, for what one process can't show.
+
+use std::fs::OpenOptions;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bench::checker;
+use bench::deployment;
+use bench::prober;
+use bench::stand_in::back_end::{BackEnd, Profile};
+use bench::stand_in::platform::Platform;
+use bench::stand_in::record::{Execution, Recorder};
+
+use crate::cli::{BackEndOptions, ProbeOptions};
+use crate::cmd::Error;
+
+/// Keys that are probed.
+const KEYS: usize = 32;
+
+/// Time that the last executions get to end.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// Longest life of a stand-in process.
+const LIFETIME: Duration = Duration::from_secs(600);
+
+/// Runs a stand-in of the platform.
+///
+/// # Errors
+/// Fails when the address can't be bound.
+pub(crate) async fn platform(listen: SocketAddr) -> Result<bool, Error> {
+    let platform = Platform::start_at(listen)
+        .await
+        .map_err(|e| format!("{listen}: {e}"))?;
+    platform.put(lists::LISTS_OBJECT, deployment::press_office().lists);
+    tokio::time::sleep(LIFETIME).await;
+    Ok(true)
+}
+
+/// Runs a stand-in back end that writes its executions to a file.
+///
+/// # Errors
+/// Fails when no port can be bound or the record can't be written.
+pub(crate) async fn back_end(options: &BackEndOptions) -> Result<bool, Error> {
+    let profile = Profile {
+        machine: options.machine.clone(),
+        service: prober::SERVICE.to_owned(),
+        keyed: true,
+        checks_fences: true,
+        lookups: vec!["balance".to_owned()],
+        orders: vec!["post".to_owned()],
+        slots: 18,
+        service_time: Duration::from_millis(2),
+    };
+    let record = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&options.record)?;
+    let mut back_end = BackEnd::start(profile, Recorder::appending_to(record)).await?;
+    back_end.announce_to(options.admin);
+    tokio::time::sleep(LIFETIME).await;
+    Ok(true)
+}
+
+/// Probes keys and judges the records. Gives false when a law or the bound is broken.
+///
+/// # Errors
+/// Fails when a record can't be read.
+pub(crate) async fn probe(options: &ProbeOptions) -> Result<bool, Error> {
+    let ended = Arc::new(AtomicBool::new(false));
+    let probers: Vec<_> = (0..KEYS)
+        .map(|key| prober::probe(key, options.seed, options.entry.clone(), Arc::clone(&ended)))
+        .collect();
+    tokio::time::sleep(Duration::from_secs(options.seconds)).await;
+    ended.store(true, Ordering::Relaxed);
+    let mut longest = Duration::ZERO;
+    let mut sent = Vec::new();
+    for prober in probers {
+        let probed = prober.await?;
+        longest = longest.max(probed.longest_gap());
+        sent.extend(probed.sent);
+    }
+    tokio::time::sleep(SETTLE).await;
+    let mut executions = Vec::new();
+    for record in &options.record {
+        executions.extend(read(record)?);
+    }
+    executions.sort_by_key(|e| e.at);
+    let violations = checker::judge(&executions, &sent);
+    for violation in violations.iter().take(5) {
+        println!("violation law={} seen={:?}", violation.law, violation.seen);
+    }
+    let late = options.bound_ms > 0 && longest > Duration::from_millis(options.bound_ms);
+    let ok = violations.is_empty() && !late;
+    println!(
+        "result={} requests={} executions={} longest_unavailable_ms={} violations={}",
+        if ok { "ok" } else { "failed" },
+        sent.len(),
+        executions.len(),
+        longest.as_millis(),
+        violations.len()
+    );
+    Ok(ok)
+}
+
+fn read(record: &Path) -> Result<Vec<Execution>, Error> {
+    let text = std::fs::read_to_string(record).map_err(|e| format!("{}: {e}", record.display()))?;
+    let mut executions = Vec::new();
+    for line in text.lines() {
+        executions.push(serde_json::from_str(line)?);
+    }
+    Ok(executions)
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod checker;
 pub mod cpu;
 pub mod deployment;
+pub mod prober;
 pub mod replay;
 pub mod stand_in;
 pub mod trace;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -27,6 +27,9 @@
             Command::Load(options) => cmd::load::run(&options).await,
             Command::Faults(options) => cmd::faults::run(&options).await,
             Command::Capacity(options) => cmd::capacity::run(&options).await,
+            Command::Platform { listen } => cmd::processes::platform(listen).await,
+            Command::BackEnd(options) => cmd::processes::back_end(&options).await,
+            Command::Probe(options) => cmd::processes::probe(&options).await,
             Command::Trace(options) => cmd::trace::run(&options),
         }
     });
--- a/bench/src/stand_in/back_end.rs
+++ b/bench/src/stand_in/back_end.rs
@@ -111,7 +111,8 @@
             behaviour: watch::Sender::new(Behaviour::default()),
         });
         let served = Arc::clone(&shared);
-        let server = Server::start(move |request| {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(any, move |request| {
             let shared = Arc::clone(&served);
             async move { answer(&shared, request).await }
         });
--- a/bench/src/stand_in/platform.rs
+++ b/bench/src/stand_in/platform.rs
@@ -77,12 +77,20 @@
     /// # Errors
     /// Fails when no port can be bound.
     pub async fn start() -> std::io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Starts a stand-in without objects at an address.
+    ///
+    /// # Errors
+    /// Fails when the address can't be bound.
+    pub async fn start_at(address: SocketAddr) -> std::io::Result<Self> {
         let state = Arc::new(Shared {
             state: Mutex::default(),
             changes: watch::Sender::new(0),
         });
         let served = Arc::clone(&state);
-        let server = Server::start(move |request| {
+        let server = Server::start(address, move |request| {
             let state = Arc::clone(&served);
             async move { answer(&state, request).await }
         });
--- a/bench/src/stand_in/record.rs
+++ b/bench/src/stand_in/record.rs
@@ -1,11 +1,14 @@
 //! What the stand-in back ends record for the checker.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::fs::File;
+use std::io::Write;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use serde::{Deserialize, Serialize};
 use world::moment::Moment;
 
 /// One execution of a request that took effect.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Execution {
     /// Machine of the back end.
     pub machine: String,
@@ -23,40 +26,77 @@
     pub request: String,
     /// Fence that it ran under; 0 for a service without keys.
     pub fence: u64,
-    /// Instant at which it took effect.
+    /// Instant at which it took effect, in nanoseconds of the machine's boot clock.
+    #[serde(with = "nanos")]
     pub at: Moment,
 }
 
+/// Instants as plain numbers.
+mod nanos {
+    use serde::{Deserialize, Deserializer, Serializer};
+    use world::moment::Moment;
+
+    pub(super) fn serialize<S: Serializer>(at: &Moment, out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_u64(at.as_nanos())
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Moment, D::Error> {
+        u64::deserialize(from).map(Moment::from_nanos)
+    }
+}
+
 /// Executions of all back ends of a deployment, in the order in which they took effect.
 #[derive(Clone, Debug, Default)]
-pub struct Recorder(Arc<Mutex<Vec<Execution>>>);
+pub struct Recorder(Arc<Mutex<Records>>);
+
+#[derive(Debug, Default)]
+struct Records {
+    executions: Vec<Execution>,
+    /// Gets each execution as a line of JSON before it is answered, so that it outlives a kill.
+    file: Option<File>,
+}
 
 impl Recorder {
+    /// A recorder that also appends to a file.
+    #[must_use]
+    pub fn appending_to(file: File) -> Self {
+        let records = Records {
+            executions: Vec::new(),
+            file: Some(file),
+        };
+        Self(Arc::new(Mutex::new(records)))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Records> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Runs `commit` and, when it gives an execution, records it in the same step.
     pub fn commit(&self, commit: impl FnOnce() -> Option<Execution>) -> bool {
-        let mut executions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        match commit() {
-            Some(execution) => {
-                executions.push(execution);
-                true
+        let mut records = self.lock();
+        let Some(execution) = commit() else {
+            return false;
+        };
+        if let Some(file) = &mut records.file {
+            let line = serde_json::to_string(&execution).unwrap_or_default();
+            if let Err(error) = file.write_all(format!("{line}\n").as_bytes()) {
+                log::error!(event = "record_not_written", error = error.to_string().as_str(); "");
             }
-            None => false,
         }
+        records.executions.push(execution);
+        true
     }
 
     /// All executions so far.
     #[must_use]
     pub fn executions(&self) -> Vec<Execution> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.lock().executions.clone()
     }
 
     /// Number of executions so far.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).len()
+        self.lock().executions.len()
     }
 
     /// Tells whether nothing was executed.
--- a/bench/src/stand_in/server.rs
+++ b/bench/src/stand_in/server.rs
@@ -25,16 +25,16 @@
 }
 
 impl Server {
-    /// Serves requests on a free loopback port.
+    /// Serves requests at an address; port 0 takes any free port.
     ///
     /// # Errors
-    /// Fails when no port can be bound.
-    pub async fn start<H, F>(handler: H) -> std::io::Result<Self>
+    /// Fails when the address can't be bound.
+    pub async fn start<H, F>(address: SocketAddr, handler: H) -> std::io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Reply> + Send + 'static,
     {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let task = tokio::spawn(accept(listener, handler));
         Ok(Self { address, task })
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -154,7 +154,7 @@
         if adopted && !self.names_me(record) {
             // The coordinator just learned of gets the time of one suspicion to answer.
             self.succession.on_contact(now);
-            self.next_beat = now;
+            self.beat_at_once(now);
             return;
         }
         self.step_forward(now, Some(record));
@@ -219,7 +219,7 @@
             next_telling: now,
         });
         self.member.adopt(me);
-        self.next_beat = now;
+        self.beat_at_once(now);
     }
 
     /// Tells the members that this daemon knows of to send a heartbeat to it at once.
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -385,10 +385,16 @@
         if newer && self.member.adopt(coordinator) {
             self.step_down_if_overtaken();
             self.succession.on_contact(now);
-            self.next_beat = now;
+            self.beat_at_once(now);
         }
     }
 
+    /// Sends the next heartbeat now, even if one to an earlier coordinator is still unanswered.
+    pub(super) fn beat_at_once(&mut self, now: Moment) {
+        self.beat_sent = None;
+        self.next_beat = now;
+    }
+
     /// Reads the cell's record while the coordinator is suspected.
     pub(super) fn watch_coordinator(&mut self, now: Moment) {
         let quiet = self.role.is_some() || self.stopping.is_some();
--- a/components/ownership/src/assignment.rs
+++ b/components/ownership/src/assignment.rs
@@ -6,6 +6,9 @@
 /// Share above the mean load that a machine may carry before shards are moved away from it.
 const TOLERATED_EXCESS: f64 = 0.08;
 
+/// Weight, in means, above which a shard is placed for itself.
+const HEAVY_SHARD: f64 = 2.0;
+
 /// A shard's place in a plan.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weighted {
@@ -43,7 +46,8 @@
 }
 
 /// Places every shard without an owner. A shard returns to its previous owner unless that one
-/// would exceed its even share; the rest go to the least loaded candidate, heaviest first.
+/// would exceed its even share. Of the rest the heavy ones go to the least loaded candidates,
+/// heaviest first, and the others in runs of neighbours, which keep the route table short.
 #[must_use]
 pub fn place_free(shards: &[Weighted], candidates: usize) -> Vec<Placement> {
     if candidates == 0 {
@@ -66,8 +70,12 @@
             _ => homeless.push(shard),
         }
     }
-    homeless.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.shard.cmp(&b.shard)));
-    for shard in homeless {
+    let mean = total / shards.len().max(1) as f64;
+    let (mut heavy, light): (Vec<&Weighted>, Vec<&Weighted>) = homeless
+        .into_iter()
+        .partition(|s| s.weight > mean * HEAVY_SHARD);
+    heavy.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.shard.cmp(&b.shard)));
+    for shard in heavy {
         let candidate = least(&loads);
         loads[candidate] += shard.weight;
         placements.push(Placement {
@@ -75,6 +83,18 @@
             candidate,
         });
     }
+    let even = total / candidates as f64;
+    let mut candidate = least(&loads);
+    for shard in light {
+        if loads[candidate] + shard.weight > even {
+            candidate = least(&loads);
+        }
+        loads[candidate] += shard.weight;
+        placements.push(Placement {
+            shard: shard.shard,
+            candidate,
+        });
+    }
     placements
 }
 
@@ -172,6 +192,17 @@
         }
     }
 
+    #[test]
+    fn places_neighbours_together() {
+        let shards: Vec<_> = (0..1024).map(|i| shard(i, None, 1.0)).collect();
+        let placed = place_free(&shards, 4);
+        let changes = placed
+            .windows(2)
+            .filter(|w| w[0].candidate != w[1].candidate)
+            .count();
+        assert_eq!(changes, 3);
+    }
+
     #[test]
     fn returns_shards_to_their_previous_owner() {
         let mut shards: Vec<_> = (0..100).map(|i| shard(i, None, 1.0)).collect();
