Read an oversized body to its end before refusing it

Cause: a test failed now and then: the refusal was sent while the caller was still sending, and the closed connection reached the caller before the answer. Change: the body is read and thrown away, then refused.

--- a/components/daemon/src/caller_api.rs
+++ b/components/daemon/src/caller_api.rs
@@ -96,6 +96,7 @@
     let limit = context.context().settings.max_body;
     let announced = content_length(context.request.headers());
     let body = if announced.is_some_and(|length| length > limit) {
+        discard(body.into_stream()).await;
         Err(ErrorKind::BodyTooLarge)
     } else {
         read_body(body.into_stream()).await
@@ -112,6 +113,13 @@
         .ok()
 }
 
+/// Reads an oversized body to its end, so that its sender gets the refusal and not a closed
+/// connection.
+async fn discard(stream: impl Stream<Item = Result<Bytes, HttpError>> + Send) {
+    let mut stream = std::pin::pin!(stream);
+    while let Some(Ok(_)) = stream.next().await {}
+}
+
 /// Reads a small body whole; a larger one goes on arriving while it is forwarded.
 async fn read_body(
     stream: impl Stream<Item = Result<Bytes, HttpError>> + Send + 'static,
