--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use tokio::time::Instant;
 
+use crate::trace::RequestLine;
+
 /// Attempts after which a caller gives up.
 const MAX_ATTEMPTS: u32 = 60;
 
@@ -42,6 +44,22 @@
     pub patience: Duration,
 }
 
+impl From<&RequestLine> for Wish {
+    fn from(line: &RequestLine) -> Self {
+        Self {
+            request: line.id.clone(),
+            customer: line.customer.clone(),
+            service: line.service.clone(),
+            operation: line.operation.clone(),
+            key: line.key.clone(),
+            ticket: line.ticket.clone(),
+            body: line.body.clone(),
+            deadline_ms: None,
+            patience: Duration::from_millis(line.patience_ms),
+        }
+    }
+}
+
 /// How a wish ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/bench/src/prober.rs
+++ b/bench/src/prober.rs
@@ -61,7 +61,7 @@
         while !ended.load(Ordering::Relaxed) {
             let order = number % ORDER_EVERY == ORDER_EVERY - 1;
             let line = line(key, seed, number, order);
-            let report = caller.pursue(&entries, &wish(&line)).await;
+            let report = caller.pursue(&entries, &Wish::from(&line)).await;
             if is_answered(&report) {
                 probed.answered.push(Instant::now());
             }
@@ -101,17 +101,3 @@
         },
     }
 }
-
-fn wish(line: &RequestLine) -> Wish {
-    Wish {
-        request: line.id.clone(),
-        customer: line.customer.clone(),
-        service: line.service.clone(),
-        operation: line.operation.clone(),
-        key: line.key.clone(),
-        ticket: None,
-        body: line.body.clone(),
-        deadline_ms: None,
-        patience: Duration::from_millis(line.patience_ms),
-    }
-}
--- a/bench/src/replay.rs
+++ b/bench/src/replay.rs
@@ -107,7 +107,7 @@
     shift: Duration,
 ) -> Sent {
     tokio::time::sleep(shift).await;
-    let mut wish = wish(&line);
+    let mut wish = Wish::from(&line);
     if line.copies < 2 {
         let report = caller.pursue(&entries, &wish).await;
         return Sent {
@@ -128,20 +128,6 @@
     Sent { line, reports }
 }
 
-fn wish(line: &RequestLine) -> Wish {
-    Wish {
-        request: line.id.clone(),
-        customer: line.customer.clone(),
-        service: line.service.clone(),
-        operation: line.operation.clone(),
-        key: line.key.clone(),
-        ticket: line.ticket.clone(),
-        body: line.body.clone(),
-        deadline_ms: None,
-        patience: Duration::from_millis(line.patience_ms),
-    }
-}
-
 async fn happen(
     deployment: &mut Deployment,
     event: &EventLine,
--- a/components/daemon/src/announcement.rs
+++ b/components/daemon/src/announcement.rs
@@ -7,7 +7,7 @@
 use snafu::{ResultExt, Snafu};
 use world::contract::{Contract, Operation};
 use world::machine::{BackEnd, Incarnation};
-use world::name::{NameFault, OperationName, ServiceName};
+use world::name::{NameFault, ServiceName};
 
 /// Most slots that a back end may announce.
 const MAX_SLOTS: u32 = 10_000;
@@ -86,16 +86,13 @@
         })?;
         let service =
             ServiceName::from_input(&self.service).context(NameSnafu { field: "service" })?;
-        let mut operations = smallvec::SmallVec::new();
-        for operation in &self.operations {
-            let name = OperationName::from_input(&operation.name).context(NameSnafu {
-                field: "operations",
-            })?;
-            operations.push(Operation {
-                name,
-                order: operation.order,
-            });
-        }
+        let operations = self.operations.iter();
+        let operations: Result<_, NameFault> = operations
+            .map(|o| Operation::from_input(&o.name, o.order))
+            .collect();
+        let operations = operations.context(NameSnafu {
+            field: "operations",
+        })?;
         if self.slots == 0 || self.slots > MAX_SLOTS {
             return SlotsSnafu { slots: self.slots }.fail();
         }
--- /dev/null
+++ b/components/daemon/src/owner/tickets.rs
@@ -0,0 +1,45 @@
+//! Issuing tickets.
+
+use orders::ticket::{Nonce, Scope, Ticket};
+use peers::wire::{TicketReply, TicketRequest};
+use world::error_kind::ErrorKind;
+use world::key::KeyHash;
+
+use crate::owner::{Failure, open_gate};
+use crate::shared::Shared;
+
+/// Issues a ticket for a key that this daemon owns.
+#[must_use]
+pub fn issue_ticket(shared: &Shared, request: &TicketRequest) -> TicketReply {
+    match try_issue(shared, request) {
+        Ok(ticket) => TicketReply {
+            error: String::new(),
+            valid_ms: u32::try_from(shared.settings.orders.lifetime.as_millis()).unwrap_or(0),
+            ticket,
+        },
+        Err(failure) => TicketReply {
+            error: failure.kind.to_string(),
+            ..TicketReply::default()
+        },
+    }
+}
+
+fn try_issue(shared: &Shared, request: &TicketRequest) -> Result<String, Failure> {
+    let pass = open_gate(shared, &request.service, request.key_hash)?;
+    let gate = pass.gate();
+    let ticket = Ticket {
+        shard: gate.holding().id.shard,
+        fence: gate.fence(),
+        scope: Scope::new(
+            &request.customer,
+            &request.service,
+            KeyHash(request.key_hash),
+        ),
+        nonce: Nonce(rand::random()),
+    };
+    if !gate.orders().issue(shared.now(), &ticket) {
+        return Err(ErrorKind::TicketTableFull.into());
+    }
+    shared.counters.tickets.add();
+    Ok(shared.ticket_key.encode(&ticket))
+}
--- a/components/ownership/src/coordinator.rs
+++ b/components/ownership/src/coordinator/mod.rs
@@ -1,5 +1,8 @@
 //! The coordinator's side of the lease protocol and the assignment it keeps.
 
+mod placement;
+mod witnesses;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,29 +12,16 @@
 use world::moment::Moment;
 use world::name::{MachineName, ServiceName};
 
-use crate::assignment::{self, Weighted};
 use crate::heartbeat::{Accepted, CoordinatorRef, Reply, Request, ShardLoad};
-use crate::record::WitnessRef;
-use crate::table::{self, Holding, MachineIndex, RouteTable, ShardId};
+use crate::table::{self, Holding, RouteTable, ShardId};
 use crate::timing::Timing;
 
+pub use witnesses::WITNESSES;
+
 /// Share of a new load figure in a shard's smoothed load; with the default heartbeat the load of
 /// about the last five seconds counts.
 const LOAD_SMOOTHING: f64 = 0.03;
 
-/// Most shards that one planning round moves away from their owners.
-const MOVES_PER_ROUND: usize = 64;
-
-/// Time between two rounds of balancing.
-const BALANCE_PERIOD: Duration = Duration::from_secs(1);
-
-/// Machines that confirm a coordinator while the store does not.
-pub const WITNESSES: usize = 3;
-
-/// Witnesses that are chosen from the coordinator's own region where possible; the others are
-/// chosen from zones of their own.
-const NEAR_WITNESSES: usize = 2;
-
 /// Incarnations of one machine that are remembered as replaced.
 const RETIRED_INCARNATIONS: usize = 8;
 
@@ -132,45 +122,6 @@
         }
     }
 
-    /// Chooses up to [`WITNESSES`] machines to confirm the coordinator without the store: live
-    /// members of other zones than its own, so that no zone takes it away with them; a quorum of
-    /// its own region, so that a cut between regions does not separate them; the last one of a
-    /// zone of its own.
-    #[must_use]
-    pub fn choose_witnesses(&self, present: &[WitnessRef]) -> Vec<WitnessRef> {
-        let Some(me) = self
-            .names
-            .get(&self.me.name)
-            .map(|id| &self.peers[*id].machine)
-        else {
-            return present.to_vec();
-        };
-        let mut chosen: Vec<&Machine> = Vec::new();
-        while chosen.len() < WITNESSES {
-            let free = self.peers.iter().filter(|p| p.live && !p.machine.leaving);
-            let free = free
-                .map(|p| &p.machine)
-                .filter(|m| m.name != me.name && !chosen.iter().any(|c| c.name == m.name));
-            let near = chosen.len() < NEAR_WITNESSES;
-            let best = free.min_by_key(|m| {
-                let shared = chosen.iter().any(|c| c.zone == m.zone);
-                let listed = present.iter().any(|w| is_witness(w, m));
-                let distant = m.region != me.region;
-                let rest = if near {
-                    (distant, shared)
-                } else {
-                    (shared, distant)
-                };
-                (m.zone == me.zone, rest, !listed)
-            });
-            let Some(best) = best else { break };
-            chosen.push(best);
-        }
-        let mut witnesses: Vec<WitnessRef> = chosen.into_iter().map(witness_ref).collect();
-        witnesses.sort_by(|a, b| a.name.cmp(&b.name));
-        witnesses
-    }
-
     /// The coordinator's term.
     #[must_use]
     pub fn term(&self) -> Term {
@@ -424,95 +375,6 @@
         self.routes_stale = true;
     }
 
-    fn plan(&mut self, now: Moment) {
-        if now < self.grants_from {
-            self.publish();
-            return;
-        }
-        let balance = now >= self.balanced + BALANCE_PERIOD;
-        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
-        for service in &services {
-            let candidates = self.candidates(service);
-            self.revoke(service, &candidates);
-            self.grant(service, &candidates);
-            if balance {
-                self.balance(service, &candidates);
-            }
-        }
-        if balance {
-            self.balanced = now;
-        }
-        self.publish();
-    }
-
-    /// Members that may own shards of a service.
-    fn candidates(&self, service: &ServiceName) -> Vec<MemberId> {
-        let reserved = service.as_str() == table::CUSTOMERS_SERVICE;
-        (0..self.peers.len())
-            .filter(|id| {
-                let peer = &self.peers[*id];
-                let fits = match reserved {
-                    true => !peer.machine.leaving,
-                    false => peer.machine.offers(service.as_str()),
-                };
-                peer.live && fits
-            })
-            .collect()
-    }
-
-    /// Takes shards back from live members that should no longer own them.
-    fn revoke(&mut self, service: &ServiceName, candidates: &[MemberId]) {
-        let Some(slots) = self.services.get_mut(service) else {
-            return;
-        };
-        for slot in slots.iter_mut().filter(|s| !s.releasing) {
-            let Some(owner) = slot.owner else { continue };
-            if candidates.contains(&owner) || !self.peers[owner].live {
-                continue;
-            }
-            slot.releasing = true;
-            self.peers[owner].revision += 1;
-        }
-    }
-
-    fn grant(&mut self, service: &ServiceName, candidates: &[MemberId]) {
-        let Some(slots) = self.services.get_mut(service) else {
-            return;
-        };
-        if candidates.is_empty() || slots.iter().all(|s| s.owner.is_some()) {
-            return;
-        }
-        let weighted = weigh(slots, candidates);
-        for placement in assignment::place_free(&weighted, candidates.len()) {
-            let id = candidates[placement.candidate];
-            self.sequence += 1;
-            let slot = &mut slots[placement.shard];
-            slot.owner = Some(id);
-            slot.fence = Fence::new(self.me.term, self.sequence);
-            slot.previous = None;
-            self.peers[id].revision += 1;
-        }
-        self.routes_stale = true;
-    }
-
-    fn balance(&mut self, service: &ServiceName, candidates: &[MemberId]) {
-        let Some(slots) = self.services.get_mut(service) else {
-            return;
-        };
-        if slots.iter().any(|s| s.releasing || s.owner.is_none()) {
-            return;
-        }
-        let weighted = weigh(slots, candidates);
-        let moves = assignment::rebalance(&weighted, candidates.len(), MOVES_PER_ROUND);
-        for movement in moves {
-            let slot = &mut slots[movement.shard];
-            let Some(owner) = slot.owner else { continue };
-            slot.releasing = true;
-            self.peers[owner].revision += 1;
-            self.moves += 1;
-        }
-    }
-
     fn renew(&mut self, id: MemberId, now: Moment, authority_until: Moment) -> Duration {
         if now < self.grants_from {
             self.peers[id].lapse = now + self.timing.suspicion;
@@ -560,47 +422,6 @@
         }
         grants
     }
-
-    /// Rebuilds the route table after a change.
-    fn publish(&mut self) {
-        if !self.routes_stale {
-            return;
-        }
-        self.routes_stale = false;
-        self.route_count += 1;
-        let mut index: Vec<Option<MachineIndex>> = vec![None; self.peers.len()];
-        let mut machines = Vec::new();
-        for (id, peer) in self.peers.iter().enumerate().filter(|(_, p)| p.live) {
-            index[id] = MachineIndex::try_from(machines.len()).ok();
-            machines.push(peer.machine.clone());
-        }
-        let mut owners = BTreeMap::new();
-        for (service, slots) in &self.services {
-            let list = slots
-                .iter()
-                .map(|s| s.owner.and_then(|o| index[o]))
-                .collect();
-            owners.insert(service.clone(), list);
-        }
-        let version = Fence::new(self.me.term, self.route_count).0;
-        self.routes = Arc::new(RouteTable {
-            version,
-            machines,
-            owners,
-        });
-    }
-}
-
-fn is_witness(witness: &WitnessRef, machine: &Machine) -> bool {
-    witness.name == machine.name && witness.incarnation == machine.incarnation
-}
-
-fn witness_ref(machine: &Machine) -> WitnessRef {
-    WitnessRef {
-        name: machine.name.clone(),
-        incarnation: machine.incarnation,
-        address: machine.peer_address,
-    }
 }
 
 fn same_back_end(left: &Machine, right: &Machine) -> bool {
@@ -614,18 +435,3 @@
     }
     peer.retired.push(peer.machine.incarnation);
 }
-
-fn weigh(slots: &[Slot], candidates: &[MemberId]) -> Vec<Weighted> {
-    let position = |id: MemberId| candidates.iter().position(|c| *c == id);
-    slots
-        .iter()
-        .enumerate()
-        .map(|(shard, slot)| Weighted {
-            shard,
-            free: slot.owner.is_none(),
-            owner: slot.owner.and_then(position),
-            previous: slot.previous.and_then(position),
-            weight: slot.load + assignment::IDLE_SHARD_WEIGHT,
-        })
-        .collect()
-}
--- a/components/ownership/tests/one_owner.rs
+++ b/components/ownership/tests/one_owner/model.rs
@@ -1,8 +1,4 @@
-//! Drives coordinators and members through random message orders, losses, pauses and clock
-//! drift, and checks that no shard has two owners at one instant.
-//!
-//! The machines have no back ends, so that only the reserved service's shards are assigned;
-//! its shards are granted and withdrawn by the same rules as those of any service.
+//! Coordinators, members, a store and the network between them, step by step.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,22 +13,18 @@
 use ownership::table::ShardId;
 use ownership::timing::Timing;
 use ownership::witness::Witness;
-use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::TestRunner;
-use rstest::rstest;
 use world::key::Term;
 use world::machine::{Incarnation, Machine};
 use world::moment::Moment;
 use world::name::{CellName, MachineName, RegionName, ZoneName};
 
-const MACHINES: usize = 5;
-const STEP_MS: u64 = 10;
-const STEPS: u64 = 2_000;
+pub(super) const MACHINES: usize = 5;
+pub(super) const STEP_MS: u64 = 10;
+pub(super) const STEPS: u64 = 2_000;
 
 /// A safety rule that a run may leave out, to show that the check notices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Omission {
+pub(super) enum Omission {
     Nothing,
     /// A successor grants without waiting for the previous authority to end.
     SuccessionWait,
@@ -51,14 +43,14 @@
 }
 
 #[derive(Clone, Debug)]
-struct Fault {
-    at_step: u64,
-    length: u64,
-    kind: FaultKind,
+pub(super) struct Fault {
+    pub(super) at_step: u64,
+    pub(super) length: u64,
+    pub(super) kind: FaultKind,
 }
 
 #[derive(Clone, Copy, Debug)]
-enum FaultKind {
+pub(super) enum FaultKind {
     Pause(usize),
     CutFrom(usize),
     CutTo(usize),
@@ -70,7 +62,7 @@
     AnswersLost,
 }
 
-enum Delivery {
+pub(super) enum Delivery {
     Heartbeat {
         to: usize,
         from: usize,
@@ -121,13 +113,13 @@
     },
 }
 
-enum Outcome {
+pub(super) enum Outcome {
     Written(u64),
     Conflict(CellRecord, u64),
     Read(Option<(CellRecord, u64)>),
 }
 
-struct Node {
+pub(super) struct Node {
     machine: Machine,
     member: Member,
     succession: Succession,
@@ -142,20 +134,20 @@
     rate: u64,
 }
 
-struct Role {
+pub(super) struct Role {
     coordinator: Coordinator,
     renewal: Renewal,
     closing: Closing,
     next_close: u64,
 }
 
-struct Claimed {
+pub(super) struct Claimed {
     record: CellRecord,
     sent: Moment,
     store_ended: Moment,
 }
 
-struct Run {
+pub(super) struct Run {
     timing: Timing,
     omission: Omission,
     nodes: Vec<Node>,
@@ -165,13 +157,18 @@
     step: u64,
     faults: Vec<Fault>,
     delays: Vec<u64>,
-    owned_steps: u64,
+    pub(super) owned_steps: u64,
     /// False for a cell that is too small for witnesses.
-    witnesses: bool,
+    pub(super) witnesses: bool,
 }
 
 impl Run {
-    fn new(omission: Omission, faults: Vec<Fault>, delays: Vec<u64>, rates: &[u64]) -> Self {
+    pub(super) fn new(
+        omission: Omission,
+        faults: Vec<Fault>,
+        delays: Vec<u64>,
+        rates: &[u64],
+    ) -> Self {
         let timing = Timing::default();
         let nodes = (0..MACHINES).map(|i| node(i, rates[i], timing)).collect();
         Self {
@@ -217,7 +214,7 @@
             .insert((self.step + delay, self.serial), delivery);
     }
 
-    fn run(&mut self) -> Result<(), String> {
+    pub(super) fn run(&mut self) -> Result<(), String> {
         while self.step < STEPS {
             self.apply_faults();
             self.deliver();
@@ -774,11 +771,11 @@
     }
 }
 
-fn index_of(name: &MachineName) -> Option<usize> {
+pub(super) fn index_of(name: &MachineName) -> Option<usize> {
     name.as_str().strip_prefix('m')?.parse().ok()
 }
 
-fn node(index: usize, rate: u64, timing: Timing) -> Node {
+pub(super) fn node(index: usize, rate: u64, timing: Timing) -> Node {
     let machine = Machine {
         name: MachineName::new(&format!("m{index}")),
         incarnation: Incarnation(index as u64 + 1),
@@ -806,160 +803,3 @@
         rate,
     }
 }
-
-fn fault() -> impl Strategy<Value = Fault> {
-    let kind = prop_oneof![
-        (0..MACHINES).prop_map(FaultKind::Pause),
-        (0..MACHINES).prop_map(FaultKind::CutFrom),
-        (0..MACHINES).prop_map(FaultKind::CutTo),
-        (0..MACHINES, 0..MACHINES).prop_map(|(a, b)| FaultKind::CutPair(a, b)),
-        (0..MACHINES).prop_map(FaultKind::CutStore),
-        (0..MACHINES).prop_map(FaultKind::Restart),
-        Just(FaultKind::StoreDown),
-        Just(FaultKind::AnswersLost),
-    ];
-    (100..STEPS, 1u64..300, kind).prop_map(|(at_step, length, kind)| Fault {
-        at_step,
-        length,
-        kind,
-    })
-}
-
-fn history() -> impl Strategy<Value = (Vec<Fault>, Vec<u64>, Vec<u64>)> {
-    (
-        proptest::collection::vec(fault(), 0..14),
-        proptest::collection::vec(prop_oneof![8 => 0u64..3, 1 => 3u64..60], 16..64),
-        proptest::collection::vec(0u64..900, MACHINES),
-    )
-}
-
-/// Histories around a first coordinator that is cut off from the store and from some members
-/// while its witnesses may restart.
-fn cut_off_coordinator() -> impl Strategy<Value = (Vec<Fault>, Vec<u64>, Vec<u64>)> {
-    let start = 200u64..400;
-    let pair = (1..MACHINES, 0u64..300, 200u64..900);
-    let restart = (1..MACHINES, 100u64..900);
-    let pause = (0..MACHINES, 0u64..900, 20u64..200);
-    let faults = (
-        start,
-        400u64..1_400,
-        any::<bool>(),
-        proptest::collection::vec(pair, 1..4),
-        proptest::collection::vec(restart, 0..4),
-        proptest::collection::vec(pause, 0..3),
-    );
-    let faults = faults.prop_map(|(start, length, writes, pairs, restarts, pauses)| {
-        let fault = |at_step, length, kind| Fault {
-            at_step,
-            length,
-            kind,
-        };
-        let cut = if writes {
-            FaultKind::CutWrites(0)
-        } else {
-            FaultKind::CutStore(0)
-        };
-        let mut faults = vec![fault(start, length, cut)];
-        for (other, delay, length) in pairs {
-            faults.push(fault(start + delay, length, FaultKind::CutPair(0, other)));
-        }
-        for (machine, delay) in restarts {
-            faults.push(fault(start + delay, 1, FaultKind::Restart(machine)));
-        }
-        for (machine, delay, length) in pauses {
-            faults.push(fault(start + delay, length, FaultKind::Pause(machine)));
-        }
-        faults
-    });
-    let delays = proptest::collection::vec(0u64..4, 16..64);
-    (
-        faults,
-        delays,
-        proptest::collection::vec(0u64..900, MACHINES),
-    )
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
-
-    #[test]
-    fn no_shard_has_two_owners((faults, delays, rates) in history()) {
-        let mut run = Run::new(Omission::Nothing, faults, delays, &rates);
-        prop_assert_eq!(run.run(), Ok(()));
-    }
-
-    #[test]
-    fn a_cut_off_coordinator_makes_no_second_owner(
-        (faults, delays, rates) in cut_off_coordinator()
-    ) {
-        let mut run = Run::new(Omission::Nothing, faults, delays, &rates);
-        prop_assert_eq!(run.run(), Ok(()));
-    }
-}
-
-#[test]
-fn a_cell_outlives_a_long_outage_of_the_store() {
-    let outage = Fault {
-        at_step: 300,
-        length: STEPS,
-        kind: FaultKind::StoreDown,
-    };
-    let mut run = Run::new(
-        Omission::Nothing,
-        vec![outage],
-        vec![1],
-        &[0, 200, 400, 600, 900],
-    );
-    run.run().expect("one owner");
-    assert!(
-        run.owned_steps > STEPS * 9 / 10,
-        "owned in {} steps",
-        run.owned_steps
-    );
-}
-
-#[test]
-fn a_quiet_cell_owns_its_shards() {
-    let mut run = Run::new(
-        Omission::Nothing,
-        Vec::new(),
-        vec![1],
-        &[0, 200, 400, 600, 900],
-    );
-    run.run().expect("one owner");
-    assert!(
-        run.owned_steps > STEPS * 9 / 10,
-        "owned in {} steps",
-        run.owned_steps
-    );
-}
-
-/// Counts the histories in which leaving a rule out gives two owners.
-fn violations(omission: Omission, witnesses: bool, histories: u32) -> u32 {
-    let mut runner = TestRunner::deterministic();
-    let mut found = 0;
-    for _ in 0..histories {
-        let strategy = cut_off_coordinator();
-        let (faults, delays, rates) = strategy.new_tree(&mut runner).expect("a history").current();
-        let mut run = Run::new(omission, faults, delays, &rates);
-        run.witnesses = witnesses;
-        found += u32::from(run.run().is_err());
-    }
-    found
-}
-
-#[rstest]
-#[case::nothing(Omission::Nothing, true)]
-#[case::nothing_without_witnesses(Omission::Nothing, false)]
-#[case::succession_wait(Omission::SuccessionWait, true)]
-#[case::close(Omission::Close, true)]
-#[case::witness_life(Omission::WitnessLife, true)]
-#[case::promise(Omission::Promise, true)]
-#[case::lease_from_arrival(Omission::LeaseFromArrival, true)]
-#[case::read_confirms(Omission::ReadConfirms, false)]
-#[case::lease_check(Omission::LeaseCheck, true)]
-fn leaving_out_a_rule_is_noticed(#[case] omission: Omission, #[case] witnesses: bool) {
-    let found = violations(omission, witnesses, 400);
-    println!("omission={omission:?} witnesses={witnesses} histories=400 violations={found}");
-    assert_eq!(found > 0, omission != Omission::Nothing);
-}
--- a/components/peers/src/convert.rs
+++ b/components/peers/src/convert.rs
@@ -10,9 +10,7 @@
 use world::contract::{Contract, Operation};
 use world::key::{Fence, Shard, Term};
 use world::machine::{BackEnd, Incarnation, Machine};
-use world::name::{
-    CellName, MachineName, NameFault, OperationName, RegionName, ServiceName, ZoneName,
-};
+use world::name::{CellName, MachineName, NameFault, RegionName, ServiceName, ZoneName};
 
 use crate::wire;
 
@@ -112,16 +110,13 @@
 fn back_end_from_wire(back_end: &wire::BackEnd) -> Result<BackEnd, WireFault> {
     let service =
         ServiceName::from_input(&back_end.service).context(NameSnafu { field: "service" })?;
-    let mut operations = smallvec::SmallVec::new();
-    for operation in &back_end.operations {
-        let name = OperationName::from_input(&operation.name).context(NameSnafu {
-            field: "operations",
-        })?;
-        operations.push(Operation {
-            name,
-            order: operation.order,
-        });
-    }
+    let operations = back_end.operations.iter();
+    let operations: Result<_, NameFault> = operations
+        .map(|o| Operation::from_input(&o.name, o.order))
+        .collect();
+    let operations = operations.context(NameSnafu {
+        field: "operations",
+    })?;
     let contract = Contract {
         service,
         keyed: back_end.keyed,
--- a/components/world/src/contract.rs
+++ b/components/world/src/contract.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::name::{OperationName, ServiceName};
+use crate::name::{NameFault, OperationName, ServiceName};
 
 /// Operations that a contract lists without heap allocation.
 const INLINE_OPERATIONS: usize = 4;
@@ -30,6 +30,17 @@
     pub operations: SmallVec<[Operation; INLINE_OPERATIONS]>,
 }
 
+impl Operation {
+    /// Makes an operation from outside input.
+    ///
+    /// # Errors
+    /// Returns the fault when the name is invalid.
+    pub fn from_input(name: &str, order: bool) -> Result<Self, NameFault> {
+        let name = OperationName::from_input(name)?;
+        Ok(Self { name, order })
+    }
+}
+
 impl Contract {
     /// Finds an operation by name.
     #[must_use]
