Find a key's shard in one place; drop what a request carried twice

Cause: reading the whole change again: five places worked out a key's shard from hash and count, a prepared request kept two flags that its head has, each request copied its service's contract, and a list of back ends carried a flag that nobody read. Change: `table::shard_of` serves all; the flags are read from the head; the contract is borrowed from the route table. Behaviour and tests as before.

--- a/bench/src/cmd/load.rs
+++ b/bench/src/cmd/load.rs
@@ -157,11 +157,8 @@
     sum
 }
 
-fn direct_request(
-    targets: &[(SocketAddr, bool)],
-    random: &mut StdRng,
-) -> Option<Request<Full<Bytes>>> {
-    let (address, _) = targets[random.random_range(0..targets.len())];
+fn direct_request(targets: &[SocketAddr], random: &mut StdRng) -> Option<Request<Full<Bytes>>> {
+    let address = targets[random.random_range(0..targets.len())];
     let request = Request::get(format!("http://{address}/get?request=1"))
         .header(daemon::back_end::CUSTOMER, "load")
         .header(daemon::back_end::DEADLINE, 2000);
--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -303,15 +303,11 @@
             .collect()
     }
 
-    /// Addresses of the back ends that run, and whether their service is divided by key.
+    /// Addresses of the back ends that run.
     #[must_use]
-    pub fn back_ends(&self) -> Vec<(SocketAddr, bool)> {
-        let nodes = self.nodes.values();
-        let addresses = nodes.filter_map(|node| {
-            let keyed = self.spec.services[node.site.service].keyed;
-            Some((node.back_end.as_ref()?.address(), keyed))
-        });
-        addresses.collect()
+    pub fn back_ends(&self) -> Vec<SocketAddr> {
+        let back_ends = self.nodes.values().filter_map(|n| n.back_end.as_ref());
+        back_ends.map(BackEnd::address).collect()
     }
 
     /// Names of the machines in a zone.
@@ -424,7 +420,7 @@
     #[must_use]
     pub fn owner_of(&self, service: &str, key: &[u8]) -> Option<String> {
         let daemon = self.nodes.values().find_map(|n| n.daemon.as_ref())?;
-        let shard = world::key::KeyHash::new(key).shard(ownership::table::shard_count(service));
+        let shard = ownership::table::shard_of(service, world::key::KeyHash::new(key));
         let routes = daemon.shared().routes.load();
         routes.owner(service, shard).map(|m| m.name.to_string())
     }
--- a/components/daemon/src/allowance.rs
+++ b/components/daemon/src/allowance.rs
@@ -10,7 +10,7 @@
 use ownership::table::{self, CUSTOMERS_SERVICE};
 use peers::wire::{BorrowReply, BorrowRequest};
 use world::error_kind::ErrorKind;
-use world::key::KeyHash;
+use world::key::{KeyHash, Shard};
 use world::moment::Moment;
 use world::name::{CustomerName, MachineName, ServiceName};
 
@@ -136,6 +136,11 @@
     Refusal { kind, retry_after }
 }
 
+/// Shard of the reserved service whose owner keeps a customer's allowance.
+fn shard_of_customer(customer: &str) -> Shard {
+    table::shard_of(CUSTOMERS_SERVICE, KeyHash::new(customer.as_bytes()))
+}
+
 async fn borrow(shared: &Shared, purpose: &Purpose, wanted: u32) -> Result<BorrowReply, Refusal> {
     let request = BorrowRequest {
         customer: purpose.customer.to_string(),
@@ -144,8 +149,7 @@
         borrower: shared.settings.name.to_string(),
         wanted,
     };
-    let shard = KeyHash::new(purpose.customer.as_str().as_bytes())
-        .shard(table::shard_count(CUSTOMERS_SERVICE));
+    let shard = shard_of_customer(purpose.customer.as_str());
     let routes = shared.routes.load();
     let keeper = routes
         .owner(CUSTOMERS_SERVICE, shard)
@@ -202,8 +206,7 @@
     let now = shared.now();
     let customer = CustomerName::new(&request.customer);
     let service = ServiceName::new(&request.service);
-    let shard =
-        KeyHash::new(request.customer.as_bytes()).shard(table::shard_count(CUSTOMERS_SERVICE));
+    let shard = shard_of_customer(&request.customer);
     let gates = shared.gates.load();
     let gate = gates
         .gate(CUSTOMERS_SERVICE, shard)
--- a/components/daemon/src/entry/attempt.rs
+++ b/components/daemon/src/entry/attempt.rs
@@ -55,7 +55,7 @@
         attempts += 1;
         let failure = retry::Failure {
             kind: failed.kind,
-            order: prepared.order,
+            order: prepared.head.order,
             replayable: body.is_some(),
             attempts,
             remaining: remaining(&prepared),
@@ -127,7 +127,7 @@
 }
 
 fn timed_out(prepared: &Prepared) -> ErrorKind {
-    if prepared.order {
+    if prepared.head.order {
         ErrorKind::OutcomeUnknown
     } else {
         ErrorKind::LookupTimedOut
@@ -152,8 +152,8 @@
     tried: &mut Tried,
 ) -> Result<&'a Machine, Failed> {
     let service = prepared.head.service.as_str();
-    if prepared.keyed {
-        let shard = KeyHash(prepared.head.key_hash).shard(table::shard_count(service));
+    if prepared.head.keyed {
+        let shard = table::shard_of(service, KeyHash(prepared.head.key_hash));
         return routes
             .owner(service, shard)
             .ok_or_else(|| ErrorKind::NoOwner.into());
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -109,8 +109,6 @@
 /// One request with what was found out about it.
 struct Prepared {
     head: RequestHead,
-    keyed: bool,
-    order: bool,
     started: Instant,
     deadline: Instant,
 }
@@ -163,11 +161,8 @@
     if !order || call.ticket.is_none() {
         pay(shared, &purpose, started, deadline).await?;
     }
-    let keyed = contract.keyed;
     let prepared = Prepared {
-        head: head(&call, order, keyed),
-        keyed,
-        order,
+        head: head(&call, order, contract.keyed),
         started,
         deadline,
     };
@@ -200,10 +195,10 @@
     Err(kind.into())
 }
 
-fn contract(routes: &RouteTable, service: &ServiceName) -> Option<Contract> {
+fn contract<'a>(routes: &'a RouteTable, service: &ServiceName) -> Option<&'a Contract> {
     let back_ends = routes.machines.iter().filter_map(|m| m.back_end.as_ref());
     let mut contracts = back_ends.map(|b| &b.contract);
-    contracts.find(|c| c.service == *service).cloned()
+    contracts.find(|c| c.service == *service)
 }
 
 fn head(call: &Call, order: bool, keyed: bool) -> RequestHead {
--- a/components/daemon/src/entry/ticketing.rs
+++ b/components/daemon/src/entry/ticketing.rs
@@ -45,7 +45,7 @@
         key_hash: head.key_hash,
     };
     let routes = shared.routes.load_full();
-    let shard = KeyHash(head.key_hash).shard(table::shard_count(&head.service));
+    let shard = table::shard_of(&head.service, KeyHash(head.key_hash));
     let owner = routes
         .owner(&head.service, shard)
         .ok_or(ErrorKind::NoOwner)?;
--- a/components/daemon/src/owner/mod.rs
+++ b/components/daemon/src/owner/mod.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use world::error_kind::ErrorKind;
-use world::key::{KeyHash, Shard};
+use world::key::KeyHash;
 
 use crate::back_end::Body;
 use crate::gate::{Gate, Pass};
@@ -69,14 +69,10 @@
     receiver
 }
 
-fn shard_of(service: &str, key_hash: u64) -> Shard {
-    KeyHash(key_hash).shard(table::shard_count(service))
-}
-
 fn open_gate(shared: &Shared, service: &str, key_hash: u64) -> Result<Pass, Failure> {
     let gates = shared.gates.load();
     let pass = gates
-        .gate(service, shard_of(service, key_hash))
+        .gate(service, table::shard_of(service, KeyHash(key_hash)))
         .and_then(Gate::enter);
     let held = shared.lease.load().is_held(shared.now());
     match pass {
--- a/components/ownership/src/table.rs
+++ b/components/ownership/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use world::key::{Fence, Shard};
+use world::key::{Fence, KeyHash, Shard};
 use world::machine::Machine;
 use world::name::ServiceName;
 
@@ -22,6 +22,12 @@
     world::key::SHARDS_PER_SERVICE
 }
 
+/// The shard of a service that a key belongs to.
+#[must_use]
+pub fn shard_of(service: &str, key: KeyHash) -> Shard {
+    key.shard(shard_count(service))
+}
+
 /// A shard of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ShardId {
