Hand the remembered orders to the next owner on a planned move

A ticket taken just before the owner released its shard was used at the next owner, which knew none of the tickets of the tenure before; the same gap answered repetitions of finished orders with ticket-stale after every planned move.

Change: the daemon that releases a shard keeps its table of orders; the coordinator names the released tenure with the new grant for 5 s; the new owner takes the table before it opens the shard. A table is given away once. The property test of the order logic now also hands tables over.

Ruled out: a lost request (the report shows attempts refused with ticket-stale only), and the test's own timing.

With a running order handed over as not started, the property test fails (an order took effect twice).

--- a/bench/tests/whole_path.rs
+++ b/bench/tests/whole_path.rs
@@ -223,6 +223,40 @@
     deployment.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_owner_goes_on_with_orders_after_a_planned_stop() {
+    let mut deployment = ready(spec()).await;
+    let owner = deployment.owner_of("keyed", b"key-1").expect("an owner");
+    let caller = Caller::new();
+    let entries = entries(&deployment);
+    let ran = caller
+        .pursue(&entries, &order("1", "amount=5".to_owned()))
+        .await;
+    let unused = caller
+        .ticket(&entries, &order("2", "amount=7".to_owned()))
+        .await;
+    assert!(unused.is_some());
+    deployment
+        .stop(&owner)
+        .expect("a stop")
+        .await
+        .expect("stopped");
+    let repeated = Wish {
+        ticket: ran.ticket.clone(),
+        ..order("1", "amount=5".to_owned())
+    };
+    let again = caller.pursue(&entries, &repeated).await;
+    assert_eq!(ran.outcome, again.outcome, "{again:?}");
+    let started = Wish {
+        ticket: unused,
+        ..order("2", "amount=7".to_owned())
+    };
+    let late = caller.pursue(&entries, &started).await;
+    assert!(matches!(late.outcome, Outcome::Answered(_)), "{late:?}");
+    assert_eq!(deployment.recorder.len(), 2);
+    deployment.end().await;
+}
+
 /// Announces a back end that promises 100 bytes, sends 10 and closes.
 async fn announce_cutting_back_end(admin: std::net::SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/components/daemon/src/control/event.rs
+++ b/components/daemon/src/control/event.rs
@@ -12,6 +12,7 @@
 use world::moment::Moment;
 use world::name::MachineName;
 
+use crate::control::handover::Opening;
 use crate::status::Status;
 
 /// What a write of the cell's record was for.
@@ -118,6 +119,8 @@
         /// Where it takes requests.
         address: SocketAddr,
     },
+    /// The daemons that released some granted shards have answered.
+    OrdersTaken(Vec<Opening>),
     /// The back end refused a connection.
     BackEndRefused,
     /// An operator asks for the status.
--- /dev/null
+++ b/components/daemon/src/control/handover.rs
@@ -0,0 +1,136 @@
+//! Opening gates, with the orders of the tenures before where these ended by a release.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use orders::handover::Handover;
+use orders::table::OrderTable;
+use ownership::heartbeat::Predecessor;
+use ownership::member::Changes;
+use ownership::table::{Holding, ShardId};
+use peers::wire::TakeOrdersRequest;
+use peers::{convert, handover};
+use platform::client::Store;
+use world::moment::Moment;
+
+use crate::control::{Control, Event};
+use crate::gate::Gate;
+use crate::pool::{ConnectFailed, PeerPool};
+
+/// Longest wait for the orders of the tenures before.
+const TAKE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A granted shard with the orders that its tenure starts with.
+#[derive(Debug)]
+pub struct Opening {
+    holding: Holding,
+    orders: Option<Handover>,
+}
+
+impl<S: Store> Control<S> {
+    /// Opens the gates of granted shards. One that follows a release opens when the daemon that
+    /// released it has answered, or a short time later without its orders.
+    pub(super) fn open(&mut self, now: Moment, changes: &Changes) {
+        let mut sources: BTreeMap<SocketAddr, Vec<&Predecessor>> = BTreeMap::new();
+        for predecessor in &changes.predecessors {
+            let list = sources.entry(predecessor.address).or_default();
+            list.push(predecessor);
+        }
+        let follows = |holding: &Holding| {
+            let mut predecessors = changes.predecessors.iter();
+            predecessors.any(|p| p.released.id == holding.id)
+        };
+        let (waiting, ready): (Vec<_>, Vec<_>) = changes
+            .opened
+            .iter()
+            .cloned()
+            .partition(|holding| follows(holding));
+        for (address, predecessors) in sources {
+            let ids: Vec<&ShardId> = predecessors.iter().map(|p| &p.released.id).collect();
+            let holdings = waiting.iter().filter(|h| ids.contains(&&h.id));
+            let released = predecessors.iter().map(|p| p.released.clone()).collect();
+            self.take_orders(address, holdings.cloned().collect(), released);
+        }
+        self.opening.extend(waiting);
+        let ready = ready.into_iter().map(|holding| Opening {
+            holding,
+            orders: None,
+        });
+        self.insert_gates(now, ready.collect());
+    }
+
+    /// Withdraws a granted shard whose gate has not opened yet. Returns whether it was one.
+    pub(super) fn withdraw(&mut self, holding: &Holding) -> bool {
+        let before = self.opening.len();
+        self.opening.retain(|opening| opening != holding);
+        self.opening.len() < before
+    }
+
+    pub(super) fn on_orders_taken(&mut self, now: Moment, mut openings: Vec<Opening>) {
+        openings.retain(|opening| self.withdraw(&opening.holding));
+        self.insert_gates(now, openings);
+    }
+
+    fn insert_gates(&mut self, now: Moment, openings: Vec<Opening>) {
+        if openings.is_empty() {
+            return;
+        }
+        let bounds = self.shared.settings.orders;
+        let mut gates = self.shared.gates.load().as_ref().clone();
+        for Opening { holding, orders } in openings {
+            let table = match orders {
+                Some(orders) => OrderTable::from_handover(holding.fence, bounds, now, orders),
+                None => OrderTable::new(holding.fence, bounds),
+            };
+            gates.insert(Arc::new(Gate::new(holding, table, now)));
+        }
+        self.shared.gates.store(Arc::new(gates));
+    }
+
+    fn take_orders(&self, address: SocketAddr, holdings: Vec<Holding>, released: Vec<Holding>) {
+        let pool = Arc::clone(&self.pool);
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let call = fetch(&pool, address, &released);
+            let taken = match tokio::time::timeout(TAKE_TIMEOUT, call).await {
+                Ok(Ok(taken)) => taken,
+                Ok(Err(status)) => {
+                    log::warn!(event = "orders_not_taken", reason = status.message(); "");
+                    HashMap::new()
+                }
+                Err(_) => {
+                    log::warn!(event = "orders_not_taken", reason = "timeout"; "");
+                    HashMap::new()
+                }
+            };
+            let mut taken = taken;
+            let openings = holdings.into_iter().map(|holding| Opening {
+                orders: taken.remove(&holding.id),
+                holding,
+            });
+            let _ = events.send(Event::OrdersTaken(openings.collect())).await;
+        });
+    }
+}
+
+async fn fetch(
+    pool: &PeerPool,
+    address: SocketAddr,
+    released: &[Holding],
+) -> Result<HashMap<ShardId, Handover>, tonic::Status> {
+    let unreachable = |error: ConnectFailed| tonic::Status::unavailable(error.to_string());
+    let mut client = pool.traffic(address).await.map_err(unreachable)?;
+    let request = TakeOrdersRequest {
+        released: convert::holdings_to_wire(released),
+    };
+    let mut answers = client.take_orders(request).await?.into_inner();
+    let mut taken = HashMap::new();
+    while let Some(message) = answers.message().await? {
+        let (holding, orders) = handover::from_wire(message)
+            .map_err(|fault| tonic::Status::data_loss(fault.to_string()))?;
+        taken.insert(holding.id, orders);
+    }
+    Ok(taken)
+}
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -169,7 +169,7 @@
                 self.succession.on_version(accepted.cell_version, now);
                 let changes = self.member.on_accepted(sent, now, reported, &accepted);
                 self.publish_lease();
-                self.apply(&changes);
+                self.apply(now, &changes);
                 if let Some(routes) = accepted.route {
                     self.take_routes(routes);
                 }
@@ -236,23 +236,22 @@
         }
     }
 
-    fn apply(&mut self, changes: &Changes) {
+    fn apply(&mut self, now: Moment, changes: &Changes) {
         if changes.opened.is_empty() && changes.closed.is_empty() {
             return;
         }
         let mut gates = self.shared.gates.load().as_ref().clone();
         for holding in &changes.closed {
+            if self.withdraw(holding) {
+                self.member.on_drained(holding);
+            }
             if let Some(gate) = gates.remove(holding) {
                 gate.close();
                 self.closing.push(gate);
             }
         }
-        let bounds = self.shared.settings.orders;
-        let now = self.shared.now();
-        for holding in &changes.opened {
-            gates.insert(Arc::new(Gate::new(holding.clone(), bounds, now)));
-        }
         self.shared.gates.store(Arc::new(gates));
+        self.open(now, changes);
         log::info!(
             event = "grants_changed",
             opened = changes.opened.len(),
@@ -273,7 +272,9 @@
             .drain(..)
             .partition(|gate: &Arc<Gate>| gate.is_drained(now));
         self.closing = closing;
+        let until = now + self.shared.settings.orders.lifetime;
         for gate in &drained {
+            self.shared.handovers.keep(now, until, gate);
             self.member.on_drained(gate.holding());
         }
         if self.member.has_released() {
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod coordination;
 mod event;
+mod handover;
 mod membership;
 mod report;
 mod stopping;
@@ -19,6 +20,7 @@
 use ownership::record::CellRecord;
 use ownership::renewal::Renewal;
 use ownership::succession::Succession;
+use ownership::table::Holding;
 use ownership::witness::Witness;
 use peers::secret::PeerToken;
 use peers::wire::ListsDocument;
@@ -34,6 +36,8 @@
 use crate::pool::PeerPool;
 use crate::shared::Shared;
 
+pub use handover::Opening;
+
 pub use event::{Event, RecordRead, RecordWritten, WriteKind};
 
 /// Time between two looks at leases, drains and timeouts.
@@ -93,6 +97,8 @@
     claim: Option<PendingClaim>,
     witness: Witness,
     closing: Vec<Arc<Gate>>,
+    /// Granted shards whose gates wait for the orders of the tenure before.
+    opening: Vec<Holding>,
     next_beat: Moment,
     /// Sending time of the heartbeat on its way.
     beat_sent: Option<Moment>,
@@ -131,6 +137,7 @@
             claim: None,
             witness: Witness::default(),
             closing: Vec::new(),
+            opening: Vec::new(),
             next_beat: now,
             beat_sent: None,
             next_read: now,
@@ -161,6 +168,7 @@
     fn on_tick(&mut self, now: Moment) {
         self.check_lapse(now);
         self.release_drained(now);
+        self.shared.handovers.expire(now);
         self.check_back_end(now);
         self.coordinate(now);
         self.beat(now);
@@ -206,6 +214,7 @@
             Event::RecordWritten(written) => self.on_record_written(now, written),
             Event::ListsRead(document) => self.on_lists_read(document),
             Event::Announced { back_end, address } => self.on_announced(now, back_end, address),
+            Event::OrdersTaken(openings) => self.on_orders_taken(now, openings),
             Event::BackEndRefused => self.drop_back_end("refused"),
             Event::Status(reply) => {
                 let _ = reply.send(self.status(now));
--- a/components/daemon/src/control/stopping.rs
+++ b/components/daemon/src/control/stopping.rs
@@ -11,6 +11,9 @@
 /// Time for the other daemons to learn that this one takes no new work.
 const NOTICE: Duration = Duration::from_secs(1);
 
+/// Further time for the next owners to take the orders of released shards.
+const HANDOVER_WAIT: Duration = Duration::from_secs(1);
+
 /// Time for the store to take in a resignation.
 const RESIGNATION: Duration = Duration::from_millis(400);
 
@@ -40,9 +43,14 @@
         let elapsed = now.since(stopping.started);
         let finish_by = stopping.finish_by;
         let released = self.member.is_idle() || self.has_lapsed();
+        let notice = if self.shared.handovers.is_empty() {
+            NOTICE
+        } else {
+            NOTICE + HANDOVER_WAIT
+        };
         let late = elapsed >= self.shared.settings.stop_timeout;
         match finish_by {
-            None if (released && elapsed >= NOTICE) || late => {
+            None if (released && elapsed >= notice) || late => {
                 if late {
                     log::warn!(event = "stop_timed_out", held = self.member.held_count(); "");
                 }
--- a/components/daemon/src/gate.rs
+++ b/components/daemon/src/gate.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use orders::table::{Bounds, OrderTable};
+use orders::table::OrderTable;
 use ownership::table::{self, Holding};
 use world::key::{Fence, Shard};
 use world::moment::Moment;
@@ -31,10 +31,9 @@
 }
 
 impl Gate {
-    /// An open gate of a tenure that starts at `now`.
+    /// An open gate of a tenure that starts at `now` with the given orders.
     #[must_use]
-    pub fn new(holding: Holding, bounds: Bounds, now: Moment) -> Self {
-        let orders = OrderTable::new(holding.fence, bounds);
+    pub fn new(holding: Holding, orders: OrderTable, now: Moment) -> Self {
         Self {
             holding,
             closing: AtomicBool::new(false),
@@ -205,6 +204,7 @@
 
 #[cfg(test)]
 mod tests {
+    use orders::table::Bounds;
     use ownership::table::ShardId;
 
     use super::*;
@@ -219,7 +219,7 @@
                 id,
                 fence: Fence(9),
             },
-            Bounds::default(),
+            OrderTable::new(Fence(9), Bounds::default()),
             Moment::from_millis(1),
         ))
     }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod entry;
 pub mod gate;
+pub mod handover;
 pub mod lease;
 pub mod metrics;
 pub mod owner;
--- a/components/daemon/src/peer_server.rs
+++ b/components/daemon/src/peer_server.rs
@@ -9,8 +9,8 @@
 use peers::wire::traffic_server::Traffic;
 use peers::wire::{
     AdoptReply, AdoptRequest, BorrowReply, BorrowRequest, CloseReply, CloseRequest, ConfirmReply,
-    ConfirmRequest, HeartbeatReply, HeartbeatRequest, ReplyFrame, RequestFrame, TicketReply,
-    TicketRequest,
+    ConfirmRequest, HandedOrders, HeartbeatReply, HeartbeatRequest, ReplyFrame, RequestFrame,
+    TakeOrdersRequest, TicketReply, TicketRequest,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::ReceiverStream;
@@ -21,6 +21,7 @@
 use crate::allowance;
 use crate::back_end::{Body, BodyCut};
 use crate::control::Event;
+use crate::handover;
 use crate::owner;
 use crate::shared::Shared;
 
@@ -138,6 +139,17 @@
         Ok(Response::new(Box::pin(ReceiverStream::new(reply).map(Ok))))
     }
 
+    type TakeOrdersStream = Pin<Box<dyn Stream<Item = Result<HandedOrders, Status>> + Send>>;
+
+    async fn take_orders(
+        &self,
+        request: Request<TakeOrdersRequest>,
+    ) -> Result<Response<Self::TakeOrdersStream>, Status> {
+        let given = handover::give(&self.shared, request.get_ref())?;
+        let given = futures::stream::iter(given.into_iter().map(Ok));
+        Ok(Response::new(Box::pin(given)))
+    }
+
     async fn issue_ticket(
         &self,
         request: Request<TicketRequest>,
--- a/components/daemon/src/shared.rs
+++ b/components/daemon/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::back_end::BackEndClient;
 use crate::control::Event;
 use crate::gate::GateTable;
+use crate::handover::Handovers;
 use crate::lease::LeaseCell;
 use crate::metrics::Counters;
 use crate::pool::PeerPool;
@@ -83,6 +84,8 @@
     pub ticket_key: TicketKey,
     /// Borrowed allowances.
     pub purses: Purses,
+    /// Orders of released tenures.
+    pub handovers: Handovers,
     /// Counters.
     pub counters: Arc<Counters>,
     /// Events for the control thread.
@@ -120,6 +123,7 @@
             budget: RetryBudget::default(),
             ticket_key,
             purses: Purses::default(),
+            handovers: Handovers::default(),
             counters: Arc::default(),
             events,
             observed: RwLock::default(),
--- a/components/orders/src/table.rs
+++ b/components/orders/src/table.rs
@@ -8,6 +8,7 @@
 use world::key::Fence;
 use world::moment::Moment;
 
+use crate::handover::{HandedFence, HandedOrder, Handover, Progress};
 use crate::ticket::{Nonce, Scope, Ticket};
 
 /// Bounds of a table.
@@ -86,6 +87,17 @@
     Unknown,
 }
 
+impl From<State> for Progress {
+    fn from(state: State) -> Self {
+        match state {
+            State::Issued => Self::Issued,
+            State::Running | State::Unknown => Self::Unknown,
+            State::Answered(answer) => Self::Answered(answer),
+            State::Dropped => Self::Dropped,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     scope: Scope,
@@ -102,6 +114,14 @@
     /// Nonces by expiry. Invariant: the same nonces as in `entries`.
     expiry: VecDeque<(Moment, Nonce)>,
     answer_bytes: usize,
+    /// Earlier tenures of which every ticket that is still valid is in `entries`.
+    adopted: Vec<AdoptedFence>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AdoptedFence {
+    fence: Fence,
+    expires: Moment,
 }
 
 impl OrderTable {
@@ -114,7 +134,92 @@
             entries: HashMap::new(),
             expiry: VecDeque::new(),
             answer_bytes: 0,
+            adopted: Vec::new(),
+        }
+    }
+
+    /// The table of a tenure that goes on with the orders of the one before. A hand-over with
+    /// more tickets than the bounds allow is left out whole, so that its tickets are stale.
+    #[must_use]
+    pub fn from_handover(fence: Fence, bounds: Bounds, now: Moment, handover: Handover) -> Self {
+        let mut table = Self::new(fence, bounds);
+        if handover.orders.len() > bounds.tickets {
+            return table;
         }
+        let adopted = handover.fences.iter().map(|handed| AdoptedFence {
+            fence: handed.fence,
+            expires: now + handed.remaining.min(bounds.lifetime),
+        });
+        table.adopted = adopted.collect();
+        let mut expiry: Vec<(Moment, Nonce)> = Vec::with_capacity(handover.orders.len());
+        for order in handover.orders {
+            expiry.push((now + order.remaining.min(bounds.lifetime), order.nonce));
+            let state = table.state_of(order.progress);
+            let scope = order.scope;
+            table.entries.insert(order.nonce, Entry { scope, state });
+        }
+        expiry.sort_unstable();
+        table.expiry = expiry.into();
+        table
+    }
+
+    /// Ends the tenure and gives its orders away; afterwards the table knows none.
+    pub fn hand_over(&mut self, now: Moment) -> Handover {
+        self.expire(now);
+        let mut fences = vec![HandedFence {
+            fence: self.fence,
+            remaining: self.bounds.lifetime,
+        }];
+        fences.extend(
+            self.adopted
+                .drain(..)
+                .filter(|a| now < a.expires)
+                .map(|a| HandedFence {
+                    fence: a.fence,
+                    remaining: a.expires.since(now),
+                }),
+        );
+        let mut orders = Vec::with_capacity(self.entries.len());
+        for (expires, nonce) in std::mem::take(&mut self.expiry) {
+            let Some(entry) = self.entries.remove(&nonce) else {
+                continue;
+            };
+            orders.push(HandedOrder {
+                nonce,
+                scope: entry.scope,
+                progress: entry.state.into(),
+                remaining: expires.since(now),
+            });
+        }
+        self.answer_bytes = 0;
+        Handover { fences, orders }
+    }
+
+    fn state_of(&mut self, progress: Progress) -> State {
+        match progress {
+            Progress::Issued => State::Issued,
+            Progress::Answered(answer) => self.keep(answer),
+            Progress::Dropped => State::Dropped,
+            Progress::Unknown => State::Unknown,
+        }
+    }
+
+    /// Keeps an answer when it fits the bounds.
+    fn keep(&mut self, answer: Recorded) -> State {
+        let size = answer.body.len();
+        let room = self.bounds.answer_bytes - self.answer_bytes;
+        if size > self.bounds.one_answer.min(room) {
+            return State::Dropped;
+        }
+        self.answer_bytes += size;
+        State::Answered(answer)
+    }
+
+    /// Tells whether this table knows every valid ticket of a tenure.
+    fn knows(&self, now: Moment, fence: Fence) -> bool {
+        let adopted = self.adopted.iter();
+        let mut adopted = adopted.filter(|a| now < a.expires);
+        fence == self.fence || adopted.any(|a| a.fence == fence)
     }
 
     /// Largest single answer that the table keeps, in bytes.
@@ -156,7 +261,7 @@
         if ticket.scope != *scope {
             return Admission::Mismatch;
         }
-        if ticket.fence != self.fence {
+        if !self.knows(now, ticket.fence) {
             return Admission::Stale;
         }
         self.expire(now);
@@ -180,28 +285,21 @@
 
     /// Notes how a started order ended.
     pub fn finish(&mut self, ticket: &Ticket, end: End) {
-        let bounds = self.bounds;
-        let kept = self.answer_bytes;
-        let Some(entry) = self.entries.get_mut(&ticket.nonce) else {
-            return;
-        };
-        if entry.state != State::Running {
+        let running = self
+            .entries
+            .get(&ticket.nonce)
+            .is_some_and(|e| e.state == State::Running);
+        if !running {
             return;
         }
-        entry.state = match end {
+        let state = match end {
             End::NotRun => State::Issued,
             End::Unknown => State::Unknown,
-            End::Answered(answer) => {
-                let size = answer.body.len();
-                let fits = size <= bounds.one_answer && kept + size <= bounds.answer_bytes;
-                if fits {
-                    self.answer_bytes += size;
-                    State::Answered(answer)
-                } else {
-                    State::Dropped
-                }
-            }
+            End::Answered(answer) => self.keep(answer),
         };
+        if let Some(entry) = self.entries.get_mut(&ticket.nonce) {
+            entry.state = state;
+        }
     }
 
     /// Forgets expired tickets. A running order stays until it has ended.
@@ -326,6 +424,48 @@
         );
     }
 
+    #[test]
+    fn goes_on_with_the_orders_of_the_tenure_before() {
+        let mut before = table(8);
+        let now = Moment::from_millis(10);
+        let (issued, answered, started) = (ticket(1), ticket(2), ticket(3));
+        for ticket in [&issued, &answered, &started] {
+            before.issue(now, ticket);
+        }
+        before.admit(now, &answered, &answered.scope);
+        before.finish(&answered, End::Answered(answer(3)));
+        before.admit(now, &started, &started.scope);
+        let handover = before.hand_over(now);
+        assert!(before.is_empty());
+        assert_eq!(before.hand_over(now).orders, Vec::new());
+        let bounds = Bounds::default();
+        let mut after = OrderTable::from_handover(Fence(9), bounds, now, handover);
+        let mut admit = |ticket: &Ticket| after.admit(now, ticket, &ticket.scope);
+        assert_eq!(admit(&issued), Admission::Run);
+        assert_eq!(admit(&issued), Admission::InProgress);
+        assert_eq!(admit(&answered), Admission::Replay(answer(3)));
+        assert_eq!(admit(&started), Admission::Unknown);
+        assert_eq!(admit(&ticket(4)), Admission::Expired);
+    }
+
+    #[test]
+    fn leaves_out_a_handover_with_too_many_tickets() {
+        let mut before = table(8);
+        let now = Moment::from_millis(10);
+        for nonce in 0..3 {
+            before.issue(now, &ticket(nonce));
+        }
+        let bounds = Bounds {
+            tickets: 2,
+            ..Bounds::default()
+        };
+        let handover = before.hand_over(now);
+        let mut after = OrderTable::from_handover(Fence(9), bounds, now, handover);
+        assert!(after.is_empty());
+        let ticket = ticket(1);
+        assert_eq!(after.admit(now, &ticket, &ticket.scope), Admission::Stale);
+    }
+
     #[test]
     fn refuses_tickets_of_another_tenure_or_scope() {
         let mut table = table(8);
--- a/components/orders/tests/at_most_once.rs
+++ b/components/orders/tests/at_most_once.rs
@@ -29,6 +29,8 @@
     GiveUp(usize),
     /// The shard moves to another owner, which knows nothing of the tickets.
     Move,
+    /// The shard moves as planned, and the new owner goes on with its orders.
+    HandOver,
     /// Time passes.
     Wait(u64),
 }
@@ -51,6 +53,14 @@
     told_not_run: HashSet<usize>,
 }
 
+fn bounds() -> Bounds {
+    Bounds {
+        tickets: 16,
+        lifetime: Duration::from_secs(5),
+        ..Bounds::default()
+    }
+}
+
 fn scope() -> Scope {
     Scope::new("vendor-1", "credits", KeyHash(7))
 }
@@ -71,12 +81,15 @@
 
     fn move_shard(&mut self) {
         let fence = Fence(self.tables.len() as u64 + 1);
-        let bounds = Bounds {
-            tickets: 16,
-            lifetime: Duration::from_secs(5),
-            ..Bounds::default()
-        };
-        self.tables.push(OrderTable::new(fence, bounds));
+        self.tables.push(OrderTable::new(fence, bounds()));
+    }
+
+    fn hand_over(&mut self) {
+        let owner = self.owner();
+        let handover = self.tables[owner].hand_over(self.now);
+        let fence = Fence(self.tables.len() as u64 + 1);
+        let table = OrderTable::from_handover(fence, bounds(), self.now, handover);
+        self.tables.push(table);
     }
 
     fn owner(&self) -> usize {
@@ -94,6 +107,7 @@
             Step::Refuse(run) => self.with_run(*run, Self::refuse),
             Step::GiveUp(run) => self.with_run(*run, Self::give_up),
             Step::Move => self.move_shard(),
+            Step::HandOver => self.hand_over(),
             Step::Wait(millis) => self.now = self.now + Duration::from_millis(*millis),
             Step::Send(_) => {}
         }
@@ -216,6 +230,7 @@
         2 => any::<usize>().prop_map(Step::Refuse),
         2 => any::<usize>().prop_map(Step::GiveUp),
         1 => Just(Step::Move),
+        2 => Just(Step::HandOver),
         2 => (0u64..4_000).prop_map(Step::Wait),
     ]
 }
--- a/components/ownership/src/coordinator/mod.rs
+++ b/components/ownership/src/coordinator/mod.rs
@@ -12,7 +12,7 @@
 use world::moment::Moment;
 use world::name::{MachineName, ServiceName};
 
-use crate::heartbeat::{Accepted, CoordinatorRef, Reply, Request, ShardLoad};
+use crate::heartbeat::{Accepted, CoordinatorRef, Grants, Predecessor, Reply, Request, ShardLoad};
 use crate::table::{self, Holding, RouteTable, ShardId};
 use crate::timing::Timing;
 
@@ -25,6 +25,9 @@
 /// Incarnations of one machine that are remembered as replaced.
 const RETIRED_INCARNATIONS: usize = 8;
 
+/// Time for which a new owner is told where it can take the orders of the tenure before.
+const HANDOVER_PERIOD: Duration = Duration::from_secs(5);
+
 /// Index of a member; members are never renumbered within a term.
 type MemberId = usize;
 
@@ -49,9 +52,19 @@
     releasing: bool,
     /// Member that held the shard last, with the fence it reported.
     previous: Option<MemberId>,
+    /// The last tenure, when it ended by a release.
+    released: Option<Release>,
     load: f64,
 }
 
+/// End of a tenure by a release.
+#[derive(Clone, Copy, Debug)]
+struct Release {
+    member: MemberId,
+    fence: Fence,
+    at: Moment,
+}
+
 /// Grants leases and assigns shards during one term.
 #[derive(Clone, Debug)]
 pub struct Coordinator {
@@ -188,11 +201,11 @@
         let Some(id) = self.admit(now, request) else {
             return Reply::Refused(Some(self.me.clone()));
         };
-        self.take_report(id, request);
+        self.take_report(now, id, request);
         let lease = self.renew(id, now, authority_until);
         self.lapse(now);
         self.plan(now);
-        self.reply(id, lease, cell_version, request)
+        self.reply(now, id, lease, cell_version, request)
     }
 
     /// Acts on lapsed leases and balances the load.
@@ -274,14 +287,14 @@
         }
     }
 
-    fn take_report(&mut self, id: MemberId, request: &Request) {
+    fn take_report(&mut self, now: Moment, id: MemberId, request: &Request) {
         if let Some(back_end) = &request.machine.back_end
             && back_end.contract.keyed
         {
             self.add_service(&back_end.contract.service);
         }
         for holding in &request.released {
-            self.on_released(id, holding);
+            self.on_released(now, id, holding);
         }
         for holding in &request.held {
             self.on_held(id, holding);
@@ -305,7 +318,7 @@
         }
     }
 
-    fn on_released(&mut self, id: MemberId, holding: &Holding) {
+    fn on_released(&mut self, now: Moment, id: MemberId, holding: &Holding) {
         let Some(slot) = self.slot_mut(&holding.id) else {
             return;
         };
@@ -314,6 +327,11 @@
             slot.owner = None;
             slot.releasing = false;
             slot.previous = None;
+            slot.released = Some(Release {
+                member: id,
+                fence: holding.fence,
+                at: now,
+            });
             self.routes_stale = true;
         }
     }
@@ -368,6 +386,7 @@
             }
             for slot in slots.iter_mut().filter(|s| s.owner == Some(id)) {
                 slot.owner = None;
+                slot.released = None;
                 slot.previous = (!slot.releasing).then_some(id);
                 slot.releasing = false;
             }
@@ -386,11 +405,18 @@
         lease
     }
 
-    fn reply(&self, id: MemberId, lease: Duration, cell_version: u64, request: &Request) -> Reply {
+    fn reply(
+        &self,
+        now: Moment,
+        id: MemberId,
+        lease: Duration,
+        cell_version: u64,
+        request: &Request,
+    ) -> Reply {
         let peer = &self.peers[id];
         let revision = if lease.is_zero() { 0 } else { peer.revision };
         let known = request.term == self.me.term && request.revision == revision;
-        let grants = (revision != 0 && !known).then(|| self.grants_of(id));
+        let grants = (revision != 0 && !known).then(|| self.grants_of(now, id));
         let route =
             (request.route_version != self.routes.version).then(|| Arc::clone(&self.routes));
         Reply::Accepted(Accepted {
@@ -403,25 +429,41 @@
         })
     }
 
-    fn grants_of(&self, id: MemberId) -> Vec<Holding> {
-        let mut grants = Vec::new();
+    fn grants_of(&self, now: Moment, member: MemberId) -> Grants {
+        let mut grants = Grants::default();
         for (service, slots) in &self.services {
             for (shard, slot) in slots.iter().enumerate() {
-                if slot.owner == Some(id) && !slot.releasing {
-                    let shard = Shard(u16::try_from(shard).unwrap_or(u16::MAX));
-                    let id = ShardId {
-                        service: service.clone(),
-                        shard,
-                    };
-                    grants.push(Holding {
-                        id,
-                        fence: slot.fence,
-                    });
+                if slot.owner != Some(member) || slot.releasing {
+                    continue;
                 }
+                let id = ShardId {
+                    service: service.clone(),
+                    shard: Shard(u16::try_from(shard).unwrap_or(u16::MAX)),
+                };
+                grants.predecessors.extend(self.predecessor(now, &id, slot));
+                grants.holdings.push(Holding {
+                    id,
+                    fence: slot.fence,
+                });
             }
         }
         grants
     }
+
+    /// The tenure before, while its orders may still be taken.
+    fn predecessor(&self, now: Moment, id: &ShardId, slot: &Slot) -> Option<Predecessor> {
+        let release = slot.released?;
+        if id.service.as_str() == table::CUSTOMERS_SERVICE || now >= release.at + HANDOVER_PERIOD {
+            return None;
+        }
+        Some(Predecessor {
+            released: Holding {
+                id: id.clone(),
+                fence: release.fence,
+            },
+            address: self.peers[release.member].machine.traffic_address,
+        })
+    }
 }
 
 fn same_back_end(left: &Machine, right: &Machine) -> bool {
--- a/components/ownership/src/heartbeat.rs
+++ b/components/ownership/src/heartbeat.rs
@@ -72,9 +72,27 @@
     /// Revision of the member's grants.
     pub revision: u64,
     /// All grants of the member, when the revision differs from the member's.
-    pub grants: Option<Vec<Holding>>,
+    pub grants: Option<Grants>,
     /// The route table, when its version differs from the member's.
     pub route: Option<Arc<RouteTable>>,
     /// Version of the cell's record at the coordinator's last confirmed renewal.
     pub cell_version: u64,
 }
+
+/// All grants of a member.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Grants {
+    /// What the member holds from now on.
+    pub holdings: Vec<Holding>,
+    /// Released tenures that some of the holdings follow.
+    pub predecessors: Vec<Predecessor>,
+}
+
+/// A tenure that was released as planned. Its orders may be taken by the tenure that follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Predecessor {
+    /// The tenure.
+    pub released: Holding,
+    /// Where the daemon that released it takes requests of other daemons.
+    pub address: SocketAddr,
+}
--- a/components/ownership/src/member.rs
+++ b/components/ownership/src/member.rs
@@ -5,7 +5,7 @@
 use world::key::{Fence, Term};
 use world::moment::Moment;
 
-use crate::heartbeat::{Accepted, CoordinatorRef};
+use crate::heartbeat::{Accepted, CoordinatorRef, Grants, Predecessor};
 use crate::table::{Holding, ShardId};
 
 /// What changed for a member by an accepted heartbeat.
@@ -15,6 +15,8 @@
     pub opened: Vec<Holding>,
     /// Shards that take no new requests from now on; they are released once drained.
     pub closed: Vec<Holding>,
+    /// Released tenures that opened ones follow.
+    pub predecessors: Vec<Predecessor>,
 }
 
 /// Lease and grants of one member.
@@ -104,6 +106,12 @@
         })
     }
 
+    /// Tells whether the member holds a shard under a fence.
+    #[must_use]
+    pub fn holds(&self, holding: &Holding) -> bool {
+        self.held.get(&holding.id) == Some(&holding.fence)
+    }
+
     /// What to report as released.
     #[must_use]
     pub fn released(&self) -> Vec<Holding> {
@@ -167,9 +175,9 @@
         changes
     }
 
-    fn replace(&mut self, reply: &Accepted, grants: &[Holding]) -> Changes {
+    fn replace(&mut self, reply: &Accepted, grants: &Grants) -> Changes {
         let mut next = BTreeMap::new();
-        for grant in grants {
+        for grant in &grants.holdings {
             next.insert(grant.id.clone(), grant.fence);
         }
         let opened = difference(&next, &self.held);
@@ -183,7 +191,15 @@
         self.held = next;
         self.grant_term = self.term;
         self.revision = reply.revision;
-        Changes { opened, closed }
+        let predecessors = grants.predecessors.iter().filter(|predecessor| {
+            let id = &predecessor.released.id;
+            opened.iter().any(|holding| holding.id == *id)
+        });
+        Changes {
+            predecessors: predecessors.cloned().collect(),
+            opened,
+            closed,
+        }
     }
 
     /// Notes that no request is in flight for a closed shard.
--- a/components/peers/src/convert.rs
+++ b/components/peers/src/convert.rs
@@ -1,10 +1,13 @@
 //! Conversions between wire messages and typed ones, with checks of what comes in.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ownership::heartbeat::{Accepted, CoordinatorRef, Reply, Request, ShardLoad};
+use ownership::heartbeat::{
+    Accepted, CoordinatorRef, Grants, Predecessor, Reply, Request, ShardLoad,
+};
 use ownership::table::{self, Holding, OwnerRange, RouteTable, ShardId};
 use snafu::{ResultExt, Snafu};
 use world::contract::{Contract, Operation};
@@ -131,7 +134,9 @@
     })
 }
 
-fn holdings_to_wire(holdings: &[Holding]) -> Vec<wire::HoldingSet> {
+/// Makes the wire form of holdings.
+#[must_use]
+pub fn holdings_to_wire(holdings: &[Holding]) -> Vec<wire::HoldingSet> {
     let mut sets: BTreeMap<&ServiceName, wire::HoldingSet> = BTreeMap::new();
     for holding in holdings {
         let set = sets.entry(&holding.id.service).or_default();
@@ -146,7 +151,11 @@
         .collect()
 }
 
-fn holdings_from_wire(sets: &[wire::HoldingSet]) -> Result<Vec<Holding>, WireFault> {
+/// Reads holdings.
+///
+/// # Errors
+/// Names the first field at fault.
+pub fn holdings_from_wire(sets: &[wire::HoldingSet]) -> Result<Vec<Holding>, WireFault> {
     let mut holdings = Vec::new();
     for set in sets {
         let service = service_name(&set.service)?;
@@ -283,9 +292,7 @@
 }
 
 fn accepted_to_wire(accepted: &Accepted) -> wire::HeartbeatReply {
-    let grants = accepted.grants.as_ref().map(|grants| wire::GrantSet {
-        grants: holdings_to_wire(grants),
-    });
+    let grants = accepted.grants.as_ref().map(grants_to_wire);
     wire::HeartbeatReply {
         accepted: true,
         lease_ms: u32::try_from(accepted.lease.as_millis()).unwrap_or(u32::MAX),
@@ -297,6 +304,45 @@
     }
 }
 
+fn grants_to_wire(grants: &Grants) -> wire::GrantSet {
+    let mut released: BTreeMap<SocketAddr, Vec<Holding>> = BTreeMap::new();
+    for predecessor in &grants.predecessors {
+        let list = released.entry(predecessor.address).or_default();
+        list.push(predecessor.released.clone());
+    }
+    let sets = released
+        .into_iter()
+        .map(|(address, list)| wire::PredecessorSet {
+            traffic_address: address.to_string(),
+            released: holdings_to_wire(&list),
+        });
+    wire::GrantSet {
+        grants: holdings_to_wire(&grants.holdings),
+        predecessors: sets.collect(),
+    }
+}
+
+fn grants_from_wire(set: &wire::GrantSet) -> Result<Grants, WireFault> {
+    let mut predecessors = Vec::new();
+    for source in &set.predecessors {
+        let field = "traffic_address";
+        let address = source
+            .traffic_address
+            .parse()
+            .context(AddressSnafu { field })?;
+        let released = holdings_from_wire(&source.released)?;
+        predecessors.extend(
+            released
+                .into_iter()
+                .map(|released| Predecessor { released, address }),
+        );
+    }
+    Ok(Grants {
+        holdings: holdings_from_wire(&set.grants)?,
+        predecessors,
+    })
+}
+
 /// Reads an answer to a heartbeat.
 ///
 /// # Errors
@@ -309,11 +355,7 @@
     let coordinator = coordinator.ok_or(WireFault::Missing {
         field: "coordinator",
     })?;
-    let grants = message
-        .grants
-        .as_ref()
-        .map(|set| holdings_from_wire(&set.grants))
-        .transpose()?;
+    let grants = message.grants.as_ref().map(grants_from_wire).transpose()?;
     let route = message.route.as_ref().map(route_from_wire).transpose()?;
     Ok(Reply::Accepted(Accepted {
         coordinator,
--- /dev/null
+++ b/components/peers/src/handover.rs
@@ -0,0 +1,109 @@
+//! Conversions between orders handed over and their wire form.
+
+use std::time::Duration;
+
+use orders::handover::{HandedFence, HandedOrder, Handover, Progress};
+use orders::table::Recorded;
+use orders::ticket::{Nonce, Scope};
+use ownership::table::Holding;
+use world::key::{Fence, KeyHash};
+
+use crate::convert::{self, WireFault};
+use crate::wire;
+
+/// Makes the wire form of the orders of a released tenure.
+#[must_use]
+pub fn to_wire(released: &Holding, handover: Handover) -> wire::HandedOrders {
+    let fences = handover.fences.iter().map(|handed| wire::HandedFence {
+        fence: handed.fence.0,
+        remaining_ms: millis(handed.remaining),
+    });
+    wire::HandedOrders {
+        released: convert::holdings_to_wire(std::slice::from_ref(released)).pop(),
+        fences: fences.collect(),
+        orders: handover.orders.into_iter().map(order_to_wire).collect(),
+    }
+}
+
+fn order_to_wire(order: HandedOrder) -> wire::HandedOrder {
+    let (progress, answer) = match order.progress {
+        Progress::Issued => (wire::Progress::Issued, None),
+        Progress::Dropped => (wire::Progress::Dropped, None),
+        Progress::Unknown => (wire::Progress::Unknown, None),
+        Progress::Answered(answer) => (
+            wire::Progress::Answered,
+            Some(wire::RecordedAnswer {
+                status: u32::from(answer.status),
+                content_type: answer.content_type,
+                body: answer.body,
+            }),
+        ),
+    };
+    wire::HandedOrder {
+        nonce: order.nonce.0.to_be_bytes().to_vec().into(),
+        customer_hash: order.scope.customer,
+        service_hash: order.scope.service,
+        key_hash: order.scope.key.0,
+        remaining_ms: millis(order.remaining),
+        progress: progress.into(),
+        answer,
+    }
+}
+
+/// Reads the orders of a released tenure.
+///
+/// # Errors
+/// Names the first field at fault.
+pub fn from_wire(message: wire::HandedOrders) -> Result<(Holding, Handover), WireFault> {
+    let field = "released";
+    let set = message.released.ok_or(WireFault::Missing { field })?;
+    let mut released = convert::holdings_from_wire(&[set])?;
+    let released = released.pop().ok_or(WireFault::Missing { field })?;
+    let fences = message.fences.iter().map(|handed| HandedFence {
+        fence: Fence(handed.fence),
+        remaining: duration(handed.remaining_ms),
+    });
+    let orders: Result<_, WireFault> = message.orders.into_iter().map(order_from_wire).collect();
+    let handover = Handover {
+        fences: fences.collect(),
+        orders: orders?,
+    };
+    Ok((released, handover))
+}
+
+fn order_from_wire(order: wire::HandedOrder) -> Result<HandedOrder, WireFault> {
+    let range = |field| WireFault::Range { field };
+    let nonce = <[u8; 16]>::try_from(order.nonce.as_ref()).map_err(|_| range("nonce"))?;
+    let progress = match order.progress() {
+        wire::Progress::Issued => Progress::Issued,
+        wire::Progress::Dropped => Progress::Dropped,
+        wire::Progress::Unknown => Progress::Unknown,
+        wire::Progress::Answered => {
+            let answer = order.answer.ok_or(WireFault::Missing { field: "answer" })?;
+            Progress::Answered(Recorded {
+                status: u16::try_from(answer.status).map_err(|_| range("status"))?,
+                content_type: answer.content_type,
+                body: answer.body,
+            })
+        }
+        wire::Progress::Unspecified => return Err(range("progress")),
+    };
+    Ok(HandedOrder {
+        nonce: Nonce(u128::from_be_bytes(nonce)),
+        scope: Scope {
+            customer: order.customer_hash,
+            service: order.service_hash,
+            key: KeyHash(order.key_hash),
+        },
+        progress,
+        remaining: duration(order.remaining_ms),
+    })
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn duration(millis: u32) -> Duration {
+    Duration::from_millis(u64::from(millis))
+}
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -1,6 +1,7 @@
 //! Services between daemons: wire messages and their typed counterparts.
 
 pub mod convert;
+pub mod handover;
 pub mod secret;
 
 /// Messages and services generated from `proto/peers.proto`.
--- a/components/peers/tests/round_trip.rs
+++ b/components/peers/tests/round_trip.rs
@@ -89,7 +89,12 @@
     let Reply::Accepted(accepted) = &reply else {
         panic!("not accepted")
     };
-    assert!(accepted.grants.as_ref().is_some_and(|g| !g.is_empty()));
+    assert!(
+        accepted
+            .grants
+            .as_ref()
+            .is_some_and(|g| !g.holdings.is_empty())
+    );
     let message = convert::reply_to_wire(&reply);
     assert_eq!(convert::reply_from_wire(&message).expect("readable"), reply);
 }
