Take a lost coordinator's term over without the store

A term was taken over only through the store.

Change: a coordinator pledges to its witnesses not to count the store; a witness that hears neither of them asks the others for endorsement, and two of three let it coordinate under an acting term. Witnesses now stand in as many zones as possible; with four zones the pledge stands always. A coordinator whose witnesses fail it gives its term up.

--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -8,7 +8,7 @@
 use ownership::closing::Closing;
 use ownership::coordinator::Coordinator;
 use ownership::heartbeat::{Reply, Request};
-use ownership::record::CellRecord;
+use ownership::record::{CellRecord, OpenTerm, WitnessRef};
 use ownership::renewal::{Claim, Renewal};
 use ownership::succession::Step;
 use peers::convert;
@@ -19,7 +19,9 @@
 use world::key::Term;
 use world::moment::Moment;
 
-use crate::control::{Control, Event, PendingClaim, RecordRead, RecordWritten, Role, WriteKind};
+use crate::control::{
+    Control, Event, HeldTerm, ListsWatch, PendingClaim, RecordRead, RecordWritten, Role, WriteKind,
+};
 
 /// Longest wait of one watch on the lists.
 const LISTS_PATIENCE: Duration = Duration::from_secs(10);
@@ -46,9 +48,11 @@
         let Some(role) = &mut self.role else { return };
         let listed = role.renewal.record().witnesses.clone();
         let witnesses = role.coordinator.choose_witnesses(&listed);
+        let standing = role.coordinator.are_apart(&witnesses);
+        role.renewal.review_pledge(now, standing, &witnesses);
         role.renewal.set_witnesses(witnesses);
         role.coordinator.tick(now, role.renewal.authority_until());
-        if is_isolated(&role.coordinator, now) {
+        if is_isolated(&role.coordinator, now) || role.renewal.is_starved(now) {
             log::warn!(event = "isolated", term = role.coordinator.term().0; "");
             return self.resign(now);
         }
@@ -62,6 +66,10 @@
         let Some(role) = &mut self.role else { return };
         if now >= role.next_renewal {
             role.next_renewal = now + self.shared.settings.timing.renewal;
+            if role.renewal.is_acting() {
+                self.read_record();
+                return self.ask_witnesses(now);
+            }
             if self.writing {
                 return self.ask_witnesses(now);
             }
@@ -120,6 +128,9 @@
 
     pub(super) fn on_record_read(&mut self, now: Moment, read: RecordRead) {
         self.reading = false;
+        if read.result.is_ok() {
+            self.succession.on_store_answer(now);
+        }
         let object = match read.result {
             Ok(object) => object,
             Err(error) => {
@@ -145,18 +156,21 @@
     }
 
     fn on_record(&mut self, now: Moment, record: &CellRecord, object: &Object) {
+        if let Some(claim) = self.claim.take()
+            && claim.record.write_id == record.write_id
+        {
+            return self.become_coordinator(now, claim, object.version);
+        }
         if let Some(role) = &mut self.role {
+            if role.renewal.is_acting() {
+                return self.on_record_while_acting(now, record, object);
+            }
             if role.renewal.on_read_back(record, object.version) == Claim::Lost {
                 self.step_down("overtaken");
             }
             self.member.adopt(record.coordinator_ref());
             return;
         }
-        if let Some(claim) = self.claim.take()
-            && claim.record.write_id == record.write_id
-        {
-            return self.become_coordinator(now, claim, object.version);
-        }
         let adopted = record.term > self.member.term();
         self.member.adopt(record.coordinator_ref());
         self.succession.on_record(record, object.version, now);
@@ -181,19 +195,16 @@
         let Step::TakeOver(expected) = self.succession.step(now, true) else {
             return;
         };
+        self.claim_term(now, expected, previous);
+    }
+
+    /// Replaces the record at version `expected` by one with the next term.
+    pub(super) fn claim_term(&mut self, now: Moment, expected: u64, previous: Option<&CellRecord>) {
         let previous_term = previous.map_or(Term(0), |r| r.term);
-        let machine = self.shared.machine.load();
-        let record = CellRecord {
-            cell: self.shared.settings.cell.clone(),
-            term: Term(previous_term.max(self.member.term()).0 + 1),
-            coordinator: machine.name.clone(),
-            incarnation: machine.incarnation,
-            address: machine.peer_address,
-            write_id: rand::random(),
-            resigned: false,
-            witnesses: Vec::new(),
-            open_terms: previous.map(CellRecord::terms_to_close).unwrap_or_default(),
-        };
+        let term = previous_term.max(self.member.term()).next_stored();
+        let open_terms = previous.map(CellRecord::terms_to_close);
+        let write_id = rand::random();
+        let record = self.own_record(term, write_id, Vec::new(), open_terms.unwrap_or_default());
         let store_ended = self.succession.version_since().unwrap_or(now);
         self.claim = Some(PendingClaim {
             record: record.clone(),
@@ -203,6 +214,28 @@
         self.write_record(WriteKind::TakeOver, expected, &record);
     }
 
+    /// A record that names this daemon as coordinator.
+    pub(super) fn own_record(
+        &self,
+        term: Term,
+        write_id: u64,
+        witnesses: Vec<WitnessRef>,
+        open_terms: Vec<OpenTerm>,
+    ) -> CellRecord {
+        let machine = self.shared.machine.load();
+        CellRecord {
+            cell: self.shared.settings.cell.clone(),
+            term,
+            coordinator: machine.name.clone(),
+            incarnation: machine.incarnation,
+            address: machine.peer_address,
+            write_id,
+            resigned: false,
+            witnesses,
+            open_terms,
+        }
+    }
+
     fn become_coordinator(&mut self, now: Moment, claim: PendingClaim, version: u64) {
         let PendingClaim {
             record,
@@ -214,15 +247,26 @@
         log::info!(event = "term_taken", term = me.term.0, version = version; "");
         self.shared.counters.take_overs.add();
         self.announce_term(&me);
-        let closing = Closing::new(timing, record.open_terms.clone(), store_ended);
+        // A daemon that still acts for the term before holds the proof that it has ended.
+        let acted = self.role.take().filter(|role| {
+            role.renewal.is_acting() && role.coordinator.term().next_stored() == me.term
+        });
+        let closing = match acted {
+            Some(_) => Closing::new(timing, Vec::new(), now),
+            None => Closing::new(timing, record.open_terms.clone(), store_ended),
+        };
         let grants_from = closing.grants_from().unwrap_or(now);
+        let coordinator = match acted {
+            Some(role) => role.coordinator.promote(me.clone()),
+            None => Coordinator::new(timing, me.clone(), now, grants_from),
+        };
         self.role = Some(Role {
-            coordinator: Coordinator::new(timing, me.clone(), now, grants_from),
+            coordinator,
             renewal: Renewal::new(timing, record, version, sent),
             closing,
             next_close: now,
-            lists_watch: watch_lists(self.store.clone(), self.events.clone()),
-            lists: None,
+            _lists_watch: self.watch_lists(),
+            lists: self.lists_document(),
             next_renewal: now + timing.renewal,
             told_version: 0,
             next_telling: now,
@@ -232,7 +276,7 @@
     }
 
     /// Tells the members that this daemon knows of to send a heartbeat to it at once.
-    fn announce_term(&self, me: &ownership::heartbeat::CoordinatorRef) {
+    pub(super) fn announce_term(&self, me: &ownership::heartbeat::CoordinatorRef) {
         let message = convert::adopt_to_wire(&self.shared.settings.cell, me);
         for machine in &self.shared.routes.load().machines {
             if machine.name == me.name {
@@ -287,20 +331,41 @@
     }
 
     pub(super) fn step_down(&mut self, reason: &str) {
-        if self.role.take().is_some() {
+        if let Some(role) = self.role.take() {
+            self.last_held = Some(HeldTerm {
+                term: role.coordinator.term(),
+                pledged: role.renewal.is_pledged(),
+            });
             log::warn!(event = "term_lost", reason = reason; "");
             self.shared.counters.terms_lost.add();
         }
     }
 
+    /// The lists in force here, to be relayed to members.
+    pub(super) fn lists_document(&self) -> Option<ListsDocument> {
+        let lists = self.shared.lists.load();
+        lists.as_ref().map(|lists| ListsDocument {
+            version: lists.version,
+            text: lists.text.clone(),
+        })
+    }
+
+    pub(super) fn watch_lists(&self) -> ListsWatch {
+        ListsWatch(watch_lists(self.store.clone(), self.events.clone()))
+    }
+
     /// Gives the term up, so that a successor need not suspect this daemon first.
     pub(super) fn resign(&mut self, now: Moment) {
         let Some(role) = &mut self.role else { return };
         let expected = role.renewal.version();
+        let acting = role.renewal.is_acting();
         role.renewal.resign(now);
         let record = role.renewal.start(now, rand::random());
         self.step_down("resigned");
         self.succession.hold_off(now + HOLD_OFF);
+        if acting {
+            return;
+        }
         self.write_record(WriteKind::Resignation, expected, &record);
     }
 }
--- a/components/daemon/src/control/event.rs
+++ b/components/daemon/src/control/event.rs
@@ -4,11 +4,12 @@
 
 use ownership::heartbeat::{CoordinatorRef, Request};
 use ownership::record::WitnessRef;
-use peers::wire::{HeartbeatReply, ListsDocument};
+use ownership::witness::{ConfirmRequest, EndorseRequest};
+use peers::wire::{CloseReply, HeartbeatReply, ListsDocument};
 use platform::client::{Object, StoreError, Update};
 use tokio::sync::oneshot;
 use world::key::Term;
-use world::machine::{BackEnd, Incarnation};
+use world::machine::BackEnd;
 use world::moment::Moment;
 use world::name::MachineName;
 
@@ -67,10 +68,8 @@
     Confirm {
         /// Its cell.
         cell: String,
-        /// Its term.
-        term: Term,
-        /// Life of this daemon that the cell's record lists.
-        incarnation: Incarnation,
+        /// What it asks.
+        request: ConfirmRequest,
         /// Gets whether the term is confirmed.
         reply: oneshot::Sender<bool>,
     },
@@ -80,15 +79,33 @@
         cell: String,
         /// The term to close.
         term: Term,
-        /// Gets whether the promise is given.
+        /// Gets the answer.
+        reply: oneshot::Sender<CloseReply>,
+    },
+    /// A candidate asks to be endorsed.
+    Endorse {
+        /// Its cell.
+        cell: String,
+        /// What it asks.
+        request: EndorseRequest,
+        /// Gets whether it is endorsed.
         reply: oneshot::Sender<bool>,
     },
+    /// A witness endorsed this daemon's candidacy.
+    Endorsed {
+        /// The witness.
+        name: MachineName,
+        /// The acting term.
+        term: Term,
+    },
     /// A witness confirmed this daemon's term.
     Confirmed {
         /// The witness.
         witness: WitnessRef,
         /// When it was asked.
         sent: Moment,
+        /// Number of the pledge's state that it was told.
+        number: u64,
     },
     /// A machine has closed an earlier term.
     Closed {
@@ -96,6 +113,8 @@
         name: MachineName,
         /// The term.
         term: Term,
+        /// True when it held the term and no witness can act on a pledge of it.
+        unpledged: bool,
     },
     /// The answer to this daemon's heartbeat.
     HeartbeatDone {
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -165,8 +165,9 @@
                 }
             }
             Reply::Accepted(accepted) => {
-                self.succession.on_contact(now);
-                self.succession.on_version(accepted.cell_version, now);
+                let term = accepted.coordinator.term;
+                let version = accepted.cell_version;
+                self.succession.on_reply(term, version, sent, now);
                 let changes = self.member.on_accepted(sent, now, reported, &accepted);
                 self.publish_lease();
                 self.apply(now, &changes);
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! All decisions are made by the pure machines of `ownership`; this module feeds them events
 //! and carries out what they say.
 
+mod acting;
 mod coordination;
 mod event;
 mod handover;
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ownership::candidacy::Candidacy;
 use ownership::closing::Closing;
 use ownership::coordinator::Coordinator;
 use ownership::member::Member;
@@ -29,6 +31,7 @@
 use timer::{BootClock, Clock, TimerService};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
+use world::key::Term;
 use world::moment::Moment;
 
 use crate::gate::Gate;
@@ -60,7 +63,7 @@
     closing: Closing,
     next_close: Moment,
     /// Watches the lists for as long as the term is held.
-    lists_watch: JoinHandle<()>,
+    _lists_watch: ListsWatch,
     /// The lists as relayed to members.
     lists: Option<ListsDocument>,
     next_renewal: Moment,
@@ -69,12 +72,23 @@
     next_telling: Moment,
 }
 
-impl Drop for Role {
+/// Task that watches the lists until it is dropped.
+struct ListsWatch(JoinHandle<()>);
+
+impl Drop for ListsWatch {
     fn drop(&mut self) {
-        self.lists_watch.abort();
+        self.0.abort();
     }
 }
 
+/// A term that this daemon held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct HeldTerm {
+    term: Term,
+    /// True when a witness may have acted on a pledge of it.
+    pledged: bool,
+}
+
 /// A take-over whose outcome is not known yet.
 struct PendingClaim {
     record: CellRecord,
@@ -96,6 +110,10 @@
     role: Option<Role>,
     claim: Option<PendingClaim>,
     witness: Witness,
+    candidacy: Option<Candidacy>,
+    next_stand: Moment,
+    /// The last term that this daemon held.
+    last_held: Option<HeldTerm>,
     closing: Vec<Arc<Gate>>,
     /// Granted shards whose gates wait for the orders of the tenure before.
     opening: Vec<Holding>,
@@ -136,6 +154,9 @@
             role: None,
             claim: None,
             witness: Witness::default(),
+            candidacy: None,
+            next_stand: now,
+            last_held: None,
             closing: Vec::new(),
             opening: Vec::new(),
             next_beat: now,
@@ -173,6 +194,7 @@
         self.coordinate(now);
         self.beat(now);
         self.watch_coordinator(now);
+        self.stand(now);
         self.progress_stop(now);
     }
 
@@ -192,17 +214,32 @@
             }
             Event::Confirm {
                 cell,
-                term,
-                incarnation,
+                request,
+                reply,
+            } => {
+                let _ = reply.send(self.confirms(&cell, &request));
+            }
+            Event::Endorse {
+                cell,
+                request,
                 reply,
             } => {
-                let _ = reply.send(self.confirms(&cell, term, incarnation));
+                let _ = reply.send(self.endorses(now, &cell, &request));
             }
+            Event::Endorsed { name, term } => self.on_endorsed(now, &name, term),
             Event::Close { cell, term, reply } => {
                 let _ = reply.send(self.close_term(&cell, term));
             }
-            Event::Confirmed { witness, sent } => self.on_confirmed(&witness, sent),
-            Event::Closed { name, term } => self.on_closed(now, &name, term),
+            Event::Confirmed {
+                witness,
+                sent,
+                number,
+            } => self.on_confirmed(&witness, sent, number),
+            Event::Closed {
+                name,
+                term,
+                unpledged,
+            } => self.on_closed(now, &name, term, unpledged),
             Event::HeartbeatDone {
                 sent,
                 reported,
--- a/components/daemon/src/control/witnessing.rs
+++ b/components/daemon/src/control/witnessing.rs
@@ -1,17 +1,22 @@
 //! Witnesses: confirming a coordinator without the store, and closing earlier terms.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ownership::record::WitnessRef;
-use peers::wire::{CloseRequest, ConfirmRequest};
+use ownership::witness::ConfirmRequest;
+use peers::wire::control_client::ControlClient;
+use peers::wire::{CloseReply, CloseRequest};
+use peers::witnessing;
 use platform::client::Store;
+use tonic::{Response, Status};
 use world::key::Term;
-use world::machine::Incarnation;
 use world::moment::Moment;
 use world::name::MachineName;
 
-use crate::control::{Control, Event};
+use crate::control::{Control, Event, HeldTerm};
+use crate::pool::{PeerPool, Signed};
 
 /// Longest wait for a witness's answer.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(250);
@@ -21,17 +26,16 @@
 
 impl<S: Store> Control<S> {
     /// Answers a coordinator that asks for this daemon's confirmation.
-    pub(super) fn confirms(&self, cell: &str, term: Term, asked: Incarnation) -> bool {
-        let own = self.shared.machine.load().incarnation;
-        let known = self.member.term();
+    pub(super) fn confirms(&mut self, cell: &str, request: &ConfirmRequest) -> bool {
         let mine = cell == self.shared.settings.cell.as_str();
-        mine && self.stopping.is_none() && self.witness.confirms(term, asked, own, known)
+        let own = self.own();
+        mine && self.stopping.is_none() && self.witness.confirms(request, own)
     }
 
     /// Promises never to confirm or hold a term again.
-    pub(super) fn close_term(&mut self, cell: &str, term: Term) -> bool {
+    pub(super) fn close_term(&mut self, cell: &str, term: Term) -> CloseReply {
         if cell != self.shared.settings.cell.as_str() {
-            return false;
+            return CloseReply::default();
         }
         self.witness.close(term);
         if self
@@ -41,53 +45,80 @@
         {
             self.step_down("closed");
         }
-        true
+        let unpledged = HeldTerm {
+            term: term.stored(),
+            pledged: false,
+        };
+        CloseReply {
+            closed: true,
+            unpledged: self.last_held == Some(unpledged),
+        }
     }
 
-    pub(super) fn on_confirmed(&mut self, witness: &WitnessRef, sent: Moment) {
+    pub(super) fn on_confirmed(&mut self, witness: &WitnessRef, sent: Moment, number: u64) {
         if let Some(role) = &mut self.role {
-            role.renewal.on_witness_confirmed(witness, sent);
+            role.renewal.on_witness_confirmed(witness, sent, number);
         }
     }
 
-    pub(super) fn on_closed(&mut self, now: Moment, name: &MachineName, term: Term) {
+    pub(super) fn on_closed(
+        &mut self,
+        now: Moment,
+        name: &MachineName,
+        term: Term,
+        unpledged: bool,
+    ) {
         if let Some(role) = &mut self.role {
-            role.closing.on_closed(now, name, term);
+            role.closing.on_closed(now, name, term, unpledged);
         }
     }
 
-    /// Asks the witnesses to confirm the term when the store has been silent for a while.
-    pub(super) fn ask_witnesses(&self, now: Moment) {
+    /// Asks the witnesses to confirm the term when their word is needed.
+    pub(super) fn ask_witnesses(&mut self, now: Moment) {
         let Some(role) = &self.role else { return };
         if !role.renewal.needs_witnesses(now) {
             return;
         }
-        let term = role.coordinator.term();
-        for witness in role.renewal.counting_witnesses() {
-            self.ask_witness(now, term, witness.clone());
+        let witnesses: Vec<WitnessRef> = role.renewal.counting_witnesses().cloned().collect();
+        let coordinator = role.coordinator.identity().clone();
+        let notice = role.renewal.notice();
+        for witness in &witnesses {
+            let request = ConfirmRequest {
+                term: coordinator.term,
+                coordinator: coordinator.name.clone(),
+                asked: witness.incarnation,
+                notice,
+                witnesses: witnesses.clone(),
+            };
+            if witness.name == coordinator.name {
+                // An acting coordinator is one of the witnesses.
+                if self.witness.confirms(&request, self.own()) {
+                    self.on_confirmed(witness, now, notice.number);
+                }
+                continue;
+            }
+            self.ask_witness(now, witness.clone(), &request);
         }
     }
 
-    fn ask_witness(&self, sent: Moment, term: Term, witness: WitnessRef) {
-        let request = ConfirmRequest {
-            cell: self.shared.settings.cell.to_string(),
-            term: u64::from(term.0),
-            incarnation: witness.incarnation.0,
-        };
+    fn ask_witness(&self, sent: Moment, witness: WitnessRef, request: &ConfirmRequest) {
+        let message = witnessing::confirm_to_wire(&self.shared.settings.cell, request);
+        let number = request.notice.number;
         let pool = Arc::clone(&self.pool);
         let events = self.events.clone();
         tokio::spawn(async move {
-            let call = async {
-                let mut client = pool.control(witness.address).await.ok()?;
-                client.confirm(request).await.ok()
-            };
-            let reply = tokio::time::timeout(WITNESS_TIMEOUT, call).await;
-            match reply {
-                Ok(Some(reply)) if reply.get_ref().confirmed => {
-                    let _ = events.send(Event::Confirmed { witness, sent }).await;
-                }
-                Ok(Some(_)) => {}
-                Ok(None) | Err(_) => pool.forget(witness.address),
+            let reply = ask(&pool, witness.address, async |mut client| {
+                client.confirm(message).await
+            });
+            let confirmed = reply.await.is_some_and(|reply| reply.confirmed);
+            if confirmed {
+                let _ = events
+                    .send(Event::Confirmed {
+                        witness,
+                        sent,
+                        number,
+                    })
+                    .await;
             }
         });
     }
@@ -119,19 +150,36 @@
         let pool = Arc::clone(&self.pool);
         let events = self.events.clone();
         tokio::spawn(async move {
-            let call = async {
-                let mut client = pool.control(request.address).await.ok()?;
-                client.close(message).await.ok()
+            let reply = ask(&pool, request.address, async |mut client| {
+                client.close(message).await
+            });
+            let Some(reply) = reply.await.filter(|reply| reply.closed) else {
+                return;
             };
-            let reply = tokio::time::timeout(WITNESS_TIMEOUT, call).await;
-            match reply {
-                Ok(Some(reply)) if reply.get_ref().closed => {
-                    let (name, term) = (request.name, request.term);
-                    let _ = events.send(Event::Closed { name, term }).await;
-                }
-                Ok(Some(_)) => {}
-                Ok(None) | Err(_) => pool.forget(request.address),
-            }
+            let closed = Event::Closed {
+                name: request.name,
+                term: request.term,
+                unpledged: reply.unpledged,
+            };
+            let _ = events.send(closed).await;
         });
     }
 }
+
+/// Calls a machine as a witness. Gives nothing when it does not answer in time.
+pub(super) async fn ask<T>(
+    pool: &PeerPool,
+    address: SocketAddr,
+    call: impl AsyncFnOnce(ControlClient<Signed>) -> Result<Response<T>, Status>,
+) -> Option<T> {
+    let exchange = async {
+        let client = pool.control(address).await.ok()?;
+        call(client).await.ok()
+    };
+    let reply = tokio::time::timeout(WITNESS_TIMEOUT, exchange).await;
+    let reply = reply.ok().flatten();
+    if reply.is_none() {
+        pool.forget(address);
+    }
+    reply.map(Response::into_inner)
+}
--- a/components/daemon/src/peer_server.rs
+++ b/components/daemon/src/peer_server.rs
@@ -4,20 +4,18 @@
 use std::sync::Arc;
 
 use futures::{Stream, StreamExt};
-use peers::convert;
 use peers::wire::control_server::Control;
 use peers::wire::traffic_server::Traffic;
 use peers::wire::{
     AdoptReply, AdoptRequest, BorrowReply, BorrowRequest, CloseReply, CloseRequest, ConfirmReply,
-    ConfirmRequest, HandedOrders, HeartbeatReply, HeartbeatRequest, ReplyFrame, RequestFrame,
-    TakeOrdersRequest, TicketReply, TicketRequest,
+    ConfirmRequest, EndorseReply, EndorseRequest, HandedOrders, HeartbeatReply, HeartbeatRequest,
+    ReplyFrame, RequestFrame, TakeOrdersRequest, TicketReply, TicketRequest,
 };
+use peers::{convert, witnessing};
 use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
-use world::machine::Incarnation;
-
 use crate::allowance;
 use crate::back_end::{Body, BodyCut};
 use crate::control::Event;
@@ -70,15 +68,14 @@
         &self,
         request: Request<ConfirmRequest>,
     ) -> Result<Response<ConfirmReply>, Status> {
-        let request = request.into_inner();
-        let term = convert::term(request.term).map_err(|e| malformed(&e.to_string()))?;
-        let incarnation = Incarnation(request.incarnation);
+        let message = request.into_inner();
+        let request =
+            witnessing::confirm_from_wire(&message).map_err(|e| malformed(&e.to_string()))?;
         let (reply, receiver) = oneshot::channel();
-        let cell = request.cell;
+        let cell = message.cell;
         self.send(Event::Confirm {
             cell,
-            term,
-            incarnation,
+            request,
             reply,
         })
         .await?;
@@ -92,8 +89,26 @@
         let (reply, receiver) = oneshot::channel();
         let cell = request.cell;
         self.send(Event::Close { cell, term, reply }).await?;
-        let closed = receiver.await.map_err(|_| stopping())?;
-        Ok(Response::new(CloseReply { closed }))
+        receiver.await.map(Response::new).map_err(|_| stopping())
+    }
+
+    async fn endorse(
+        &self,
+        request: Request<EndorseRequest>,
+    ) -> Result<Response<EndorseReply>, Status> {
+        let message = request.into_inner();
+        let request =
+            witnessing::endorse_from_wire(&message).map_err(|e| malformed(&e.to_string()))?;
+        let (reply, receiver) = oneshot::channel();
+        let cell = message.cell;
+        self.send(Event::Endorse {
+            cell,
+            request,
+            reply,
+        })
+        .await?;
+        let endorsed = receiver.await.map_err(|_| stopping())?;
+        Ok(Response::new(EndorseReply { endorsed }))
     }
 }
 
--- a/components/daemon/src/pool.rs
+++ b/components/daemon/src/pool.rs
@@ -24,7 +24,7 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A signed channel to another daemon.
-type Signed = InterceptedService<Channel, Sign>;
+pub(crate) type Signed = InterceptedService<Channel, Sign>;
 
 /// No connection could be opened; nothing was sent.
 #[derive(Debug, Snafu)]
--- a/components/ownership/src/closing.rs
+++ b/components/ownership/src/closing.rs
@@ -6,13 +6,14 @@
 use world::moment::Moment;
 use world::name::MachineName;
 
+use crate::coordinator::WITNESSES;
 use crate::record::{self, OpenTerm};
 use crate::timing::Timing;
 
 /// One machine that is asked to close a term.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
-    /// Term to close.
+    /// Term to close, the acting one that may have followed included.
     pub term: Term,
     /// The machine.
     pub name: MachineName,
@@ -41,9 +42,11 @@
 
 /// Collects the promises that end all earlier terms.
 ///
-/// A term has ended when its coordinator, in whatever life, has given it up, or when so many of its
-/// witnesses have promised not to confirm it again that the rest are no quorum. Authority that was confirmed before a promise
-/// was given lasts at the most one authority period after that promise is received.
+/// A term, with the acting term that may have followed it, has ended when so many of its witnesses
+/// have promised not to confirm it again that the rest are no quorum. The word of its coordinator
+/// is enough when no witness can act on a pledge: with less than [`WITNESSES`] none is given.
+/// Authority that was confirmed before a promise was given lasts at the most one authority period
+/// after that promise is received.
 #[derive(Clone, Debug)]
 pub struct Closing {
     timing: Timing,
@@ -89,7 +92,7 @@
             for machine in silent.chain([coordinator]) {
                 let (name, address) = (machine.name.clone(), machine.address);
                 requests.push(Request {
-                    term: *term,
+                    term: term.acting(),
                     name,
                     address,
                 });
@@ -99,12 +102,14 @@
     }
 
     /// Notes at `now` that a machine, in its present life, has closed `term` and all earlier ones.
-    pub fn on_closed(&mut self, now: Moment, name: &MachineName, term: Term) {
+    /// With `unpledged` this life held the term and no witness can act on a pledge of it.
+    pub fn on_closed(&mut self, now: Moment, name: &MachineName, term: Term, unpledged: bool) {
         for predecessor in &mut self.predecessors {
-            if predecessor.ended.is_some() || predecessor.term.term > term {
+            if predecessor.ended.is_some() || predecessor.term.term.acting() > term {
                 continue;
             }
-            if predecessor.term.coordinator.name == *name {
+            let alone = predecessor.term.witnesses.len() < WITNESSES;
+            if predecessor.term.coordinator.name == *name && (unpledged || alone) {
                 predecessor.ended = Some(now);
             }
             for (witness, promise) in predecessor
@@ -177,10 +182,10 @@
     #[test]
     fn waits_for_two_of_three_witnesses() {
         let mut closing = closing();
-        closing.on_closed(at(1_100), &MachineName::new("w1"), Term(4));
+        closing.on_closed(at(1_100), &MachineName::new("w1"), Term(5), true);
         assert!(!closing.is_done());
         assert_eq!(closing.requests().len(), 3);
-        closing.on_closed(at(1_200), &MachineName::new("w2"), Term(4));
+        closing.on_closed(at(1_200), &MachineName::new("w2"), Term(5), true);
         assert!(closing.is_done());
         let timing = Timing::default();
         assert_eq!(
@@ -192,15 +197,22 @@
     #[test]
     fn the_coordinator_itself_is_enough() {
         let mut closing = closing();
-        closing.on_closed(at(1_100), &MachineName::new("c"), Term(4));
+        closing.on_closed(at(1_100), &MachineName::new("c"), Term(5), true);
         assert!(closing.is_done());
         assert!(closing.requests().is_empty());
     }
 
+    #[test]
+    fn a_coordinator_that_gave_a_pledge_is_not_enough() {
+        let mut closing = closing();
+        closing.on_closed(at(1_100), &MachineName::new("c"), Term(5), false);
+        assert!(!closing.is_done());
+    }
+
     #[test]
     fn a_promise_about_an_older_term_does_not_count() {
         let mut closing = closing();
-        closing.on_closed(at(1_100), &MachineName::new("c"), Term(3));
+        closing.on_closed(at(1_100), &MachineName::new("c"), Term(3), true);
         assert!(!closing.is_done());
     }
 
--- a/components/ownership/src/coordinator/mod.rs
+++ b/components/ownership/src/coordinator/mod.rs
@@ -126,6 +126,14 @@
         coordinator
     }
 
+    /// Goes on under a later term of the same daemon, with the leases and owners of this one.
+    #[must_use]
+    pub fn promote(mut self, me: CoordinatorRef) -> Self {
+        self.me = me;
+        self.routes_stale = true;
+        self
+    }
+
     /// Changes the instant from which grants are made, as earlier terms turn out to have ended.
     /// Has no effect once a grant was made.
     pub fn set_grants_from(&mut self, now: Moment, grants_from: Moment) {
--- a/components/ownership/src/coordinator/witnesses.rs
+++ b/components/ownership/src/coordinator/witnesses.rs
@@ -8,15 +8,11 @@
 /// Machines that confirm a coordinator while the store does not.
 pub const WITNESSES: usize = 3;
 
-/// Witnesses that are chosen from the coordinator's own region where possible; the others are
-/// chosen from zones of their own.
-const NEAR_WITNESSES: usize = 2;
-
 impl Coordinator {
     /// Chooses up to [`WITNESSES`] machines to confirm the coordinator without the store: live
-    /// members of other zones than its own, so that no zone takes it away with them; a quorum of
-    /// its own region, so that a cut between regions does not separate them; the last one of a
-    /// zone of its own.
+    /// members of other zones than its own, so that no zone takes it away with them; of as many
+    /// zones as possible, so that no zone takes a quorum away; and then of its own region, so that
+    /// a cut between regions does not separate them.
     #[must_use]
     pub fn choose_witnesses(&self, present: &[WitnessRef]) -> Vec<WitnessRef> {
         let Some(me) = self
@@ -32,17 +28,11 @@
             let free = free
                 .map(|p| &p.machine)
                 .filter(|m| m.name != me.name && !chosen.iter().any(|c| c.name == m.name));
-            let near = chosen.len() < NEAR_WITNESSES;
             let best = free.min_by_key(|m| {
                 let shared = chosen.iter().any(|c| c.zone == m.zone);
                 let listed = present.iter().any(|w| is_witness(w, m));
                 let distant = m.region != me.region;
-                let rest = if near {
-                    (distant, shared)
-                } else {
-                    (shared, distant)
-                };
-                (m.zone == me.zone, rest, !listed)
+                (m.zone == me.zone, shared, distant, !listed)
             });
             let Some(best) = best else { break };
             chosen.push(best);
@@ -53,6 +43,24 @@
     }
 }
 
+impl Coordinator {
+    /// Tells whether the coordinator and its witnesses are all in different zones, so that the
+    /// loss of a zone leaves a quorum of them.
+    #[must_use]
+    pub fn are_apart(&self, witnesses: &[WitnessRef]) -> bool {
+        let zone = |name| {
+            let id = self.names.get(name)?;
+            Some(&self.peers[*id].machine.zone)
+        };
+        let mut zones: Vec<_> = witnesses.iter().map(|w| zone(&w.name)).collect();
+        zones.push(zone(&self.me.name));
+        zones.sort_unstable();
+        let count = zones.len();
+        zones.dedup();
+        zones.len() == count && zones.iter().all(Option::is_some)
+    }
+}
+
 fn is_witness(witness: &WitnessRef, machine: &Machine) -> bool {
     witness.name == machine.name && witness.incarnation == machine.incarnation
 }
--- a/components/ownership/src/lib.rs
+++ b/components/ownership/src/lib.rs
@@ -4,10 +4,12 @@
 //! machines, and the property tests drive the same code with a clock of their own.
 
 pub mod assignment;
+pub mod candidacy;
 pub mod closing;
 pub mod coordinator;
 pub mod heartbeat;
 pub mod member;
+pub mod pledge;
 pub mod record;
 pub mod renewal;
 pub mod succession;
--- a/components/ownership/src/renewal.rs
+++ b/components/ownership/src/renewal.rs
@@ -1,10 +1,17 @@
 //! The coordinator's claim on its term and how the store confirms it.
 
+use std::time::Duration;
+
 use world::moment::Moment;
 
+use crate::coordinator::WITNESSES;
+use crate::pledge::{Notice, Pledge};
 use crate::record::{self, CellRecord, WitnessRef};
 use crate::timing::Timing;
 
+/// Silence of the store after which the coordinator gives its pledge.
+const PLEDGE_SILENCE: Duration = Duration::from_secs(1);
+
 /// A write of the record on its way to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Pending {
@@ -54,6 +61,7 @@
     unsettled: Vec<Unsettled>,
     confirmations: Vec<Confirmation>,
     pending: Option<Pending>,
+    pledge: Pledge,
 }
 
 impl Renewal {
@@ -72,9 +80,32 @@
             unsettled: Vec::new(),
             confirmations: Vec::new(),
             pending: None,
+            pledge: Pledge::default(),
+        }
+    }
+
+    /// Starts an acting term, which only witnesses confirm. The store was last known to confirm
+    /// the term before not earlier than at `store_confirmed`.
+    #[must_use]
+    pub fn acting(
+        timing: Timing,
+        record: CellRecord,
+        now: Moment,
+        store_confirmed: Moment,
+    ) -> Self {
+        Self {
+            authority_until: now,
+            store_confirmed,
+            ..Self::new(timing, record, 0, now)
         }
     }
 
+    /// Tells whether the term is an acting one.
+    #[must_use]
+    pub fn is_acting(&self) -> bool {
+        self.record.term.is_acting()
+    }
+
     /// The record as last written.
     #[must_use]
     pub fn record(&self) -> &CellRecord {
@@ -95,7 +126,11 @@
 
     /// Replaces the witnesses. Those that are dropped stop counting at once, new ones count once
     /// the store has confirmed a record that lists them.
+    /// While a pledge binds, its witnesses stay.
     pub fn set_witnesses(&mut self, witnesses: Vec<WitnessRef>) {
+        if self.is_acting() || !self.pledge.is_withdrawn() {
+            return;
+        }
         self.confirmations
             .retain(|c| witnesses.contains(&c.witness));
         self.record.witnesses = witnesses;
@@ -122,21 +157,61 @@
             .chain(unsettled)
     }
 
-    /// Tells whether the store has been silent for so long that witnesses should be asked.
+    /// State of the pledge to tell the witnesses.
+    #[must_use]
+    pub fn notice(&self) -> Notice {
+        self.pledge.notice()
+    }
+
+    /// Tells whether a witness may have been told that the store is not counted.
+    #[must_use]
+    pub fn is_pledged(&self) -> bool {
+        !self.pledge.is_withdrawn()
+    }
+
+    /// Gives or withdraws the pledge. It is given when the store has been silent for a while and,
+    /// with `standing`, always; it is taken back for a change to the witnesses in `wanted`.
+    pub fn review_pledge(&mut self, now: Moment, standing: bool, wanted: &[WitnessRef]) {
+        if self.is_acting() || self.record.resigned {
+            return;
+        }
+        let silent = now.since(self.store_confirmed) >= PLEDGE_SILENCE;
+        let full = self.listed.len() == WITNESSES;
+        let settled = self.possible_lists().all(|list| *list == self.listed);
+        let give = silent || (standing && self.listed == wanted);
+        if give && full && settled {
+            self.pledge.give(now);
+        } else if !silent {
+            self.pledge.withdraw();
+        }
+    }
+
+    /// Tells whether the witnesses have failed a coordinator that counts only them. It should
+    /// resign, as readers of its record leave it alone.
+    #[must_use]
+    pub fn is_starved(&self, now: Moment) -> bool {
+        self.is_pledged() && now >= self.authority_until + self.timing.suspicion
+    }
+
+    /// Tells whether witnesses should be asked: the store has been silent for a while, or a pledge
+    /// binds.
     #[must_use]
     pub fn needs_witnesses(&self, now: Moment) -> bool {
-        now.since(self.store_confirmed) >= self.timing.renewal * 3 / 2
+        self.is_pledged() || now.since(self.store_confirmed) >= self.timing.renewal * 3 / 2
     }
 
-    /// Notes that a witness confirmed the term when asked at `sent`. The authority lasts from the
+    /// Notes that a witness confirmed the term when asked at `sent`, and knows the pledge's state
+    /// with this number. The authority lasts from the
     /// oldest of the latest confirmations that make up a quorum.
-    pub fn on_witness_confirmed(&mut self, witness: &WitnessRef, sent: Moment) {
+    pub fn on_witness_confirmed(&mut self, witness: &WitnessRef, sent: Moment, number: u64) {
         let counts = self.counting_witnesses().any(|w| w == witness);
         let absent = sent.since(self.store_confirmed) >= self.timing.store_absence;
         if !counts || absent || self.record.resigned {
             return;
         }
         self.note_confirmation(witness, sent);
+        let needed = record::confirming_quorum(self.listed.len());
+        self.pledge.on_ack(witness, number, needed);
         let Some(quorum_sent) = self.quorum_sent() else {
             return;
         };
@@ -205,6 +280,9 @@
         self.listed = pending.witnesses;
         self.settle(version);
         self.store_confirmed = self.store_confirmed.max(pending.sent);
+        if !self.pledge.counts_store(pending.sent) {
+            return;
+        }
         let until = pending.sent + self.timing.authority;
         self.authority_until = self.authority_until.max(until);
     }
@@ -242,6 +320,9 @@
     /// Gives the authority up at once.
     pub fn resign(&mut self, now: Moment) {
         self.authority_until = self.authority_until.min(now);
+        if self.is_pledged() && !self.record.resigned {
+            self.record.open_terms = self.record.terms_to_close();
+        }
         self.record.resigned = true;
     }
 }
--- a/components/ownership/src/succession.rs
+++ b/components/ownership/src/succession.rs
@@ -1,5 +1,6 @@
 //! When a member may take over the coordinator's term.
 
+use world::key::Term;
 use world::moment::Moment;
 
 use crate::record::CellRecord;
@@ -25,6 +26,17 @@
     since: Moment,
 }
 
+/// A version of the record as reported by the coordinator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Reported {
+    version: u64,
+    /// When the latest heartbeat that was answered with this version was sent.
+    sent: Moment,
+}
+
+/// Reported versions that are remembered.
+const REPORTED_VERSIONS: usize = 4;
+
 /// Watches the coordinator on behalf of one member.
 ///
 /// A renewal makes a new version. When a take-over against version `v` succeeds, no renewal
@@ -39,6 +51,11 @@
     rank: u32,
     contact: Moment,
     observation: Option<Observation>,
+    /// Versions that the coordinator of `reporter` reported, oldest first.
+    reported: Vec<Reported>,
+    reporter: Term,
+    /// When the store last answered this machine.
+    store_answered: Moment,
     resigned: bool,
     /// No take-over is tried before this instant.
     hold_off: Moment,
@@ -53,6 +70,9 @@
             rank: 0,
             contact: now,
             observation: None,
+            reported: Vec::new(),
+            reporter: Term(0),
+            store_answered: now,
             resigned: false,
             hold_off: now,
         }
@@ -74,6 +94,52 @@
         self.resigned = false;
     }
 
+    /// Notes the version in the coordinator's answer to the heartbeat sent at `sent`.
+    pub fn on_reply(&mut self, term: Term, version: u64, sent: Moment, now: Moment) {
+        self.on_contact(now);
+        self.on_version(version, now);
+        if self.reporter != term {
+            self.reporter = term;
+            self.reported.clear();
+        }
+        match self.reported.last_mut() {
+            Some(last) if last.version == version => last.sent = last.sent.max(sent),
+            _ => self.reported.push(Reported { version, sent }),
+        }
+        if self.reported.len() > REPORTED_VERSIONS {
+            self.reported.remove(0);
+        }
+    }
+
+    /// An instant before the last write of the coordinator that the store is known to have
+    /// confirmed. A write two versions after a reported one was sent after that report.
+    #[must_use]
+    pub fn store_floor(&self) -> Option<Moment> {
+        let last = self.reported.last()?.version;
+        let earlier = self.reported.iter().filter(|r| r.version + 2 <= last);
+        earlier.map(|r| r.sent).max()
+    }
+
+    /// Notes an answer of the store, whatever it said.
+    pub fn on_store_answer(&mut self, now: Moment) {
+        self.store_answered = now;
+    }
+
+    /// Tells whether the coordinator has missed a heartbeat.
+    #[must_use]
+    pub fn has_missed(&self, now: Moment) -> bool {
+        now >= self.contact + self.timing.heartbeat * 3 / 2
+    }
+
+    /// Tells whether the witness at `position` should stand for the acting term: neither the
+    /// coordinator nor the store has answered for a while.
+    #[must_use]
+    pub fn should_stand(&self, now: Moment, position: usize) -> bool {
+        let stagger = self.timing.heartbeat * u32::try_from(position).unwrap_or(u32::MAX) / 2;
+        let silent = |since: Moment| now >= since + self.timing.suspicion;
+        silent(self.contact + stagger) && silent(self.store_answered)
+    }
+
     /// Notes the version of the cell's record, known at `now`.
     pub fn on_version(&mut self, version: u64, now: Moment) {
         let known = self.observation.is_some_and(|o| o.version == version);
@@ -103,8 +169,7 @@
     /// version is known by the time the coordinator is suspected.
     #[must_use]
     pub fn step(&self, now: Moment, fresh: bool) -> Step {
-        let missed = self.contact + self.timing.heartbeat * 3 / 2;
-        if (now < missed && !self.resigned) || now < self.hold_off {
+        if (!self.has_missed(now) && !self.resigned) || now < self.hold_off {
             return Step::Wait;
         }
         if !fresh {
--- a/components/peers/src/convert.rs
+++ b/components/peers/src/convert.rs
@@ -19,6 +19,7 @@
 
 /// Why a message from a peer is not understood.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum WireFault {
     /// A name is invalid.
     #[snafu(display("field {field}: {source}"))]
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod convert;
 pub mod handover;
 pub mod secret;
+pub mod witnessing;
 
 /// Messages and services generated from `proto/peers.proto`.
 #[allow(missing_docs, clippy::all, unreachable_pub)]
--- /dev/null
+++ b/components/peers/src/witnessing.rs
@@ -0,0 +1,96 @@
+//! Conversions between what witnesses are asked and its wire form.
+
+use ownership::pledge::Notice;
+use ownership::record::WitnessRef;
+use ownership::witness::{ConfirmRequest, EndorseRequest};
+use snafu::ResultExt;
+use world::machine::Incarnation;
+use world::name::{CellName, MachineName};
+
+use crate::convert::{self, AddressSnafu, NameSnafu, WireFault};
+use crate::wire;
+
+/// Makes the wire form of a request for confirmation.
+#[must_use]
+pub fn confirm_to_wire(cell: &CellName, request: &ConfirmRequest) -> wire::ConfirmRequest {
+    let told: &[WitnessRef] = match request.notice.pledged {
+        true => &request.witnesses,
+        false => &[],
+    };
+    wire::ConfirmRequest {
+        cell: cell.to_string(),
+        term: u64::from(request.term.0),
+        incarnation: request.asked.0,
+        coordinator: request.coordinator.to_string(),
+        pledge_number: request.notice.number,
+        pledged: request.notice.pledged,
+        witnesses: witnesses_to_wire(told),
+    }
+}
+
+/// Reads a request for confirmation.
+///
+/// # Errors
+/// Names the first field at fault.
+pub fn confirm_from_wire(message: &wire::ConfirmRequest) -> Result<ConfirmRequest, WireFault> {
+    Ok(ConfirmRequest {
+        term: convert::term(message.term)?,
+        coordinator: machine_name(&message.coordinator, "coordinator")?,
+        asked: Incarnation(message.incarnation),
+        notice: Notice {
+            number: message.pledge_number,
+            pledged: message.pledged,
+        },
+        witnesses: witnesses_from_wire(&message.witnesses)?,
+    })
+}
+
+/// Makes the wire form of a candidate's request.
+#[must_use]
+pub fn endorse_to_wire(cell: &CellName, request: &EndorseRequest) -> wire::EndorseRequest {
+    wire::EndorseRequest {
+        cell: cell.to_string(),
+        term: u64::from(request.term.0),
+        candidate: request.candidate.to_string(),
+        incarnation: request.asked.0,
+        witnesses: witnesses_to_wire(&request.witnesses),
+    }
+}
+
+/// Reads a candidate's request.
+///
+/// # Errors
+/// Names the first field at fault.
+pub fn endorse_from_wire(message: &wire::EndorseRequest) -> Result<EndorseRequest, WireFault> {
+    Ok(EndorseRequest {
+        term: convert::term(message.term)?,
+        candidate: machine_name(&message.candidate, "candidate")?,
+        asked: Incarnation(message.incarnation),
+        witnesses: witnesses_from_wire(&message.witnesses)?,
+    })
+}
+
+fn machine_name(text: &str, field: &'static str) -> Result<MachineName, WireFault> {
+    MachineName::from_input(text).context(NameSnafu { field })
+}
+
+fn witnesses_to_wire(witnesses: &[WitnessRef]) -> Vec<wire::WitnessInfo> {
+    let witnesses = witnesses.iter().map(|witness| wire::WitnessInfo {
+        name: witness.name.to_string(),
+        incarnation: witness.incarnation.0,
+        address: witness.address.to_string(),
+    });
+    witnesses.collect()
+}
+
+fn witnesses_from_wire(witnesses: &[wire::WitnessInfo]) -> Result<Vec<WitnessRef>, WireFault> {
+    let field = "witnesses";
+    let witnesses = witnesses.iter().map(|witness| {
+        Ok(WitnessRef {
+            name: machine_name(&witness.name, field)?,
+            incarnation: Incarnation(witness.incarnation),
+            address: witness.address.parse().context(AddressSnafu { field })?,
+        })
+    });
+    witnesses.collect()
+}
--- a/components/world/src/key.rs
+++ b/components/world/src/key.rs
@@ -40,13 +40,40 @@
     }
 }
 
-/// Number of a cell's coordinator term; it only rises.
+/// Number of a cell's coordinator term; it only rises. Terms taken through the store are even,
+/// and each may be followed by one odd term of a witness that acts without the store.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Term(pub u32);
 
+impl Term {
+    /// The next term to be taken through the store; these are even.
+    #[must_use]
+    pub fn next_stored(self) -> Self {
+        Self((self.0 | 1) + 1)
+    }
+
+    /// The term under which a witness may act for this term's coordinator without the store.
+    #[must_use]
+    pub fn acting(self) -> Self {
+        Self(self.0 | 1)
+    }
+
+    /// The term taken through the store that this term belongs to.
+    #[must_use]
+    pub fn stored(self) -> Self {
+        Self(self.0 & !1)
+    }
+
+    /// Tells whether the term was taken without the store.
+    #[must_use]
+    pub fn is_acting(self) -> bool {
+        self.0 & 1 == 1
+    }
+}
+
 impl fmt::Display for Term {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
