Leave the term to others when earlier terms can't be closed

Cause: in a cut between regions the coordinator gave its term up, and a successor of its own region took it, could reach one witness of three, and kept it without closing the earlier term: both sides were out until the cut ended.

Change: a coordinator that has not closed the earlier terms after 500 ms resigns.

A coordinator's word now ends only the term that it is about; a test of its own.

--- a/components/daemon/src/control/acting.rs
+++ b/components/daemon/src/control/acting.rs
@@ -138,6 +138,7 @@
         self.shared.counters.take_overs.add();
         self.announce_term(&me);
         self.role = Some(Role {
+            started: now,
             coordinator: Coordinator::new(timing, me.clone(), now, grants_from),
             renewal: Renewal::acting(timing, record, now, floor),
             closing: Closing::new(timing, Vec::new(), now),
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -38,6 +38,10 @@
 /// Fewest other members whose silence counts as isolation.
 const ISOLATION_MEMBERS: usize = 2;
 
+/// Time after which a coordinator that can't close the earlier terms leaves it to others, who may
+/// reach more witnesses.
+const CLOSING_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Time for which a coordinator that gave its term up leaves it to others.
 const HOLD_OFF: Duration = Duration::from_secs(3);
 
@@ -52,8 +56,8 @@
         role.renewal.review_pledge(now, standing, &witnesses);
         role.renewal.set_witnesses(witnesses);
         role.coordinator.tick(now, role.renewal.authority_until());
-        if is_isolated(&role.coordinator, now) || role.renewal.is_starved(now) {
-            log::warn!(event = "isolated", term = role.coordinator.term().0; "");
+        if let Some(reason) = failing(role, now) {
+            log::warn!(event = "giving_up", reason = reason, term = role.coordinator.term().0; "");
             return self.resign(now);
         }
         let version = role.coordinator.routes().version;
@@ -261,6 +265,7 @@
             None => Coordinator::new(timing, me.clone(), now, grants_from),
         };
         self.role = Some(Role {
+            started: now,
             coordinator,
             renewal: Renewal::new(timing, record, version, sent),
             closing,
@@ -370,6 +375,18 @@
     }
 }
 
+/// Why a coordinator should leave the term to others, when it should.
+fn failing(role: &Role, now: Moment) -> Option<&'static str> {
+    if is_isolated(&role.coordinator, now) {
+        return Some("isolated");
+    }
+    if role.renewal.is_starved(now) {
+        return Some("no-witnesses");
+    }
+    let late = now.since(role.started) >= CLOSING_PATIENCE;
+    (late && !role.closing.is_done()).then_some("earlier-terms-open")
+}
+
 fn is_isolated(coordinator: &Coordinator, now: Moment) -> bool {
     let silent = coordinator
         .others_heard()
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -57,6 +57,7 @@
 
 /// The term that this daemon holds.
 struct Role {
+    started: Moment,
     coordinator: Coordinator,
     renewal: Renewal,
     /// Ends the earlier terms before this one grants.
--- a/components/ownership/src/closing.rs
+++ b/components/ownership/src/closing.rs
@@ -102,14 +102,16 @@
     }
 
     /// Notes at `now` that a machine, in its present life, has closed `term` and all earlier ones.
-    /// With `unpledged` this life held the term and no witness can act on a pledge of it.
+    /// With `unpledged` this life held the term itself, and no witness can act on a pledge of it;
+    /// that says nothing of earlier terms.
     pub fn on_closed(&mut self, now: Moment, name: &MachineName, term: Term, unpledged: bool) {
         for predecessor in &mut self.predecessors {
             if predecessor.ended.is_some() || predecessor.term.term.acting() > term {
                 continue;
             }
             let alone = predecessor.term.witnesses.len() < WITNESSES;
-            if predecessor.term.coordinator.name == *name && (unpledged || alone) {
+            let word = unpledged && predecessor.term.term.acting() == term;
+            if predecessor.term.coordinator.name == *name && (word || alone) {
                 predecessor.ended = Some(now);
             }
             for (witness, promise) in predecessor
@@ -209,6 +211,13 @@
         assert!(!closing.is_done());
     }
 
+    #[test]
+    fn a_coordinators_word_about_a_later_term_does_not_end_an_earlier_one() {
+        let mut closing = closing();
+        closing.on_closed(at(1_100), &MachineName::new("c"), Term(7), true);
+        assert!(!closing.is_done());
+    }
+
     #[test]
     fn a_promise_about_an_older_term_does_not_count() {
         let mut closing = closing();
--- a/components/ownership/tests/one_owner/model.rs
+++ b/components/ownership/tests/one_owner/model.rs
@@ -197,6 +197,7 @@
     renewal: Renewal,
     closing: Closing,
     next_close: u64,
+    started: u64,
 }
 
 pub(super) struct Claimed {
@@ -672,19 +673,21 @@
             renewal: Renewal::acting(timing, record, now, floor),
             closing: Closing::new(timing, Vec::new(), now),
             next_close: 0,
+            started: self.step,
         });
         node.member.adopt(me.clone());
         self.acting_terms += 1;
         self.announce(index, &me);
     }
 
-    /// Gives up a term whose witnesses are silent, for others to take over through the store.
-    fn resign_if_starved(&mut self, index: usize, now: Moment) {
+    /// Gives up a term whose witnesses are silent, or that can't close the earlier ones.
+    fn resign_if_failing(&mut self, index: usize, now: Moment) {
         let node = &mut self.nodes[index];
         let Some(role) = &mut node.coordinator else {
             return;
         };
-        if !role.renewal.is_starved(now) {
+        let open = !role.closing.is_done() && self.step >= role.started + 50;
+        if !role.renewal.is_starved(now) && !open {
             return;
         }
         let expected = role.renewal.version();
@@ -912,6 +915,7 @@
                 renewal,
                 closing,
                 next_close: 0,
+                started: self.step,
             });
             node.member.adopt(me.clone());
             self.announce(to, &me);
@@ -1018,7 +1022,7 @@
     fn act(&mut self, index: usize) {
         let now = self.local(index);
         self.nodes[index].member.check_lapse(now);
-        self.resign_if_starved(index, now);
+        self.resign_if_failing(index, now);
         self.coordinate(index, now);
         self.renew(index, now);
         self.beat(index, now);
