Keep an owner's orders through a change of coordinator

Cause: a new coordinator grants held shards again under new fences, and the owner opened new tables: after each loss of a coordinator every outstanding ticket of the cell was stale, and a repeated order could no longer be answered though its owner had never stopped.

Change: the gate of the later tenure shares the table, which keeps accepting its own earlier fences; allowances go on too when the lease ran without a gap. Nobody else starts the tickets of these fences, so this holds also when another daemon owned the shard in between; the property test of the order logic now does that.

Ruled out: keeping the fence. A member that was cut off may report an old one, and fences would fall.

--- a/bench/tests/whole_path.rs
+++ b/bench/tests/whole_path.rs
@@ -257,6 +257,38 @@
     deployment.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_goes_on_with_its_orders_after_the_coordinator_is_lost() {
+    let mut deployment = ready(spec()).await;
+    let coordinator = deployment.coordinator().await.expect("a coordinator");
+    let mut keys = (0..64).map(|number| format!("key-{number}"));
+    let elsewhere = |key: &String| {
+        let owner = deployment.owner_of("keyed", key.as_bytes());
+        owner.is_some_and(|owner| owner != coordinator)
+    };
+    let key = keys.find(elsewhere).expect("a key of another machine");
+    let wish = Wish {
+        key: Some(key),
+        ..order("1", "amount=5".to_owned())
+    };
+    let caller = Caller::new();
+    let ran = caller.pursue(&entries(&deployment), &wish).await;
+    assert!(matches!(ran.outcome, Outcome::Answered(_)), "{ran:?}");
+    deployment.kill(&coordinator).await;
+    let left: Vec<_> = deployment.entries();
+    let left = left.into_iter().filter(|(name, _)| *name != coordinator);
+    let left: Vec<_> = left.map(|(_, address)| address).collect();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let repeated = Wish {
+        ticket: ran.ticket.clone(),
+        ..wish
+    };
+    let again = caller.pursue(&left, &repeated).await;
+    assert_eq!(ran.outcome, again.outcome, "{again:?}");
+    assert_eq!(deployment.recorder.len(), 1);
+    deployment.end().await;
+}
+
 /// Announces a back end that promises 100 bytes, sends 10 and closes.
 async fn announce_cutting_back_end(admin: std::net::SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/components/daemon/src/control/handover.rs
+++ b/components/daemon/src/control/handover.rs
@@ -30,9 +30,14 @@
 }
 
 impl<S: Store> Control<S> {
-    /// Opens the gates of granted shards. One that follows a release opens when the daemon that
+    /// Opens the gates of granted shards other than the `renewed` ones. One that follows a release opens when the daemon that
     /// released it has answered, or a short time later without its orders.
-    pub(super) fn open(&mut self, now: Moment, changes: &Changes) {
+    pub(super) fn open(
+        &mut self,
+        now: Moment,
+        changes: &Changes,
+        renewed: &HashMap<ShardId, Arc<Gate>>,
+    ) {
         let mut sources: BTreeMap<SocketAddr, Vec<&Predecessor>> = BTreeMap::new();
         for predecessor in &changes.predecessors {
             let list = sources.entry(predecessor.address).or_default();
@@ -45,6 +50,7 @@
         let (waiting, ready): (Vec<_>, Vec<_>) = changes
             .opened
             .iter()
+            .filter(|holding| !renewed.contains_key(&holding.id))
             .cloned()
             .partition(|holding| follows(holding));
         for (address, predecessors) in sources {
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -1,5 +1,6 @@
 //! The member's part: heartbeats, grants, gates and the back end.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -165,12 +166,13 @@
                 }
             }
             Reply::Accepted(accepted) => {
+                let unbroken = now < self.member.lease_until();
                 let term = accepted.coordinator.term;
                 let version = accepted.cell_version;
                 self.succession.on_reply(term, version, sent, now);
                 let changes = self.member.on_accepted(sent, now, reported, &accepted);
                 self.publish_lease();
-                self.apply(now, &changes);
+                self.apply(now, unbroken, &changes);
                 if let Some(routes) = accepted.route {
                     self.take_routes(routes);
                 }
@@ -237,22 +239,31 @@
         }
     }
 
-    fn apply(&mut self, now: Moment, changes: &Changes) {
+    /// Closes and opens gates. `unbroken` tells that the lease ran without a gap until now.
+    fn apply(&mut self, now: Moment, unbroken: bool, changes: &Changes) {
         if changes.opened.is_empty() && changes.closed.is_empty() {
             return;
         }
         let mut gates = self.shared.gates.load().as_ref().clone();
+        let mut closed = HashMap::new();
         for holding in &changes.closed {
             if self.withdraw(holding) {
                 self.member.on_drained(holding);
             }
             if let Some(gate) = gates.remove(holding) {
                 gate.close();
+                closed.insert(holding.id.clone(), Arc::clone(&gate));
                 self.closing.push(gate);
             }
         }
+        for holding in &changes.opened {
+            if let Some(gate) = closed.get(&holding.id) {
+                let gate = gate.renew(holding.clone(), now, unbroken);
+                gates.insert(Arc::new(gate));
+            }
+        }
         self.shared.gates.store(Arc::new(gates));
-        self.open(now, changes);
+        self.open(now, changes, &closed);
         log::info!(
             event = "grants_changed",
             opened = changes.opened.len(),
--- a/components/daemon/src/gate.rs
+++ b/components/daemon/src/gate.rs
@@ -26,8 +26,11 @@
     /// Nanoseconds of the instant before which an abandoned request may still run.
     stuck_until: AtomicU64,
     requests: AtomicU32,
-    orders: Mutex<OrderTable>,
-    keeper: Mutex<Keeper>,
+    /// Shared with the gate of the tenure after, when the same daemon goes on.
+    orders: Arc<Mutex<OrderTable>>,
+    keeper: Arc<Mutex<Keeper>>,
+    /// True once a later gate shares the orders.
+    renewed: AtomicBool,
 }
 
 impl Gate {
@@ -41,11 +44,42 @@
             abandoned: AtomicBool::new(false),
             stuck_until: AtomicU64::new(0),
             requests: AtomicU32::new(0),
-            orders: Mutex::new(orders),
-            keeper: Mutex::new(Keeper::new(now)),
+            orders: Arc::new(Mutex::new(orders)),
+            keeper: Arc::new(Mutex::new(Keeper::new(now))),
+            renewed: AtomicBool::new(false),
         }
     }
 
+    /// The gate of a later tenure of the same daemon, which goes on with the orders, and with the
+    /// allowances it keeps when nobody else can have kept them since.
+    #[must_use]
+    pub fn renew(&self, holding: Holding, now: Moment, unbroken: bool) -> Self {
+        self.renewed.store(true, Ordering::SeqCst);
+        self.orders().renew(now, holding.fence);
+        let keeper = if unbroken {
+            Arc::clone(&self.keeper)
+        } else {
+            Arc::new(Mutex::new(Keeper::new(now)))
+        };
+        Self {
+            holding,
+            closing: AtomicBool::new(false),
+            in_flight: AtomicU32::new(0),
+            abandoned: AtomicBool::new(false),
+            stuck_until: AtomicU64::new(0),
+            requests: AtomicU32::new(0),
+            orders: Arc::clone(&self.orders),
+            keeper,
+            renewed: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells whether a later gate of this daemon goes on with the orders.
+    #[must_use]
+    pub fn is_renewed(&self) -> bool {
+        self.renewed.load(Ordering::SeqCst)
+    }
+
     /// The shard and its fence.
     #[must_use]
     pub fn holding(&self) -> &Holding {
--- a/components/daemon/src/handover.rs
+++ b/components/daemon/src/handover.rs
@@ -25,8 +25,12 @@
 }
 
 impl Handovers {
-    /// Keeps the orders of a drained gate until `until`, unless it has none.
+    /// Keeps the orders of a drained gate until `until`, unless it has none or a later gate of
+    /// this daemon goes on with them.
     pub fn keep(&self, now: Moment, until: Moment, gate: &Gate) {
+        if gate.is_renewed() {
+            return;
+        }
         let orders = gate.orders().hand_over(now);
         if !orders.orders.is_empty() {
             let kept = Kept { orders, until };
--- a/components/orders/src/table.rs
+++ b/components/orders/src/table.rs
@@ -163,6 +163,16 @@
         table
     }
 
+    /// Goes on under a later fence of the same owner. Tickets of the earlier fences stay good.
+    pub fn renew(&mut self, now: Moment, fence: Fence) {
+        self.adopted.retain(|a| now < a.expires);
+        self.adopted.push(AdoptedFence {
+            fence: self.fence,
+            expires: now + self.bounds.lifetime,
+        });
+        self.fence = fence;
+    }
+
     /// Ends the tenure and gives its orders away; afterwards the table knows none.
     pub fn hand_over(&mut self, now: Moment) -> Handover {
         self.expire(now);
@@ -448,6 +458,26 @@
         assert_eq!(admit(&ticket(4)), Admission::Expired);
     }
 
+    #[test]
+    fn goes_on_under_a_later_fence() {
+        let mut table = table(8);
+        let now = Moment::from_millis(10);
+        let (old, mut new) = (ticket(1), ticket(2));
+        new.fence = Fence(9);
+        table.issue(now, &old);
+        assert_eq!(table.admit(now, &old, &old.scope), Admission::Run);
+        table.renew(now, Fence(9));
+        table.issue(now, &new);
+        table.finish(&old, End::Answered(answer(3)));
+        assert_eq!(
+            table.admit(now, &old, &old.scope),
+            Admission::Replay(answer(3))
+        );
+        assert_eq!(table.admit(now, &new, &new.scope), Admission::Run);
+        let late = now + Bounds::default().lifetime;
+        assert_eq!(table.admit(late, &old, &old.scope), Admission::Stale);
+    }
+
     #[test]
     fn leaves_out_a_handover_with_too_many_tickets() {
         let mut before = table(8);
--- a/components/orders/tests/at_most_once.rs
+++ b/components/orders/tests/at_most_once.rs
@@ -31,6 +31,8 @@
     Move,
     /// The shard moves as planned, and the new owner goes on with its orders.
     HandOver,
+    /// The owner goes on under a later fence, whether or not others have owned since.
+    Renew(usize),
     /// Time passes.
     Wait(u64),
 }
@@ -92,6 +94,22 @@
         self.tables.push(table);
     }
 
+    /// Makes the table of an earlier tenure the current one. A new table takes its place, so that
+    /// runs keep their numbers.
+    fn renew(&mut self, tenure: usize) {
+        let fence = Fence(self.tables.len() as u64 + 1);
+        let mut table = std::mem::replace(
+            &mut self.tables[tenure],
+            OrderTable::new(Fence(0), bounds()),
+        );
+        table.renew(self.now, fence);
+        self.tables.push(table);
+        let owner = self.owner();
+        for run in self.runs.iter_mut().filter(|run| run.tenure == tenure) {
+            run.tenure = owner;
+        }
+    }
+
     fn owner(&self) -> usize {
         self.tables.len() - 1
     }
@@ -108,6 +126,7 @@
             Step::GiveUp(run) => self.with_run(*run, Self::give_up),
             Step::Move => self.move_shard(),
             Step::HandOver => self.hand_over(),
+            Step::Renew(tenure) => self.renew(tenure % self.tables.len()),
             Step::Wait(millis) => self.now = self.now + Duration::from_millis(*millis),
             Step::Send(_) => {}
         }
@@ -231,6 +250,7 @@
         2 => any::<usize>().prop_map(Step::GiveUp),
         1 => Just(Step::Move),
         2 => Just(Step::HandOver),
+        2 => any::<usize>().prop_map(Step::Renew),
         2 => (0u64..4_000).prop_map(Step::Wait),
     ]
 }
