Measure the balance under changing hot keys; react to load in 2.5 s

Cause: nothing measured how evenly back ends are loaded.

Change: bench balance; smoothing over 2.5 s.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -17,6 +17,9 @@
     /// Bring losses about and measure for how long keys are unavailable
     #[bpaf(command("faults"))]
     Faults(#[bpaf(external(faults_options))] FaultsOptions),
+    /// Measure how evenly back ends are loaded while the hottest keys change
+    #[bpaf(command("balance"))]
+    Balance(#[bpaf(external(balance_options))] BalanceOptions),
     /// Measure what each role costs, against the sizes that it grows with
     #[bpaf(command("capacity"))]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
@@ -91,6 +94,23 @@
     pub(crate) case: Option<String>,
 }
 
+/// Options of `balance`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct BalanceOptions {
+    /// Requests a second in all
+    #[bpaf(argument("R"), fallback(1000))]
+    pub(crate) rate: u32,
+    /// Seconds for which the hottest keys stay the same
+    #[bpaf(argument("S"), fallback(20))]
+    pub(crate) seconds: u64,
+    /// Number of such periods
+    #[bpaf(argument("N"), fallback(4))]
+    pub(crate) periods: u32,
+    /// Seed for keys
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+}
+
 /// Options of `capacity`.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct CapacityOptions {
--- /dev/null
+++ b/bench/src/cmd/balance.rs
@@ -0,0 +1,206 @@
+//! `bench balance`: how evenly back ends are loaded while the hottest keys change.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bench::caller::{self, Caller, Wish};
+use bench::deployment::{self, Deployment};
+use bench::stand_in::record::Execution;
+use ownership::table;
+use rand::distr::Distribution;
+use rand::distr::weighted::WeightedIndex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::{Instant, MissedTickBehavior};
+use world::key::KeyHash;
+use world::moment::Moment;
+
+use crate::cli::BalanceOptions;
+use crate::cmd::Error;
+
+/// Service that the requests are for.
+const SERVICE: &str = "keyed";
+
+/// Keys that requests are drawn from, by Zipf's law with exponent 1.
+const KEYS: u32 = 20_000;
+
+/// Hottest keys that are replaced with each period.
+const HOT_KEYS: u32 = 12;
+
+/// Length of the windows in which the load is compared.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// Largest permitted ratio of the highest load of a back end to the mean, over a period.
+const MAX_IMBALANCE: f64 = 1.25;
+
+/// Time between two batches of requests.
+const BATCH: Duration = Duration::from_millis(5);
+
+/// Time that the last requests get to end.
+const COOL_DOWN: Duration = Duration::from_millis(500);
+
+/// Requests that each machine served.
+type Loads = BTreeMap<String, u64>;
+
+/// Runs the measurement. Gives false when a period is less even than permitted.
+///
+/// # Errors
+/// Fails when the deployment does not come up.
+pub(crate) async fn run(options: &BalanceOptions) -> Result<bool, Error> {
+    let zones = vec![
+        ("nord", "nord-a"),
+        ("nord", "nord-b"),
+        ("nord", "nord-c"),
+        ("nord", "nord-d"),
+    ];
+    let deployment = Deployment::start(deployment::plain(zones, 1)).await?;
+    deployment.await_ready().await?;
+    let initial = deployment.owners(SERVICE);
+    let entries: Vec<SocketAddr> = deployment.entries().into_iter().map(|(_, a)| a).collect();
+    let machines = initial
+        .iter()
+        .flatten()
+        .collect::<std::collections::BTreeSet<_>>()
+        .len();
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let length = Duration::from_secs(options.seconds);
+    println!(
+        "{:<8} {:>9} {:>10} {:>10} {:>12} {:>6}",
+        "period", "requests", "imbalance", "unmoved", "worst_2s", "moved"
+    );
+    let (mut worst, mut worst_unmoved) = (0.0_f64, 0.0_f64);
+    let mut owners = initial.clone();
+    for period in 0..options.periods {
+        let from = timer::Clock::now(&timer::BootClock);
+        send(&entries, options.rate, length, period, &mut random).await?;
+        let until = timer::Clock::now(&timer::BootClock);
+        tokio::time::sleep(COOL_DOWN).await;
+        let executions = deployment.recorder.executions();
+        let inside = |e: &&Execution| e.service == SERVICE && e.at >= from && e.at < until;
+        let executions: Vec<&Execution> = executions.iter().filter(inside).collect();
+        let seen = imbalance(&loads(&executions), machines);
+        let unmoved = imbalance(&static_loads(&executions, &initial), machines);
+        let after = deployment.owners(SERVICE);
+        let moved = owners.iter().zip(&after).filter(|(b, a)| b != a).count();
+        println!(
+            "{period:<8} {:>9} {seen:>10.3} {unmoved:>10.3} {:>12.3} {moved:>6}",
+            executions.len(),
+            worst_window(&executions, from, machines),
+        );
+        worst = worst.max(seen);
+        worst_unmoved = worst_unmoved.max(unmoved);
+        owners = after;
+    }
+    deployment.end().await;
+    let ok = worst > 0.0 && worst <= MAX_IMBALANCE;
+    println!(
+        "result={} rate={} periods={} period_s={} imbalance={worst:.3} unmoved={worst_unmoved:.3} bound={MAX_IMBALANCE}",
+        if ok { "ok" } else { "failed" },
+        options.rate,
+        options.periods,
+        options.seconds
+    );
+    Ok(ok)
+}
+
+/// Sends at a fixed rate, whatever the answers do.
+async fn send(
+    entries: &[SocketAddr],
+    rate: u32,
+    length: Duration,
+    period: u32,
+    random: &mut StdRng,
+) -> Result<(), Error> {
+    let ranks = WeightedIndex::new((1..=KEYS).map(|rank| 1.0 / f64::from(rank)))?;
+    let caller = Caller::new();
+    let started = Instant::now();
+    let mut ticks = tokio::time::interval(BATCH);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let mut sent = 0.0;
+    while started.elapsed() < length {
+        ticks.tick().await;
+        let due = f64::from(rate) * started.elapsed().as_secs_f64();
+        while sent < due {
+            sent += 1.0;
+            let rank = u32::try_from(ranks.sample(random))?;
+            let entry = entries[random.random_range(0..entries.len())];
+            let wish = lookup(key(rank, period));
+            if let Some(request) = caller::build(entry, &wish, None) {
+                let caller = caller.clone();
+                tokio::spawn(async move { caller.probe(request).await });
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The key of a rank; those of the hottest ranks are new ones in each period.
+fn key(rank: u32, period: u32) -> String {
+    if rank < HOT_KEYS {
+        format!("hot-{period}-{rank}")
+    } else {
+        format!("key-{rank}")
+    }
+}
+
+fn lookup(key: String) -> Wish {
+    Wish {
+        request: "1".to_owned(),
+        customer: Some("load".to_owned()),
+        service: SERVICE.to_owned(),
+        operation: "get".to_owned(),
+        key: Some(key),
+        ticket: None,
+        body: None,
+        deadline_ms: None,
+        patience: Duration::ZERO,
+    }
+}
+
+fn loads(executions: &[&Execution]) -> Loads {
+    let mut loads = Loads::new();
+    for execution in executions {
+        *loads.entry(execution.machine.clone()).or_default() += 1;
+    }
+    loads
+}
+
+/// What the machines would have served had no shard moved since the start.
+fn static_loads(executions: &[&Execution], owners: &[Option<String>]) -> Loads {
+    let mut loads = Loads::new();
+    for execution in executions {
+        let Some(key) = decode_hex(&execution.key) else {
+            continue;
+        };
+        let shard = table::shard_of(SERVICE, KeyHash::new(&key));
+        if let Some(Some(owner)) = owners.get(usize::from(shard.0)) {
+            *loads.entry(owner.clone()).or_default() += 1;
+        }
+    }
+    loads
+}
+
+fn decode_hex(text: &str) -> Option<Vec<u8>> {
+    let byte = |at| u8::from_str_radix(text.get(at..at + 2)?, 16).ok();
+    (0..text.len()).step_by(2).map(byte).collect()
+}
+
+/// Highest load over the mean of all machines.
+fn imbalance(loads: &Loads, machines: usize) -> f64 {
+    let total: u64 = loads.values().sum();
+    let most = loads.values().copied().max().unwrap_or(0);
+    most as f64 * machines as f64 / total.max(1) as f64
+}
+
+fn worst_window(executions: &[&Execution], from: Moment, machines: usize) -> f64 {
+    let mut windows: BTreeMap<u128, Vec<&Execution>> = BTreeMap::new();
+    for execution in executions {
+        let window = execution.at.since(from).as_millis() / WINDOW.as_millis();
+        windows.entry(window).or_default().push(execution);
+    }
+    // The last window is not a whole one.
+    windows.pop_last();
+    let imbalances = windows.values().map(|w| imbalance(&loads(w), machines));
+    imbalances.fold(0.0, f64::max)
+}
--- a/bench/src/cmd/mod.rs
+++ b/bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! One module a subcommand.
 
+pub(crate) mod balance;
 pub(crate) mod capacity;
 pub(crate) mod demo;
 pub(crate) mod faults;
--- a/components/ownership/src/coordinator/mod.rs
+++ b/components/ownership/src/coordinator/mod.rs
@@ -19,8 +19,8 @@
 pub use witnesses::WITNESSES;
 
 /// Share of a new load figure in a shard's smoothed load; with the default heartbeat the load of
-/// about the last five seconds counts.
-const LOAD_SMOOTHING: f64 = 0.03;
+/// about the last two and a half seconds counts.
+const LOAD_SMOOTHING: f64 = 0.06;
 
 /// Incarnations of one machine that are remembered as replaced.
 const RETIRED_INCARNATIONS: usize = 8;
