Hand accepted lists on from any daemon that knows them; add bench lists

Cause: an edit accepted just before the store and the coordinator were lost together was known to nobody in the cell: it came into force when the store was back, 8.1 s after its acceptance in an outage of 8 s, above the stated 6 s.

Ruled out: staging with acknowledgements.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -20,6 +20,9 @@
     /// Measure how evenly back ends are loaded while the hottest keys change
     #[bpaf(command("balance"))]
     Balance(#[bpaf(external(balance_options))] BalanceOptions),
+    /// Edit the lists with losses right after an acceptance, and measure when edits are in force
+    #[bpaf(command("lists"))]
+    Lists(#[bpaf(external(lists_options))] ListsOptions),
     /// Measure what each role costs, against the sizes that it grows with
     #[bpaf(command("capacity"))]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
@@ -111,6 +114,19 @@
     pub(crate) seed: u64,
 }
 
+/// Options of `lists`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ListsOptions {
+    /// Seed for pauses and for the daemons that are told
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+    /// Run only this case
+    #[bpaf(argument("NAME"))]
+    pub(crate) case: Option<String>,
+    /// Leave telling daemons of accepted edits to the store alone
+    pub(crate) store_alone: bool,
+}
+
 /// Options of `capacity`.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct CapacityOptions {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -26,6 +26,7 @@
             Command::Demo(options) => cmd::demo::run(&options).await,
             Command::Load(options) => cmd::load::run(&options).await,
             Command::Faults(options) => cmd::faults::run(&options).await,
+            Command::Lists(options) => cmd::lists::run(&options).await,
             Command::Balance(options) => cmd::balance::run(&options).await,
             Command::Capacity(options) => cmd::capacity::run(&options).await,
             Command::Platform { listen } => cmd::processes::platform(listen).await,
--- a/components/daemon/src/admin_api.rs
+++ b/components/daemon/src/admin_api.rs
@@ -7,6 +7,10 @@
     TypedBody, endpoint,
 };
 
+use peers::wire::ListsDocument;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
 use crate::announcement::Announcement;
 use crate::control::Event;
 use crate::shared::Shared;
@@ -22,6 +26,7 @@
     let mut api = ApiDescription::new();
     api.register(announce).map_err(|e| e.to_string())?;
     api.register(status).map_err(|e| e.to_string())?;
+    api.register(lists_accepted).map_err(|e| e.to_string())?;
     Ok(api)
 }
 
@@ -53,6 +58,32 @@
     Ok(HttpResponseOk(status))
 }
 
+/// Lists that the store has accepted.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+pub struct AcceptedLists {
+    /// Version under which the store holds them.
+    pub version: u64,
+    /// The document.
+    pub text: String,
+}
+
+/// Tell the daemon of lists that the store has accepted
+///
+/// They reach the whole cell from here, also when the store has failed since.
+#[endpoint { method = PUT, path = "/v1/lists", tags = ["operators"] }]
+async fn lists_accepted(
+    context: Context,
+    body: TypedBody<AcceptedLists>,
+) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    let AcceptedLists { version, text } = body.into_inner();
+    let checked = lists::document::parse(&text);
+    checked.map_err(|faults| HttpError::for_bad_request(None, faults.to_string()))?;
+    let event = Event::ListsAccepted(ListsDocument { version, text });
+    let sent = context.context().events.send(event).await;
+    sent.map_err(|_| stopping())?;
+    Ok(HttpResponseUpdatedNoContent())
+}
+
 fn stopping() -> HttpError {
     HttpError::for_unavail(None, "the daemon is stopping".to_owned())
 }
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use lists::LISTS_OBJECT;
 use ownership::closing::Closing;
 use ownership::coordinator::Coordinator;
 use ownership::heartbeat::{Reply, Request};
@@ -12,23 +11,15 @@
 use ownership::renewal::{Claim, Renewal};
 use ownership::succession::Step;
 use peers::convert;
-use peers::wire::{HeartbeatReply, ListsDocument};
+use peers::wire::HeartbeatReply;
 use platform::client::{Object, Store, Update};
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use world::key::Term;
 use world::moment::Moment;
 
 use crate::control::{
-    Control, Event, HeldTerm, ListsWatch, PendingClaim, RecordRead, RecordWritten, Role, WriteKind,
+    Control, Event, HeldTerm, PendingClaim, RecordRead, RecordWritten, Role, WriteKind,
 };
 
-/// Longest wait of one watch on the lists.
-const LISTS_PATIENCE: Duration = Duration::from_secs(10);
-
-/// Pause after a failed watch.
-const LISTS_PAUSE: Duration = Duration::from_millis(200);
-
 /// Shortest time between two rounds of telling members that ownership has changed.
 const TELLING_PERIOD: Duration = Duration::from_millis(40);
 
@@ -308,22 +299,18 @@
         let version = role.renewal.version();
         let reply = role.coordinator.on_heartbeat(now, until, version, request);
         let mut message = convert::reply_to_wire(&reply);
-        let newer = role
-            .lists
-            .as_ref()
-            .filter(|l| l.version > request.lists_version);
         if message.accepted {
-            message.lists = newer.cloned();
+            let known = role.lists.as_ref().map_or(0, |l| l.version);
+            message.want_lists = request.lists_version > known;
+            message.lists = role
+                .lists
+                .as_ref()
+                .filter(|l| l.version > request.lists_version)
+                .cloned();
         }
         message
     }
 
-    pub(super) fn on_lists_read(&mut self, document: ListsDocument) {
-        if let Some(role) = &mut self.role {
-            role.lists = Some(document);
-        }
-    }
-
     pub(super) fn step_down_if_overtaken(&mut self) {
         let term = self.member.term();
         if self
@@ -346,19 +333,6 @@
         }
     }
 
-    /// The lists in force here, to be relayed to members.
-    pub(super) fn lists_document(&self) -> Option<ListsDocument> {
-        let lists = self.shared.lists.load();
-        lists.as_ref().map(|lists| ListsDocument {
-            version: lists.version,
-            text: lists.text.clone(),
-        })
-    }
-
-    pub(super) fn watch_lists(&self) -> ListsWatch {
-        ListsWatch(watch_lists(self.store.clone(), self.events.clone()))
-    }
-
     /// Gives the term up, so that a successor need not suspect this daemon first.
     pub(super) fn resign(&mut self, now: Moment) {
         let Some(role) = &mut self.role else { return };
@@ -393,27 +367,3 @@
         .is_some_and(|heard| now.since(heard) > ISOLATION);
     silent && coordinator.others() >= ISOLATION_MEMBERS
 }
-
-/// Reads the lists now and after every change.
-fn watch_lists<S: Store>(store: S, events: mpsc::Sender<Event>) -> JoinHandle<()> {
-    tokio::spawn(async move {
-        let mut known = 0;
-        loop {
-            match store.watch(LISTS_OBJECT, known, LISTS_PATIENCE).await {
-                Ok(Some(object)) => {
-                    known = object.version;
-                    let text = String::from_utf8_lossy(&object.value).into_owned();
-                    let document = ListsDocument {
-                        version: object.version,
-                        text,
-                    };
-                    if events.send(Event::ListsRead(document)).await.is_err() {
-                        return;
-                    }
-                }
-                Ok(None) => {}
-                Err(_) => tokio::time::sleep(LISTS_PAUSE).await,
-            }
-        }
-    })
-}
--- a/components/daemon/src/control/event.rs
+++ b/components/daemon/src/control/event.rs
@@ -52,6 +52,8 @@
     Heartbeat {
         /// The heartbeat.
         request: Request,
+        /// Newer lists than the coordinator knew.
+        lists: Option<ListsDocument>,
         /// Where the answer goes.
         reply: oneshot::Sender<HeartbeatReply>,
     },
@@ -131,6 +133,8 @@
     RecordWritten(RecordWritten),
     /// The coordinator's watch has read the lists.
     ListsRead(ListsDocument),
+    /// An operator's tool tells of accepted lists.
+    ListsAccepted(ListsDocument),
     /// The back end announced itself.
     Announced {
         /// The back end.
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -10,7 +10,7 @@
 use ownership::member::Changes;
 use ownership::succession::Step;
 use peers::convert;
-use peers::wire::{HeartbeatReply, ListsDocument};
+use peers::wire::HeartbeatReply;
 use platform::client::Store;
 use tokio::sync::Semaphore;
 use world::machine::{BackEnd, Machine};
@@ -19,7 +19,7 @@
 use crate::control::{Control, Event, RecordRead};
 use crate::gate::Gate;
 use crate::lease::Lease;
-use crate::shared::{ListsInForce, LocalBackEnd};
+use crate::shared::LocalBackEnd;
 
 /// Silence after which a back end counts as gone.
 const BACK_END_SILENCE: Duration = Duration::from_secs(3);
@@ -86,13 +86,14 @@
     }
 
     fn send_heartbeat(
-        &self,
+        &mut self,
         sent: Moment,
         reported: usize,
         address: SocketAddr,
         request: &Request,
     ) {
-        let message = convert::request_to_wire(request);
+        let mut message = convert::request_to_wire(request);
+        message.lists = self.wanted_lists();
         let pool = Arc::clone(&self.pool);
         let events = self.events.clone();
         tokio::spawn(async move {
@@ -179,6 +180,10 @@
                 if let Some(document) = message.lists {
                     self.take_lists(document);
                 }
+                if message.want_lists {
+                    self.lists_wanted = true;
+                    self.next_beat = now;
+                }
             }
         }
     }
@@ -211,34 +216,6 @@
             .set_rank(u32::try_from(earlier).unwrap_or(u32::MAX));
     }
 
-    /// Puts newer lists in force. A document that does not parse leaves the old one in force.
-    fn take_lists(&self, document: ListsDocument) {
-        let known = self.shared.lists.load().as_ref().map_or(0, |l| l.version);
-        if document.version <= known {
-            return;
-        }
-        match lists::document::parse(&document.text) {
-            Ok(lists) => {
-                log::info!(event = "lists_in_force", version = document.version; "");
-                let in_force = ListsInForce {
-                    version: document.version,
-                    text: document.text,
-                    lists,
-                };
-                self.shared.lists.store(Some(Arc::new(in_force)));
-            }
-            Err(faults) => {
-                let faults = faults.to_string().replace('\n', "; ");
-                log::error!(
-                    event = "lists_refused",
-                    version = document.version,
-                    faults = faults.as_str();
-                    ""
-                );
-            }
-        }
-    }
-
     /// Closes and opens gates. `unbroken` tells that the lease ran without a gap until now.
     fn apply(&mut self, now: Moment, unbroken: bool, changes: &Changes) {
         if changes.opened.is_empty() && changes.closed.is_empty() {
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod coordination;
 mod event;
 mod handover;
+mod listing;
 mod membership;
 mod report;
 mod stopping;
@@ -118,6 +119,8 @@
     closing: Vec<Arc<Gate>>,
     /// Granted shards whose gates wait for the orders of the tenure before.
     opening: Vec<Holding>,
+    /// True when the coordinator has asked for this daemon's lists.
+    lists_wanted: bool,
     next_beat: Moment,
     /// Sending time of the heartbeat on its way.
     beat_sent: Option<Moment>,
@@ -160,6 +163,7 @@
             last_held: None,
             closing: Vec::new(),
             opening: Vec::new(),
+            lists_wanted: false,
             next_beat: now,
             beat_sent: None,
             next_read: now,
@@ -202,7 +206,12 @@
     fn on_event(&mut self, event: Event) {
         let now = BootClock.now();
         match event {
-            Event::Heartbeat { request, reply } => {
+            Event::Heartbeat {
+                request,
+                lists,
+                reply,
+            } => {
+                self.relay_lists(lists);
                 let _ = reply.send(self.on_heartbeat(now, &request));
             }
             Event::Adopt {
@@ -250,7 +259,8 @@
             }
             Event::RecordRead(read) => self.on_record_read(now, read),
             Event::RecordWritten(written) => self.on_record_written(now, written),
-            Event::ListsRead(document) => self.on_lists_read(document),
+            Event::ListsRead(document) => self.relay_lists(Some(document)),
+            Event::ListsAccepted(document) => self.on_lists_accepted(now, document),
             Event::Announced { back_end, address } => self.on_announced(now, back_end, address),
             Event::OrdersTaken(openings) => self.on_orders_taken(now, openings),
             Event::BackEndRefused => self.drop_back_end("refused"),
--- a/components/daemon/src/peer_server.rs
+++ b/components/daemon/src/peer_server.rs
@@ -36,11 +36,14 @@
         &self,
         request: Request<HeartbeatRequest>,
     ) -> Result<Response<HeartbeatReply>, Status> {
-        let request = convert::request_from_wire(request.get_ref())
+        let mut message = request.into_inner();
+        let lists = message.lists.take();
+        let request = convert::request_from_wire(&message)
             .map_err(|e| Status::invalid_argument(e.to_string()))?;
         let (sender, receiver) = oneshot::channel();
         self.send(Event::Heartbeat {
             request,
+            lists,
             reply: sender,
         })
         .await?;
--- a/components/peers/src/convert.rs
+++ b/components/peers/src/convert.rs
@@ -225,7 +225,7 @@
     }
 }
 
-/// Makes the wire form of a heartbeat.
+/// Makes the wire form of a heartbeat, without lists.
 #[must_use]
 pub fn request_to_wire(request: &Request) -> wire::HeartbeatRequest {
     wire::HeartbeatRequest {
@@ -238,6 +238,7 @@
         held: holdings_to_wire(&request.held),
         released: holdings_to_wire(&request.released),
         loads: loads_to_wire(&request.loads),
+        lists: None,
     }
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -56,6 +56,9 @@
         /// Version that the document was made from; 0 for the first lists
         #[bpaf(argument("N"))]
         version: u64,
+        /// Admin address of a daemon to tell at once; repeat for more
+        #[bpaf(argument("IP:PORT"))]
+        admin: Vec<SocketAddr>,
         /// The document
         #[bpaf(positional("FILE"))]
         file: PathBuf,
--- a/src/cmd/lists.rs
+++ b/src/cmd/lists.rs
@@ -4,10 +4,12 @@
 use std::path::Path;
 
 use bytes::Bytes;
+use daemon::admin_api::AcceptedLists;
 use lists::LISTS_OBJECT;
 use platform::client::{Store, StoreError, Update};
 use platform::http_client::HttpStore;
 
+use crate::admin;
 use crate::cli::ListsCommand;
 use crate::exit::Exit;
 
@@ -18,8 +20,9 @@
         ListsCommand::Put {
             platform,
             version,
+            admin,
             file,
-        } => put(*platform, *version, file).await,
+        } => put(*platform, *version, admin, file).await,
     }
 }
 
@@ -68,7 +71,7 @@
     }
 }
 
-async fn put(platform: SocketAddr, version: u64, file: &Path) -> Exit {
+async fn put(platform: SocketAddr, version: u64, daemons: &[SocketAddr], file: &Path) -> Exit {
     let text = match read(file) {
         Ok(text) => text,
         Err(exit) => return exit,
@@ -80,6 +83,7 @@
     {
         Ok(Update::Written(version)) => {
             println!("accepted as version {version}");
+            tell(daemons, version, &text).await;
             Exit::Done
         }
         Ok(Update::Conflict(current)) => {
@@ -94,6 +98,19 @@
     }
 }
 
+/// Tells daemons of accepted lists, which reach them from the store too.
+async fn tell(daemons: &[SocketAddr], version: u64, text: &str) {
+    let lists = AcceptedLists {
+        version,
+        text: text.to_owned(),
+    };
+    for address in daemons {
+        if let Err(error) = admin::tell_lists(*address, &lists).await {
+            eprintln!("plantaingauge: {error}; it learns of the edit from its coordinator");
+        }
+    }
+}
+
 /// Finds out what became of an update whose answer was lost.
 async fn settle(store: &HttpStore, version: u64, text: &str, reason: &str) -> Exit {
     match store.get(LISTS_OBJECT).await {
