Add bench limits: what a plan gets while its demand moves

Cause: that a plan gets what its list allows was shown by a model only, not with daemons, lost keepers or cuts.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -23,6 +23,9 @@
     /// Edit the lists with losses right after an acceptance, and measure when edits are in force
     #[bpaf(command("lists"))]
     Lists(#[bpaf(external(lists_options))] ListsOptions),
+    /// Measure how much of its allowance a plan gets while its demand moves
+    #[bpaf(command("limits"))]
+    Limits(#[bpaf(external(limits_options))] LimitsOptions),
     /// Measure what each role costs, against the sizes that it grows with
     #[bpaf(command("capacity"))]
     Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
@@ -127,6 +130,17 @@
     pub(crate) store_alone: bool,
 }
 
+/// Options of `limits`.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct LimitsOptions {
+    /// Seed for the daemons that the demand moves to
+    #[bpaf(argument("N"), fallback(1))]
+    pub(crate) seed: u64,
+    /// Run only this case
+    #[bpaf(argument("NAME"))]
+    pub(crate) case: Option<String>,
+}
+
 /// Options of `capacity`.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct CapacityOptions {
--- a/bench/src/cmd/mod.rs
+++ b/bench/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod capacity;
 pub(crate) mod demo;
 pub(crate) mod faults;
+pub(crate) mod limits;
 pub(crate) mod lists;
 pub(crate) mod load;
 pub(crate) mod processes;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -27,6 +27,7 @@
             Command::Load(options) => cmd::load::run(&options).await,
             Command::Faults(options) => cmd::faults::run(&options).await,
             Command::Lists(options) => cmd::lists::run(&options).await,
+            Command::Limits(options) => cmd::limits::run(&options).await,
             Command::Balance(options) => cmd::balance::run(&options).await,
             Command::Capacity(options) => cmd::capacity::run(&options).await,
             Command::Platform { listen } => cmd::processes::platform(listen).await,
