--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -98,6 +98,8 @@
     /// Run only this case
     #[bpaf(argument("NAME"))]
     pub(crate) case: Option<String>,
+    /// Bring every two losses about together, and judge the laws only
+    pub(crate) pairs: bool,
 }
 
 /// Options of `balance`.
--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -41,6 +41,38 @@
     losses: &'static [Loss],
 }
 
+/// Losses brought about one right after the other.
+struct Trial {
+    name: String,
+    bounded: bool,
+    losses: Vec<Loss>,
+}
+
+/// The cases with one loss, and with `pairs` every two of these together. Of pairs the laws are
+/// asked, not the time.
+fn trials(pairs: bool) -> Vec<Trial> {
+    if !pairs {
+        let trials = CASES.iter().map(|case| Trial {
+            name: case.name.to_owned(),
+            bounded: case.bounded,
+            losses: case.losses.to_vec(),
+        });
+        return trials.collect();
+    }
+    let single: Vec<&Case> = CASES.iter().filter(|c| c.losses.len() == 1).collect();
+    let mut trials = Vec::new();
+    for (position, one) in single.iter().enumerate() {
+        for other in &single[position + 1..] {
+            trials.push(Trial {
+                name: format!("{}+{}", one.name, other.name),
+                bounded: false,
+                losses: [one.losses, other.losses].concat(),
+            });
+        }
+    }
+    trials
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Loss {
     /// A machine that owns keys and does not coordinate.
@@ -160,14 +192,20 @@
 /// # Errors
 /// Fails when a deployment does not come up or the case is unknown.
 pub(crate) async fn run(options: &FaultsOptions) -> Result<bool, Error> {
-    let wanted = |case: &&Case| options.case.as_deref().is_none_or(|name| name == case.name);
-    let cases: Vec<&Case> = CASES.iter().filter(wanted).collect();
+    let all = trials(options.pairs);
+    let wanted = |trial: &&Trial| {
+        options
+            .case
+            .as_deref()
+            .is_none_or(|name| name == trial.name)
+    };
+    let cases: Vec<&Trial> = all.iter().filter(wanted).collect();
     if cases.is_empty() {
-        let names: Vec<&str> = CASES.iter().map(|c| c.name).collect();
+        let names: Vec<&str> = all.iter().map(|t| t.name.as_str()).collect();
         return Err(format!("no such case; there are: {}", names.join(", ")).into());
     }
     println!(
-        "{:<30} {:>8} {:>8} {:>8} {:>6} {:>6} {:>9} {:>8} {:>10}",
+        "{:<42} {:>8} {:>8} {:>8} {:>6} {:>6} {:>9} {:>8} {:>10}",
         "case",
         "p50_ms",
         "p99_ms",
@@ -194,20 +232,20 @@
     Ok(ok)
 }
 
-fn is_late(case: &Case, measured: &Measured) -> bool {
+fn is_late(case: &Trial, measured: &Measured) -> bool {
     let longest = measured.gaps.last().copied().unwrap_or_default();
     let churn = measured.moved as f64 > MAX_CHURN * measured.least as f64;
     case.bounded && (longest > MAX_UNAVAILABLE || (measured.least > 0 && churn))
 }
 
-fn print_row(case: &Case, measured: &Measured) {
+fn print_row(case: &Trial, measured: &Measured) {
     let gap = |quantile: f64| {
         let last = measured.gaps.len().saturating_sub(1);
         let index = (last as f64 * quantile).round() as usize;
         measured.gaps.get(index).map_or(0, Duration::as_millis)
     };
     println!(
-        "{:<30} {:>8} {:>8} {:>8} {:>6} {:>6} {:>9.2} {:>8} {:>10}{}",
+        "{:<42} {:>8} {:>8} {:>8} {:>6} {:>6} {:>9.2} {:>8} {:>10}{}",
         case.name,
         gap(0.5),
         gap(0.99),
@@ -231,7 +269,7 @@
     }
 }
 
-async fn measure(case: &Case, seed: u64) -> Result<Measured, Error> {
+async fn measure(case: &Trial, seed: u64) -> Result<Measured, Error> {
     let mut deployment = Deployment::start(deployment::press_office()).await?;
     deployment.await_ready().await?;
     // The coordinator lists its witnesses with one of its next renewals.
@@ -245,7 +283,7 @@
         .map(|key| prober::probe(key, seed, entries.clone(), Arc::clone(&ended)))
         .collect();
     tokio::time::sleep(LEAD).await;
-    for loss in case.losses {
+    for loss in &case.losses {
         bring_about(&mut deployment, *loss, &lost, &coordinator).await;
         tokio::time::sleep(prober::PROBE_PERIOD).await;
     }
@@ -287,14 +325,14 @@
 }
 
 /// Machines that the case takes away for good.
-fn victims(deployment: &Deployment, case: &Case, coordinator: &str) -> BTreeSet<String> {
+fn victims(deployment: &Deployment, case: &Trial, coordinator: &str) -> BTreeSet<String> {
     let mut lost = BTreeSet::new();
     let coordinator_zone = deployment.zone_of(coordinator).unwrap_or_default();
     let owners = deployment
         .nodes
         .keys()
         .filter(|n| n.ends_with(prober::SERVICE) && *n != coordinator);
-    for loss in case.losses {
+    for loss in &case.losses {
         match loss {
             Loss::Owner | Loss::BackEndCrashed => lost.extend(owners.clone().next().cloned()),
             Loss::Coordinator => {
--- a/components/daemon/src/allowance.rs
+++ b/components/daemon/src/allowance.rs
@@ -25,6 +25,9 @@
 /// Purses above which idle ones are dropped.
 const PURSE_LIMIT: usize = 10_000;
 
+/// Time between two searches for idle purses.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// What an allowance is for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Purpose {
@@ -75,16 +78,27 @@
 /// Purses by purpose. The lock of a purse is held while it borrows, so that a daemon has at
 /// most one loan of a kind on its way.
 #[derive(Debug, Default)]
-pub struct Purses(Mutex<HashMap<Purpose, Arc<tokio::sync::Mutex<Purse>>>>);
+pub struct Purses(Mutex<PurseTable>);
+
+#[derive(Debug, Default)]
+struct PurseTable {
+    purses: HashMap<Purpose, Arc<tokio::sync::Mutex<Purse>>>,
+    next_sweep: Moment,
+}
 
 impl Purses {
     fn purse(&self, purpose: &Purpose, now: Moment) -> Arc<tokio::sync::Mutex<Purse>> {
-        let mut purses = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if purses.len() > PURSE_LIMIT {
-            purses.retain(|_, purse| Arc::strong_count(purse) > 1);
+        let mut table = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if table.purses.len() > PURSE_LIMIT && now >= table.next_sweep {
+            table.next_sweep = now + SWEEP_PERIOD;
+            let idle = |purse: &tokio::sync::Mutex<Purse>| {
+                purse.try_lock().is_ok_and(|purse| purse.is_idle(now))
+            };
+            table.purses.retain(|_, purse| !idle(purse));
         }
         let fresh = || Arc::new(tokio::sync::Mutex::new(Purse::new(now)));
-        Arc::clone(purses.entry(purpose.clone()).or_insert_with(fresh))
+        let purse = table.purses.entry(purpose.clone()).or_insert_with(fresh);
+        Arc::clone(purse)
     }
 }
 
@@ -233,3 +247,37 @@
     let loan = (&borrower, request.wanted);
     Ok(gate.keeper().lend(now, margin, purpose, allowance, loan))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn purpose(number: usize) -> Purpose {
+        Purpose {
+            customer: CustomerName::new(&format!("customer-{number}")),
+            service: ServiceName::new("credits"),
+            order: false,
+        }
+    }
+
+    #[test]
+    fn drops_idle_purses_and_keeps_those_with_a_block() {
+        let purses = Purses::default();
+        let start = Moment::from_millis(1_000);
+        let later = start + Duration::from_secs(2);
+        for number in 0..=PURSE_LIMIT {
+            purses.purse(&purpose(number), start);
+        }
+        let used = purses.purse(&purpose(7), start);
+        let lent = |mut purse: tokio::sync::MutexGuard<'_, Purse>| {
+            purse.on_lent(later, 3, Duration::from_millis(150));
+        };
+        lent(used.try_lock().expect("free"));
+        drop(used);
+        purses.purse(&purpose(PURSE_LIMIT + 1), later);
+        let kept = purses.purse(&purpose(7), later);
+        let spent = kept.try_lock().expect("free").spend(later);
+        assert_eq!(spent, Spend::Paid);
+        assert_eq!(purses.0.lock().expect("free").purses.len(), 2);
+    }
+}
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -58,21 +58,25 @@
             let me = role.coordinator.identity().clone();
             self.announce_term(&me);
         }
+        self.renew_term(now);
+    }
+
+    /// Renews the term when it is due: at the store, which an acting coordinator only reads to see
+    /// whether it answers, and at the witnesses.
+    fn renew_term(&mut self, now: Moment) {
         let Some(role) = &mut self.role else { return };
-        if now >= role.next_renewal {
-            role.next_renewal = now + self.shared.settings.timing.renewal;
-            if role.renewal.is_acting() {
-                self.read_record();
-                return self.ask_witnesses(now);
-            }
-            if self.writing {
-                return self.ask_witnesses(now);
-            }
+        if now < role.next_renewal {
+            return;
+        }
+        role.next_renewal = now + self.shared.settings.timing.renewal;
+        if role.renewal.is_acting() {
+            self.read_record();
+        } else if !self.writing {
             let expected = role.renewal.version();
             let record = role.renewal.start(now, rand::random());
             self.write_record(WriteKind::Renewal, expected, &record);
-            self.ask_witnesses(now);
         }
+        self.ask_witnesses(now);
     }
 
     fn write_record(&mut self, kind: WriteKind, expected: u64, record: &CellRecord) {
--- a/components/daemon/src/gate.rs
+++ b/components/daemon/src/gate.rs
@@ -37,6 +37,16 @@
     /// An open gate of a tenure that starts at `now` with the given orders.
     #[must_use]
     pub fn new(holding: Holding, orders: OrderTable, now: Moment) -> Self {
+        let orders = Arc::new(Mutex::new(orders));
+        let keeper = Arc::new(Mutex::new(Keeper::new(now)));
+        Self::sharing(holding, orders, keeper)
+    }
+
+    fn sharing(
+        holding: Holding,
+        orders: Arc<Mutex<OrderTable>>,
+        keeper: Arc<Mutex<Keeper>>,
+    ) -> Self {
         Self {
             holding,
             closing: AtomicBool::new(false),
@@ -44,8 +54,8 @@
             abandoned: AtomicBool::new(false),
             stuck_until: AtomicU64::new(0),
             requests: AtomicU32::new(0),
-            orders: Arc::new(Mutex::new(orders)),
-            keeper: Arc::new(Mutex::new(Keeper::new(now))),
+            orders,
+            keeper,
             renewed: AtomicBool::new(false),
         }
     }
@@ -61,17 +71,7 @@
         } else {
             Arc::new(Mutex::new(Keeper::new(now)))
         };
-        Self {
-            holding,
-            closing: AtomicBool::new(false),
-            in_flight: AtomicU32::new(0),
-            abandoned: AtomicBool::new(false),
-            stuck_until: AtomicU64::new(0),
-            requests: AtomicU32::new(0),
-            orders: Arc::clone(&self.orders),
-            keeper,
-            renewed: AtomicBool::new(false),
-        }
+        Self::sharing(holding, Arc::clone(&self.orders), keeper)
     }
 
     /// Tells whether a later gate of this daemon goes on with the orders.
--- a/components/limits/src/purse.rs
+++ b/components/limits/src/purse.rs
@@ -7,6 +7,9 @@
 /// Time that a block is meant to last at the recent demand.
 const BLOCK_SPAN: Duration = Duration::from_millis(100);
 
+/// Time without requests after which the demand is forgotten.
+const IDLE_SPAN: Duration = Duration::from_secs(1);
+
 /// Largest block in tokens.
 const MAX_BLOCK: u32 = 4096;
 
@@ -83,6 +86,13 @@
         self.empty_until = now + retry_after;
     }
 
+    /// Tells whether the purse holds nothing that a new one would lack.
+    #[must_use]
+    pub fn is_idle(&self, now: Moment) -> bool {
+        let waits = now < self.expires || now < self.empty_until;
+        !waits && now.since(self.counted) >= IDLE_SPAN
+    }
+
     fn measure(&mut self, now: Moment) {
         if now.since(self.counted) < BLOCK_SPAN {
             return;
