Take back at once a grant that its owner was never told of

A coordinator whose first grants came more than a second after it took the term balanced in the same step: shards were marked as releasing before any answer had told their owner of them. The owner never held them and never released them.

Change: a slot remembers whether an answer has told its owner; a grant that was not told is free at once.

Ruled out: fences and sessions at the back ends (the routers' grants of that term added up to 1,018 of 1,024 shards), lost releases, and the hand-over of orders.

--- a/components/ownership/src/coordinator/mod.rs
+++ b/components/ownership/src/coordinator/mod.rs
@@ -48,7 +48,10 @@
 struct Slot {
     owner: Option<MemberId>,
     fence: Fence,
+    /// True once an answer to the owner may have told it of the grant.
+    told: bool,
     /// True when the owner was told to give the shard up and has not confirmed it.
+    /// Invariant: only a grant that was told is released.
     releasing: bool,
     /// Member that held the shard last, with the fence it reported.
     previous: Option<MemberId>,
@@ -57,6 +60,17 @@
     load: f64,
 }
 
+impl Slot {
+    /// Takes the shard back from its owner, at once when that one can't know of the grant.
+    fn withdraw(&mut self) {
+        if self.told {
+            self.releasing = true;
+        } else {
+            self.owner = None;
+        }
+    }
+}
+
 /// End of a tenure by a release.
 #[derive(Clone, Copy, Debug)]
 struct Release {
@@ -268,6 +282,7 @@
         {
             self.sequence += 1;
             slot.fence = Fence::new(self.me.term, self.sequence);
+            slot.told = true;
             slot.releasing = false;
         }
     }
@@ -414,15 +429,15 @@
     }
 
     fn reply(
-        &self,
+        &mut self,
         now: Moment,
         id: MemberId,
         lease: Duration,
         cell_version: u64,
         request: &Request,
     ) -> Reply {
-        let peer = &self.peers[id];
-        let revision = if lease.is_zero() { 0 } else { peer.revision };
+        let revision = self.peers[id].revision;
+        let revision = if lease.is_zero() { 0 } else { revision };
         let known = request.term == self.me.term && request.revision == revision;
         let grants = (revision != 0 && !known).then(|| self.grants_of(now, id));
         let route =
@@ -437,10 +452,10 @@
         })
     }
 
-    fn grants_of(&self, now: Moment, member: MemberId) -> Grants {
+    fn grants_of(&mut self, now: Moment, member: MemberId) -> Grants {
         let mut grants = Grants::default();
-        for (service, slots) in &self.services {
-            for (shard, slot) in slots.iter().enumerate() {
+        for (service, slots) in &mut self.services {
+            for (shard, slot) in slots.iter_mut().enumerate() {
                 if slot.owner != Some(member) || slot.releasing {
                     continue;
                 }
@@ -448,7 +463,10 @@
                     service: service.clone(),
                     shard: Shard(u16::try_from(shard).unwrap_or(u16::MAX)),
                 };
-                grants.predecessors.extend(self.predecessor(now, &id, slot));
+                slot.told = true;
+                grants
+                    .predecessors
+                    .extend(predecessor(&self.peers, now, &id, slot));
                 grants.holdings.push(Holding {
                     id,
                     fence: slot.fence,
@@ -457,21 +475,21 @@
         }
         grants
     }
+}
 
-    /// The tenure before, while its orders may still be taken.
-    fn predecessor(&self, now: Moment, id: &ShardId, slot: &Slot) -> Option<Predecessor> {
-        let release = slot.released?;
-        if id.service.as_str() == table::CUSTOMERS_SERVICE || now >= release.at + HANDOVER_PERIOD {
-            return None;
-        }
-        Some(Predecessor {
-            released: Holding {
-                id: id.clone(),
-                fence: release.fence,
-            },
-            address: self.peers[release.member].machine.traffic_address,
-        })
+/// The tenure before, while its orders may still be taken.
+fn predecessor(peers: &[Peer], now: Moment, id: &ShardId, slot: &Slot) -> Option<Predecessor> {
+    let release = slot.released?;
+    if id.service.as_str() == table::CUSTOMERS_SERVICE || now >= release.at + HANDOVER_PERIOD {
+        return None;
     }
+    Some(Predecessor {
+        released: Holding {
+            id: id.clone(),
+            fence: release.fence,
+        },
+        address: peers[release.member].machine.traffic_address,
+    })
 }
 
 fn same_back_end(left: &Machine, right: &Machine) -> bool {
--- a/components/ownership/src/coordinator/placement.rs
+++ b/components/ownership/src/coordinator/placement.rs
@@ -65,7 +65,7 @@
             if candidates.contains(&owner) || !self.peers[owner].live {
                 continue;
             }
-            slot.releasing = true;
+            slot.withdraw();
             self.peers[owner].revision += 1;
         }
     }
@@ -84,6 +84,7 @@
             let slot = &mut slots[placement.shard];
             slot.owner = Some(id);
             slot.fence = Fence::new(self.me.term, self.sequence);
+            slot.told = false;
             slot.previous = None;
             self.peers[id].revision += 1;
         }
@@ -102,7 +103,7 @@
         for movement in moves {
             let slot = &mut slots[movement.shard];
             let Some(owner) = slot.owner else { continue };
-            slot.releasing = true;
+            slot.withdraw();
             self.peers[owner].revision += 1;
             self.moves += 1;
         }
