--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -34,7 +34,7 @@
 const CLOSING_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Time for which a coordinator that gave its term up leaves it to others.
-const HOLD_OFF: Duration = Duration::from_secs(3);
+const HOLD_OFF: Duration = Duration::from_secs(1);
 
 impl<S: Store> Control<S> {
     /// Renews the term, acts on lapsed members, and gives the term up when isolated.
