--- a/bench/tests/whole_path.rs
+++ b/bench/tests/whole_path.rs
@@ -1,9 +1,8 @@
 //! The whole path over real sockets, with what can go wrong on it.
 
-use std::time::Duration;
+mod common;
 
 use bench::caller::{Caller, Outcome, Wish};
-use bench::deployment::{self, Deployment, Spec};
 use bytes::Bytes;
 use daemon::announcement::{AnnouncedOperation, Announcement};
 use daemon::caller_api;
@@ -19,49 +18,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
-
-fn spec() -> Spec {
-    let mut spec = deployment::plain(vec![("nord", "nord-a"), ("nord", "nord-b")], 1);
-    spec.checks_fences = true;
-    spec
-}
+use crate::common::{entries, lookup, order, ready, spec};
 
-async fn ready(spec: Spec) -> Deployment {
-    let deployment = Deployment::start(spec).await.expect("a deployment");
-    deployment.await_ready().await.expect("every shard owned");
-    deployment
-}
-
-fn order(request: &str, body: String) -> Wish {
-    Wish {
-        request: request.to_owned(),
-        customer: Some("load".to_owned()),
-        service: "keyed".to_owned(),
-        operation: "put".to_owned(),
-        key: Some("key-1".to_owned()),
-        ticket: None,
-        body: Some(body),
-        deadline_ms: None,
-        patience: Duration::from_secs(10),
-    }
-}
-
-fn lookup(request: &str) -> Wish {
-    Wish {
-        operation: "get".to_owned(),
-        body: None,
-        ..order(request, String::new())
-    }
-}
-
-fn entries(deployment: &Deployment) -> Vec<std::net::SocketAddr> {
-    deployment
-        .entries()
-        .into_iter()
-        .map(|(_, address)| address)
-        .collect()
-}
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 fn http_client() -> HttpClient {
     Client::builder(TokioExecutor::new()).build_http()
@@ -186,109 +145,6 @@
     deployment.end().await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_planned_stop_cuts_off_no_request() {
-    let mut spec = spec();
-    for service in &mut spec.services {
-        service.service_time = Duration::from_millis(150);
-    }
-    let mut deployment = ready(spec).await;
-    let owner = deployment.owner_of("keyed", b"key-1").expect("an owner");
-    let entries = entries(&deployment);
-    let mut running = Vec::new();
-    let mut stop = None;
-    for number in 0..30 {
-        let wish = if number % 2 == 0 {
-            order(&format!("{number}"), "amount=1".to_owned())
-        } else {
-            lookup(&format!("{number}"))
-        };
-        let entries = entries.clone();
-        running.push(tokio::spawn(async move {
-            Caller::new().pursue(&entries, &wish).await
-        }));
-        tokio::time::sleep(Duration::from_millis(10)).await;
-        if number == 10 {
-            stop = deployment.stop(&owner);
-        }
-    }
-    let mut answered = 0;
-    for task in running {
-        let report = task.await.expect("a report");
-        assert!(matches!(report.outcome, Outcome::Answered(_)), "{report:?}");
-        answered += 1;
-    }
-    assert_eq!(answered, 30);
-    stop.expect("a stop").await.expect("stopped");
-    deployment.end().await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn the_next_owner_goes_on_with_orders_after_a_planned_stop() {
-    let mut deployment = ready(spec()).await;
-    let owner = deployment.owner_of("keyed", b"key-1").expect("an owner");
-    let caller = Caller::new();
-    let entries = entries(&deployment);
-    let ran = caller
-        .pursue(&entries, &order("1", "amount=5".to_owned()))
-        .await;
-    let unused = caller
-        .ticket(&entries, &order("2", "amount=7".to_owned()))
-        .await;
-    assert!(unused.is_some());
-    deployment
-        .stop(&owner)
-        .expect("a stop")
-        .await
-        .expect("stopped");
-    let repeated = Wish {
-        ticket: ran.ticket.clone(),
-        ..order("1", "amount=5".to_owned())
-    };
-    let again = caller.pursue(&entries, &repeated).await;
-    assert_eq!(ran.outcome, again.outcome, "{again:?}");
-    let started = Wish {
-        ticket: unused,
-        ..order("2", "amount=7".to_owned())
-    };
-    let late = caller.pursue(&entries, &started).await;
-    assert!(matches!(late.outcome, Outcome::Answered(_)), "{late:?}");
-    assert_eq!(deployment.recorder.len(), 2);
-    deployment.end().await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn an_owner_goes_on_with_its_orders_after_the_coordinator_is_lost() {
-    let mut deployment = ready(spec()).await;
-    let coordinator = deployment.coordinator().await.expect("a coordinator");
-    let mut keys = (0..64).map(|number| format!("key-{number}"));
-    let elsewhere = |key: &String| {
-        let owner = deployment.owner_of("keyed", key.as_bytes());
-        owner.is_some_and(|owner| owner != coordinator)
-    };
-    let key = keys.find(elsewhere).expect("a key of another machine");
-    let wish = Wish {
-        key: Some(key),
-        ..order("1", "amount=5".to_owned())
-    };
-    let caller = Caller::new();
-    let ran = caller.pursue(&entries(&deployment), &wish).await;
-    assert!(matches!(ran.outcome, Outcome::Answered(_)), "{ran:?}");
-    deployment.kill(&coordinator).await;
-    let left: Vec<_> = deployment.entries();
-    let left = left.into_iter().filter(|(name, _)| *name != coordinator);
-    let left: Vec<_> = left.map(|(_, address)| address).collect();
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    let repeated = Wish {
-        ticket: ran.ticket.clone(),
-        ..wish
-    };
-    let again = caller.pursue(&left, &repeated).await;
-    assert_eq!(ran.outcome, again.outcome, "{again:?}");
-    assert_eq!(deployment.recorder.len(), 1);
-    deployment.end().await;
-}
-
 /// Announces a back end that promises 100 bytes, sends 10 and closes.
 async fn announce_cutting_back_end(admin: std::net::SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
