Give the final answer at once for an order whose end is lost

Cause: with a frozen or crashed back end some callers of an order were kept busy for their whole patience, 10 s: the owner had given the order up and answered outcome-unknown, which advises a repetition, 31 times over, though it could never know more.

Change: the owner answers outcome-lost, with the advice to check and take a new ticket. outcome-unknown stays for an answer lost between the daemons, which a repetition may find. bench faults names the slowest request of a slow case.

Ruled out: stuck shards and orders left running in a table (the slowest request was an order with outcome-unknown at each of its attempts).

A new test asks for the final answer at the first repetition.

--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -9,6 +9,7 @@
 use bench::checker::{self, Violation};
 use bench::deployment::{self, Deployment};
 use bench::prober;
+use bench::replay::Sent;
 use bench::stand_in::back_end::Behaviour;
 use bench::stand_in::platform::Faults;
 use ownership::record::CellRecord;
@@ -184,6 +185,8 @@
     least: usize,
     imbalance: f64,
     requests: usize,
+    /// The request that took longest, for people.
+    slowest: String,
     violations: Vec<Violation>,
 }
 
@@ -261,6 +264,9 @@
             ""
         }
     );
+    if gap(1.0) > MAX_UNAVAILABLE.as_millis() {
+        println!("  slowest {}", measured.slowest);
+    }
     for violation in measured.violations.iter().take(3) {
         println!(
             "  violation law={} seen={:?}",
@@ -318,12 +324,30 @@
             .count(),
         imbalance: imbalance(&after),
         requests: sent.len(),
+        slowest: slowest(&sent),
         violations,
     };
     deployment.end().await;
     Ok(measured)
 }
 
+fn slowest(sent: &[Sent]) -> String {
+    let reports = sent
+        .iter()
+        .flat_map(|s| s.reports.iter().map(|report| (&s.line, report)));
+    let slowest = reports.max_by_key(|(_, report)| report.took);
+    slowest.map_or_else(String::new, |(line, report)| {
+        format!(
+            "request={} operation={} took_ms={} attempts={} outcome={:?}",
+            line.id,
+            line.operation,
+            report.took.as_millis(),
+            report.attempts,
+            report.outcome
+        )
+    })
+}
+
 /// Machines that the case takes away for good.
 fn victims(deployment: &Deployment, case: &Trial, coordinator: &str) -> BTreeSet<String> {
     let mut lost = BTreeSet::new();
--- a/bench/tests/whole_path.rs
+++ b/bench/tests/whole_path.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use bench::caller::{Caller, Outcome, Wish};
+use bench::stand_in::back_end::Behaviour;
 use bytes::Bytes;
 use daemon::announcement::{AnnouncedOperation, Announcement};
 use daemon::caller_api;
@@ -86,6 +87,39 @@
     deployment.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_was_given_up_gets_its_final_answer_at_once() {
+    let deployment = ready(spec()).await;
+    let owner = deployment.owner_of("keyed", b"key-1").expect("an owner");
+    let back_end = deployment.nodes[&owner].back_end.as_ref();
+    back_end.expect("a back end").set_behaviour(Behaviour {
+        frozen: true,
+        ..Behaviour::default()
+    });
+    let wish = Wish {
+        deadline_ms: Some(300),
+        ..order("1", "amount=5".to_owned())
+    };
+    let caller = Caller::new();
+    let entry = &deployment.nodes[&owner].daemon;
+    let entry = [entry.as_ref().expect("a daemon").listen().callers];
+    let report = caller.pursue(&entry, &wish).await;
+    let again = Wish {
+        ticket: report.ticket.clone(),
+        ..wish
+    };
+    let repeated = caller.pursue(&entry, &again).await;
+    assert_eq!(repeated.attempts, 1, "{repeated:?}");
+    for report in [report, repeated] {
+        let Outcome::Refused(problem) = &report.outcome else {
+            panic!("{report:?}");
+        };
+        assert_eq!(problem.error, "outcome-lost");
+        assert_eq!(problem.advice, "check-then-new-ticket");
+    }
+    deployment.end().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn peers_without_the_secret_are_refused() {
     let deployment = ready(spec()).await;
--- a/components/daemon/src/entry/attempt.rs
+++ b/components/daemon/src/entry/attempt.rs
@@ -142,6 +142,7 @@
             | ErrorKind::BackEndFailed
             | ErrorKind::LookupTimedOut
             | ErrorKind::OutcomeUnknown
+            | ErrorKind::OutcomeLost
     )
 }
 
--- a/components/daemon/src/owner/admission.rs
+++ b/components/daemon/src/owner/admission.rs
@@ -132,7 +132,7 @@
         Admission::Replay(answer) => return Ok(Some(answer)),
         Admission::RanBefore => ErrorKind::AnswerNotKept,
         Admission::InProgress => ErrorKind::OrderInProgress,
-        Admission::Unknown => ErrorKind::OutcomeUnknown,
+        Admission::Unknown => ErrorKind::OutcomeLost,
         Admission::Stale => ErrorKind::TicketStale,
         Admission::Expired => ErrorKind::TicketExpired,
         Admission::Mismatch => ErrorKind::TicketMismatch,
--- a/components/daemon/src/owner/answer.rs
+++ b/components/daemon/src/owner/answer.rs
@@ -16,7 +16,7 @@
 
 pub(super) fn cut_short(order: Option<&Order>) -> Ended {
     let kind = if order.is_some() {
-        ErrorKind::OutcomeUnknown
+        ErrorKind::OutcomeLost
     } else {
         ErrorKind::BackEndFailed
     };
--- a/components/daemon/src/owner/execution.rs
+++ b/components/daemon/src/owner/execution.rs
@@ -96,7 +96,7 @@
 ) {
     let timed_out = || {
         let kind = match order {
-            Some(_) => ErrorKind::OutcomeUnknown,
+            Some(_) => ErrorKind::OutcomeLost,
             None => ErrorKind::LookupTimedOut,
         };
         Ended::Unknown(kind.into())
@@ -130,7 +130,7 @@
         }
         BackEndError::Broken => {
             let kind = match order {
-                Some(_) => ErrorKind::OutcomeUnknown,
+                Some(_) => ErrorKind::OutcomeLost,
                 None => ErrorKind::BackEndFailed,
             };
             Ended::Unknown(Failure { kind, detail })
--- a/components/world/src/error_kind.rs
+++ b/components/world/src/error_kind.rs
@@ -124,6 +124,7 @@
     TicketStale: "ticket-stale", 409, Unknown, CheckThenNewTicket, 0, "The key changed owner since the ticket was issued: this attempt did not run, an earlier one may have.";
     OrderInProgress: "order-in-progress", 409, Unknown, Repeat, 100, "The order with this ticket is running.";
     OutcomeUnknown: "outcome-unknown", 504, Unknown, Repeat, 200, "The order may have run; its ticket tells when it is sent again.";
+    OutcomeLost: "outcome-lost", 409, Unknown, CheckThenNewTicket, 0, "The order was started and its end can't be found out any more; its ticket tells nothing further.";
     AnswerNotKept: "answer-not-kept", 409, Yes, CheckThenNewTicket, 0, "The order ran, its answer was too large to keep.";
     TicketTableFull: "ticket-table-full", 503, No, Repeat, 1000, "Too many orders are remembered; none was forgotten to make room.";
     RateLimited: "rate-limited", 429, No, Repeat, 100, "The plan's allowance is used up.";
