Write a term's start, a quorum's instant and a candidate's request once

Change: Control::hold_term, record::closing_instant, Candidacy::request and bench::quantile serve them. Behaviour and checks are the same; no assertion changed.

--- a/bench/src/cmd/faults.rs
+++ b/bench/src/cmd/faults.rs
@@ -9,6 +9,7 @@
 use bench::checker::{self, Violation};
 use bench::deployment::{self, Deployment};
 use bench::prober;
+use bench::quantile;
 use bench::replay::Sent;
 use bench::stand_in::back_end::Behaviour;
 use bench::stand_in::platform::Faults;
@@ -242,11 +243,7 @@
 }
 
 fn print_row(case: &Trial, measured: &Measured) {
-    let gap = |quantile: f64| {
-        let last = measured.gaps.len().saturating_sub(1);
-        let index = (last as f64 * quantile).round() as usize;
-        measured.gaps.get(index).map_or(0, Duration::as_millis)
-    };
+    let gap = |quantile| quantile::millis(&measured.gaps, quantile);
     println!(
         "{:<42} {:>8} {:>8} {:>8} {:>6} {:>6} {:>9.2} {:>8} {:>10}{}",
         case.name,
--- a/bench/src/cmd/lists.rs
+++ b/bench/src/cmd/lists.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bench::deployment::{self, Deployment};
+use bench::quantile;
 use bench::stand_in::platform::Faults;
 use bytes::Bytes;
 use daemon::admin_api::AcceptedLists;
@@ -136,10 +137,7 @@
 }
 
 fn print_row(name: &str, ledger: &Ledger, times: &[Duration], lost: u32) {
-    let time = |quantile: f64| {
-        let index = (times.len().saturating_sub(1) as f64 * quantile).round() as usize;
-        times.get(index).map_or(0, Duration::as_millis)
-    };
+    let time = |quantile| quantile::millis(times, quantile);
     println!(
         "{name:<28} {:>8} {:>9} {:>9} {:>8} {:>8} {:>8} {lost:>5} {:>8} {:>5}",
         ledger.accepted.len(),
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cpu;
 pub mod deployment;
 pub mod prober;
+pub mod quantile;
 pub mod replay;
 pub mod stand_in;
 pub mod trace;
--- /dev/null
+++ b/bench/src/quantile.rs
@@ -0,0 +1,11 @@
+//! Quantiles of measured times.
+
+use std::time::Duration;
+
+/// The value at a quantile of sorted times, in milliseconds; 0 without any.
+#[must_use]
+pub fn millis(sorted: &[Duration], quantile: f64) -> u128 {
+    let last = sorted.len().saturating_sub(1);
+    let index = (last as f64 * quantile).round() as usize;
+    sorted.get(index).map_or(0, Duration::as_millis)
+}
--- a/components/daemon/src/allowance.rs
+++ b/components/daemon/src/allowance.rs
@@ -269,10 +269,8 @@
             purses.purse(&purpose(number), start);
         }
         let used = purses.purse(&purpose(7), start);
-        let lent = |mut purse: tokio::sync::MutexGuard<'_, Purse>| {
-            purse.on_lent(later, 3, Duration::from_millis(150));
-        };
-        lent(used.try_lock().expect("free"));
+        let valid = Duration::from_millis(150);
+        used.try_lock().expect("free").on_lent(later, 3, valid);
         drop(used);
         purses.purse(&purpose(PURSE_LIMIT + 1), later);
         let kept = purses.purse(&purpose(7), later);
--- a/components/daemon/src/control/acting.rs
+++ b/components/daemon/src/control/acting.rs
@@ -16,7 +16,7 @@
 use world::name::MachineName;
 
 use crate::control::witnessing::ask;
-use crate::control::{Control, Event, Role};
+use crate::control::{Control, Event};
 
 /// Time between two requests for endorsement.
 const STAND_PERIOD: Duration = Duration::from_millis(50);
@@ -61,27 +61,18 @@
         if !self.succession.should_stand(now, position) {
             return None;
         }
-        let request = EndorseRequest {
-            term: term.acting(),
-            candidate: name.clone(),
-            asked: witnesses[position].incarnation,
-            witnesses: witnesses.clone(),
-        };
+        let timing = self.shared.settings.timing;
+        let candidacy = Candidacy::new(timing, term.acting(), witnesses, name, now)?;
+        let request = candidacy.request(&candidacy.witnesses()[position]);
         if !self.witness.endorses(&request, self.own(), false) {
             return None;
         }
         log::info!(event = "standing", term = term.acting().0; "");
-        let timing = self.shared.settings.timing;
-        Candidacy::new(timing, term.acting(), witnesses, name, now)
+        Some(candidacy)
     }
 
     fn ask_to_endorse(&self, candidacy: &Candidacy, witness: &WitnessRef) {
-        let request = EndorseRequest {
-            term: candidacy.term(),
-            candidate: self.shared.settings.name.clone(),
-            asked: witness.incarnation,
-            witnesses: candidacy.witnesses().to_vec(),
-        };
+        let request = candidacy.request(witness);
         let message = witnessing::endorse_to_wire(&self.shared.settings.cell, &request);
         let pool = Arc::clone(&self.pool);
         let events = self.events.clone();
@@ -137,20 +128,10 @@
         log::info!(event = "term_taken", term = me.term.0, acting = true; "");
         self.shared.counters.take_overs.add();
         self.announce_term(&me);
-        self.role = Some(Role {
-            started: now,
-            coordinator: Coordinator::new(timing, me.clone(), now, grants_from),
-            renewal: Renewal::acting(timing, record, now, floor),
-            closing: Closing::new(timing, Vec::new(), now),
-            next_close: now,
-            _lists_watch: self.watch_lists(),
-            lists: self.lists_document(),
-            next_renewal: now,
-            told_version: 0,
-            next_telling: now,
-        });
-        self.member.adopt(me);
-        self.beat_at_once(now);
+        let coordinator = Coordinator::new(timing, me, now, grants_from);
+        let renewal = Renewal::acting(timing, record, now, floor);
+        let closing = Closing::new(timing, Vec::new(), now);
+        self.hold_term(now, now, coordinator, renewal, closing);
     }
 
     /// Takes the next term through the store, which answers again; or finds that another
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -259,15 +259,29 @@
             Some(role) => role.coordinator.promote(me.clone()),
             None => Coordinator::new(timing, me.clone(), now, grants_from),
         };
+        let renewal = Renewal::new(timing, record, version, sent);
+        self.hold_term(now, now + timing.renewal, coordinator, renewal, closing);
+    }
+
+    /// Starts to coordinate under a term, to be renewed first at `next_renewal`.
+    pub(super) fn hold_term(
+        &mut self,
+        now: Moment,
+        next_renewal: Moment,
+        coordinator: Coordinator,
+        renewal: Renewal,
+        closing: Closing,
+    ) {
+        let me = coordinator.identity().clone();
         self.role = Some(Role {
             started: now,
             coordinator,
-            renewal: Renewal::new(timing, record, version, sent),
+            renewal,
             closing,
             next_close: now,
             _lists_watch: self.watch_lists(),
             lists: self.lists_document(),
-            next_renewal: now + timing.renewal,
+            next_renewal,
             told_version: 0,
             next_telling: now,
         });
--- a/components/ownership/src/candidacy.rs
+++ b/components/ownership/src/candidacy.rs
@@ -66,6 +66,17 @@
             .map(|(witness, _)| witness)
     }
 
+    /// What to ask a witness, this machine included.
+    #[must_use]
+    pub fn request(&self, witness: &WitnessRef) -> EndorseRequest {
+        EndorseRequest {
+            term: self.term,
+            candidate: self.witnesses[self.me].name.clone(),
+            asked: witness.incarnation,
+            witnesses: self.witnesses.clone(),
+        }
+    }
+
     /// Notes at `now` that a witness endorses this machine.
     pub fn on_endorsed(&mut self, now: Moment, name: &MachineName) {
         if let Some(position) = position(&self.witnesses, name) {
@@ -76,11 +87,8 @@
     /// The instant from which the acting term may grant, once this machine has won.
     #[must_use]
     pub fn grants_from(&self) -> Option<Moment> {
-        let mut endorsed: Vec<Moment> = self.endorsed.iter().copied().flatten().collect();
-        endorsed.sort_unstable();
-        let needed = record::closing_quorum(self.witnesses.len());
-        let last = endorsed.get(needed.checked_sub(1)?)?;
-        Some(*last + self.timing.outlast(self.timing.authority))
+        let last = record::closing_instant(&self.endorsed)?;
+        Some(last + self.timing.outlast(self.timing.authority))
     }
 
     /// Tells whether this machine gives way to another candidate for the same term: to an
--- a/components/ownership/src/closing.rs
+++ b/components/ownership/src/closing.rs
@@ -30,16 +30,6 @@
     ended: Option<Moment>,
 }
 
-impl Predecessor {
-    /// The instant by which so many witnesses had promised that the rest are no quorum.
-    fn ended_by_promises(&self) -> Option<Moment> {
-        let mut promises: Vec<Moment> = self.promises.iter().copied().flatten().collect();
-        promises.sort_unstable();
-        let needed = record::closing_quorum(self.promises.len());
-        promises.get(needed.checked_sub(1)?).copied()
-    }
-}
-
 /// Collects the promises that end all earlier terms.
 ///
 /// A term, with the acting term that may have followed it, has ended when so many of its witnesses
@@ -125,7 +115,7 @@
                 }
             }
             if predecessor.ended.is_none() {
-                predecessor.ended = predecessor.ended_by_promises();
+                predecessor.ended = record::closing_instant(&predecessor.promises);
             }
         }
     }
--- a/components/ownership/src/record.rs
+++ b/components/ownership/src/record.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use world::key::Term;
 use world::machine::Incarnation;
+use world::moment::Moment;
 use world::name::{CellName, MachineName};
 
 use crate::heartbeat::CoordinatorRef;
@@ -122,6 +123,16 @@
     listed + 1 - confirming_quorum(listed)
 }
 
+/// The instant at which so many of the listed witnesses had given their word that the rest can't
+/// confirm any more; `words` has one entry a witness.
+#[must_use]
+pub fn closing_instant(words: &[Option<Moment>]) -> Option<Moment> {
+    let mut given: Vec<Moment> = words.iter().copied().flatten().collect();
+    given.sort_unstable();
+    let needed = closing_quorum(words.len());
+    given.get(needed.checked_sub(1)?).copied()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/components/ownership/tests/one_owner/model/witnessing.rs
+++ b/components/ownership/tests/one_owner/model/witnessing.rs
@@ -170,33 +170,24 @@
                 return;
             }
             let own = node.own();
-            let request = EndorseRequest {
-                term: term.acting(),
-                candidate: node.machine.name.clone(),
-                asked: witnesses[position].incarnation,
-                witnesses: witnesses.clone(),
-            };
+            let name = node.machine.name.clone();
+            let candidacy = Candidacy::new(self.timing, term.acting(), witnesses, &name, now);
+            let Some(candidacy) = candidacy else { return };
+            let request = candidacy.request(&candidacy.witnesses()[position]);
             if !node.witness.endorses(&request, own, false) {
                 return;
             }
-            let name = node.machine.name.clone();
-            node.candidacy = Candidacy::new(self.timing, term.acting(), witnesses, &name, now);
+            node.candidacy = Some(candidacy);
         }
         let Some(candidacy) = &self.nodes[index].candidacy else {
             return;
         };
-        let name = self.nodes[index].machine.name.clone();
-        let term = candidacy.term();
-        let witnesses = candidacy.witnesses().to_vec();
-        let asked: Vec<WitnessRef> = candidacy.requests().cloned().collect();
-        for witness in asked {
-            if let Some(to) = index_of(&witness.name) {
-                let request = EndorseRequest {
-                    term,
-                    candidate: name.clone(),
-                    asked: witness.incarnation,
-                    witnesses: witnesses.clone(),
-                };
+        let asked = candidacy.requests();
+        let requests: Vec<(Option<usize>, EndorseRequest)> = asked
+            .map(|witness| (index_of(&witness.name), candidacy.request(witness)))
+            .collect();
+        for (to, request) in requests {
+            if let Some(to) = to {
                 self.send(Delivery::Endorse {
                     to,
                     from: index,
