--- a/bench/src/stand_in/platform.rs
+++ b/bench/src/stand_in/platform.rs
@@ -9,7 +9,7 @@
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use platform::http_client::{EXPECTED_HEADER, MAX_OBJECT_BYTES, VERSION_HEADER};
+use store::http_client::{EXPECTED_HEADER, MAX_OBJECT_BYTES, VERSION_HEADER};
 use tokio::sync::watch;
 
 use crate::stand_in::server::{Reply, Server, reply};
--- /dev/null
+++ b/components/balance/src/choice.rs
@@ -0,0 +1,108 @@
+//! The choice among the back ends of a service.
+
+use std::time::Duration;
+
+/// How far a machine is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// The same machine.
+    Local,
+    /// The same availability zone.
+    Zone,
+    /// Another availability zone of the same region.
+    Region,
+    /// Another region.
+    Remote,
+}
+
+impl Distance {
+    /// Time for a request and its answer to travel.
+    #[must_use]
+    pub fn round_trip(self) -> Duration {
+        match self {
+            Distance::Local => Duration::ZERO,
+            Distance::Zone => Duration::from_micros(400),
+            Distance::Region => Duration::from_millis(1),
+            Distance::Remote => Duration::from_millis(40),
+        }
+    }
+
+    /// Time that the volume sent over the link is worth.
+    fn volume_price(self) -> Duration {
+        match self {
+            Distance::Local => Duration::ZERO,
+            Distance::Zone => Duration::from_millis(2),
+            Distance::Region => Duration::from_millis(20),
+            Distance::Remote => Duration::from_millis(250),
+        }
+    }
+}
+
+/// Load of a back end as its machine reported it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that may run there at once.
+    pub slots: u32,
+    /// Mean time that a request takes there.
+    pub service_time: Duration,
+}
+
+/// A back end that could run the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// How far its machine is away.
+    pub distance: Distance,
+    /// Load as last reported.
+    pub load: Load,
+    /// Time since that report.
+    pub age: Duration,
+    /// Requests that this machine has sent there since and that have not been answered.
+    pub unanswered: u32,
+    /// Part of the recent requests that failed there, 0 to 1.
+    pub failures: f64,
+    /// Whether it has just started and is slow.
+    pub cold: bool,
+}
+
+/// Age at which half of a report has lost its meaning.
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Cost of a request that fails.
+const FAILURE_COST: f64 = 1.5;
+/// How much slower a cold back end is.
+const COLD_FACTOR: f64 = 2.0;
+
+impl Candidate {
+    /// Expected cost in seconds of sending the request there; `usual` is the mean time of a request
+    /// in the service.
+    #[must_use]
+    pub fn cost(&self, usual: Duration) -> f64 {
+        let fade = 0.5f64.powf(self.age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let usual = usual.as_secs_f64();
+        let mut service = usual + (self.load.service_time.as_secs_f64() - usual) * fade;
+        if self.cold {
+            service *= COLD_FACTOR;
+        }
+        let reported = f64::from(self.load.running + self.load.waiting) * fade;
+        let busy = reported.max(f64::from(self.unanswered));
+        let slots = f64::from(self.load.slots.max(1));
+        let wait = service * ((busy + 1.0 - slots) / slots).max(0.0);
+        // Back ends slow down when they are nearly full.
+        let crowding = service * 0.3 * (busy / slots).min(1.5).powi(3);
+        let travel = self.distance.round_trip() + self.distance.volume_price();
+        travel.as_secs_f64() + service + wait + crowding + self.failures * FAILURE_COST
+    }
+}
+
+/// Index of the cheapest candidate.
+#[must_use]
+pub fn choose(candidates: &[Candidate]) -> Option<usize> {
+    let times = candidates.iter().map(|c| c.load.service_time);
+    let count = u32::try_from(candidates.len()).ok().filter(|n| *n > 0)?;
+    let usual = times.sum::<Duration>() / count;
+    let costs: Vec<f64> = candidates.iter().map(|c| c.cost(usual)).collect();
+    (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))
+}
--- /dev/null
+++ b/components/balance/src/lib.rs
@@ -0,0 +1,4 @@
+//! Which back end a request goes to, and whether it may be sent again.
+
+pub mod choice;
+pub mod retry_budget;
--- a/components/daemon/src/control/acting.rs
+++ b/components/daemon/src/control/acting.rs
@@ -10,7 +10,7 @@
 use ownership::renewal::Renewal;
 use ownership::witness::{EndorseRequest, Own};
 use peers::witnessing;
-use platform::client::{Object, Store};
+use store::client::{Object, Store};
 use world::key::Term;
 use world::moment::Moment;
 use world::name::MachineName;
--- a/components/daemon/src/control/coordination.rs
+++ b/components/daemon/src/control/coordination.rs
@@ -12,7 +12,7 @@
 use ownership::succession::Step;
 use peers::convert;
 use peers::wire::HeartbeatReply;
-use platform::client::{Object, Store, Update};
+use store::client::{Object, Store, Update};
 use world::key::Term;
 use world::moment::Moment;
 
--- a/components/daemon/src/control/event.rs
+++ b/components/daemon/src/control/event.rs
@@ -6,7 +6,7 @@
 use ownership::record::WitnessRef;
 use ownership::witness::{ConfirmRequest, EndorseRequest};
 use peers::wire::{CloseReply, HeartbeatReply, ListsDocument};
-use platform::client::{Object, StoreError, Update};
+use store::client::{Object, StoreError, Update};
 use tokio::sync::oneshot;
 use world::key::Term;
 use world::machine::BackEnd;
--- a/components/daemon/src/control/handover.rs
+++ b/components/daemon/src/control/handover.rs
@@ -12,7 +12,7 @@
 use ownership::table::{Holding, ShardId};
 use peers::wire::TakeOrdersRequest;
 use peers::{convert, handover};
-use platform::client::Store;
+use store::client::Store;
 use world::moment::Moment;
 
 use crate::control::{Control, Event};
--- a/components/daemon/src/control/listing.rs
+++ b/components/daemon/src/control/listing.rs
@@ -8,7 +8,7 @@
 
 use lists::LISTS_OBJECT;
 use peers::wire::ListsDocument;
-use platform::client::Store;
+use store::client::Store;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use world::moment::Moment;
--- a/components/daemon/src/control/membership.rs
+++ b/components/daemon/src/control/membership.rs
@@ -11,7 +11,7 @@
 use ownership::succession::Step;
 use peers::convert;
 use peers::wire::HeartbeatReply;
-use platform::client::Store;
+use store::client::Store;
 use tokio::sync::Semaphore;
 use world::machine::{BackEnd, Machine};
 use world::moment::Moment;
--- a/components/daemon/src/control/report.rs
+++ b/components/daemon/src/control/report.rs
@@ -1,7 +1,7 @@
 //! The status that operators see.
 
 use ownership::table::RouteTable;
-use platform::client::Store;
+use store::client::Store;
 use serde::Serialize;
 use world::moment::Moment;
 
--- a/components/daemon/src/control/stopping.rs
+++ b/components/daemon/src/control/stopping.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform::client::Store;
+use store::client::Store;
 use tokio::sync::oneshot;
 use world::moment::Moment;
 
--- a/components/daemon/src/control/witnessing.rs
+++ b/components/daemon/src/control/witnessing.rs
@@ -9,7 +9,7 @@
 use peers::wire::control_client::ControlClient;
 use peers::wire::{CloseReply, CloseRequest};
 use peers::witnessing;
-use platform::client::Store;
+use store::client::Store;
 use tonic::{Response, Status};
 use world::key::Term;
 use world::moment::Moment;
--- /dev/null
+++ b/components/node/src/dispatch.rs
@@ -0,0 +1,556 @@
+//! What happens to one request of a caller.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::choice::{Candidate, Distance, choose};
+use bytes::Bytes;
+use catalog::Route;
+use http1::answer::Answer;
+use http1::request::Request;
+use platform::message::{self, Incoming};
+use rand::Rng;
+use smallvec::SmallVec;
+use timer::{BootClock, Clock};
+use world::moment::Moment;
+use world::name::{MachineName, ServiceName};
+use xxhash_rust::xxh3;
+
+use crate::frame::{
+    ForwardedAnswer, ForwardedRequest, Frame, LoadReport, Loss, Outcome, Reason, pack_fields,
+    unpack_fields,
+};
+use crate::gate;
+use crate::link::Peer;
+use crate::node::{InForce, Node};
+
+/// Wait of a caller that states none.
+const USUAL_PATIENCE: Duration = Duration::from_secs(30);
+/// Wait that callers are told while nothing can be served.
+const OUTAGE_RETRY: Duration = Duration::from_millis(500);
+/// Pause before a request without a usable back end is looked at again.
+const REROUTE_PAUSE: Duration = Duration::from_millis(25);
+/// Part of a caller's patience for which a request waits for a usable back end.
+const REROUTE_PART: f64 = 0.25;
+/// Time for a lost connection to come back before the request counts as lost.
+const RELINK_TIME: Duration = Duration::from_millis(900);
+/// The same for a request that can be sent elsewhere.
+const RELINK_TIME_IDEMPOTENT: Duration = Duration::from_millis(120);
+/// Part of the latency target for which a request may wait while other back ends may have room.
+const FIRST_WAIT_PART: f64 = 0.4;
+/// Step of a sequence that spreads evenly over 0..1: the golden ratio's fractional part.
+const GOLDEN_STEP: f64 = 0.618_033_988_749_894_9;
+
+/// Draws that spread evenly over 0..1.
+#[derive(Debug, Default)]
+pub struct EvenDraws(std::cell::Cell<f64>);
+
+impl EvenDraws {
+    fn next(&self) -> f64 {
+        let next = (self.0.get() + GOLDEN_STEP).fract();
+        self.0.set(next);
+        next
+    }
+}
+
+/// A back end that a request can go to.
+#[derive(Clone)]
+enum Place {
+    Here,
+    There(Rc<Peer>),
+}
+
+/// One request on its way.
+struct Journey<'a> {
+    node: &'a Rc<Node>,
+    route: &'a Route,
+    service: ServiceName,
+    template: ForwardedRequest,
+    deadline: Moment,
+    /// Back ends that may have run the request.
+    tried: SmallVec<[MachineName; 2]>,
+    /// Back ends that refused it, and the wait that they told.
+    refused: SmallVec<[(MachineName, u32); 4]>,
+    /// Whether a back end may have run it.
+    doubt: bool,
+    /// The last answer of a back end that was not good enough to be final.
+    spare: Option<Box<ForwardedAnswer>>,
+    machine: Option<MachineName>,
+}
+
+/// The end of a request, with a word for logs.
+struct End {
+    answer: Answer,
+    outcome: &'static str,
+}
+
+/// Counts a request as open while it lives.
+struct OpenRequest(Rc<Node>);
+
+impl OpenRequest {
+    fn new(node: &Rc<Node>) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+/// Handles a request and returns its final answer.
+pub async fn handle(node: Rc<Node>, draws: Rc<EvenDraws>, request: Request, received: Moment) -> Answer {
+    let _open = OpenRequest::new(&node);
+    let incoming = message::incoming(&request);
+    let id = incoming.id.clone();
+    let Some(in_force) = node.in_force() else {
+        node.metrics.on_request("no-configuration", Duration::ZERO);
+        return message::own_answer(503, &id, Some(OUTAGE_RETRY));
+    };
+    let catalog = Rc::clone(&in_force.catalog);
+    let Some(route) = catalog.route(&incoming.host, request.path()) else {
+        node.metrics.on_request("no-route", Duration::ZERO);
+        log_end(&node, &id, None, 404, "no-route", received, &in_force, 0);
+        return message::own_answer(404, &id, None);
+    };
+    let Some(service) = route.service(draws.next()).cloned() else {
+        return message::own_answer(404, &id, None);
+    };
+    let patience = incoming.patience.unwrap_or(USUAL_PATIENCE);
+    let deadline = received + patience.min(route.timeout);
+    node.with_budget(&service, |b| b.on_request(received));
+    let mut journey = Journey {
+        node: &node,
+        route,
+        template: template(&node, &service, route, request, incoming),
+        service,
+        deadline,
+        tried: SmallVec::new(),
+        refused: SmallVec::new(),
+        doubt: false,
+        spare: None,
+        machine: None,
+    };
+    let left = deadline.since(BootClock.now());
+    let end = match tokio::time::timeout(left, journey.run()).await {
+        Ok(end) => end,
+        Err(_) => journey.time_out(),
+    };
+    node.metrics
+        .on_request(end.outcome, BootClock.now().since(received));
+    log_end(
+        &node,
+        &id,
+        journey.machine.as_ref(),
+        end.answer.status,
+        end.outcome,
+        received,
+        &in_force,
+        journey.tried.len(),
+    );
+    end.answer
+}
+
+#[allow(clippy::too_many_arguments)]
+fn log_end(
+    node: &Node,
+    id: &Bytes,
+    machine: Option<&MachineName>,
+    status: u16,
+    outcome: &str,
+    received: Moment,
+    in_force: &InForce,
+    tried: usize,
+) {
+    let ms = BootClock.now().since(received).as_millis() as u64;
+    log::info!(
+        event = "request",
+        id = std::str::from_utf8(id).unwrap_or("?"),
+        machine = machine.map_or("-", |m| m.as_str()),
+        status,
+        outcome,
+        ms,
+        tried,
+        version = in_force.catalog.version,
+        stopping = node.is_stopping();
+        ""
+    );
+}
+
+fn template(
+    node: &Node,
+    service: &ServiceName,
+    route: &Route,
+    request: Request,
+    incoming: Incoming,
+) -> ForwardedRequest {
+    let mut fields = request.fields;
+    message::strip(&mut fields);
+    let class = xxh3::xxh3_64(route.name.as_bytes()) as u32;
+    ForwardedRequest {
+        id: 0,
+        service: service.clone(),
+        method: request.method,
+        target: request.target,
+        fields: pack_fields(&fields),
+        body: request.body,
+        request_id: incoming.id,
+        patience_ms: 0,
+        max_wait_ms: 0,
+        idempotent: route.idempotent,
+        priority: route.priority,
+        class,
+        key: incoming.key,
+        caller: node.service(),
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl Journey<'_> {
+    fn left(&self) -> Duration {
+        self.deadline.since(BootClock.now())
+    }
+
+    async fn run(&mut self) -> End {
+        let patience = self.left();
+        let reroute_until = BootClock.now() + patience.mul_f64(REROUTE_PART);
+        let mut patient = false;
+        loop {
+            let Some((machine, place)) = self.pick(patient) else {
+                if !self.refused.is_empty() && !patient {
+                    patient = true;
+                    continue;
+                }
+                if self.refused.is_empty() && BootClock.now() < reroute_until {
+                    tokio::time::sleep(REROUTE_PAUSE).await;
+                    continue;
+                }
+                return self.give_up();
+            };
+            self.machine = Some(machine.clone());
+            let outcome = self.send(&place, patient).await;
+            if let Some(end) = self.judge(&machine, &place, outcome, patient).await {
+                return end;
+            }
+        }
+    }
+
+    /// The back end to try next, if there is one.
+    fn pick(&self, patient: bool) -> Option<(MachineName, Place)> {
+        if let Some(view) = self.keyed_view() {
+            let view = view?;
+            let key = self.template.key?;
+            let machine = view.value.range(key)?.machine.clone();
+            return self.keyed_place(machine, patient);
+        }
+        let places = self.places(patient);
+        let candidates: SmallVec<[Candidate; 16]> = places.iter().map(|p| p.2).collect();
+        let index = choose(&candidates)?;
+        let (machine, place, _) = places.into_iter().nth(index)?;
+        Some((machine, place))
+    }
+
+    /// For a keyed service the assignment, if it is known.
+    #[allow(clippy::option_option)]
+    fn keyed_view(
+        &self,
+    ) -> Option<Option<Rc<shards::keeper::Stored<shards::assignment::Assignment>>>> {
+        let keyed = self
+            .node
+            .in_force()
+            .is_some_and(|c| c.catalog.is_keyed(&self.service));
+        keyed.then(|| self.node.view(&self.service))
+    }
+
+    fn keyed_place(&self, machine: MachineName, patient: bool) -> Option<(MachineName, Place)> {
+        if !patient && self.refused.iter().any(|(m, _)| *m == machine) {
+            return None;
+        }
+        if machine == self.node.settings.machine {
+            self.node.gate.ready_for(&self.service)?;
+            return Some((machine, Place::Here));
+        }
+        let peer = self.node.peer(&machine)?;
+        let usable = peer.is_connected() && peer.with_member(|m| m.back_end.is_some())?;
+        usable.then_some((machine, Place::There(peer)))
+    }
+
+    /// Back ends of the service that have not run the request.
+    fn places(&self, patient: bool) -> Vec<(MachineName, Place, Candidate)> {
+        let now = BootClock.now();
+        let mut places = Vec::new();
+        let usable = |m: &MachineName| {
+            !self.tried.contains(m) && (patient || !self.refused.iter().any(|(r, _)| r == m))
+        };
+        let own = &self.node.settings.machine;
+        if let Some(b) = self.node.gate.ready_for(&self.service) {
+            if usable(own) {
+                let candidate = Candidate {
+                    distance: Distance::Local,
+                    load: self.node.gate.load().into(),
+                    age: Duration::ZERO,
+                    unanswered: 0,
+                    failures: self.node.own_failures.get(),
+                    cold: b.cold_until > now,
+                };
+                places.push((own.clone(), Place::Here, candidate));
+            }
+        }
+        for peer in self.node.peers() {
+            if !peer.is_connected() || !usable(&peer.machine) {
+                continue;
+            }
+            let candidate = peer.with_member(|m| {
+                let back_end = m.back_end.as_ref()?;
+                if m.service != self.service || m.leaving {
+                    return None;
+                }
+                let idle = LoadReport {
+                    running: 0,
+                    waiting: 0,
+                    slots: back_end.slots,
+                    service_us: 0,
+                };
+                let (load, age) = match peer.load() {
+                    Some((load, at)) => (load, now.since(at)),
+                    None => (idle, Duration::from_secs(60)),
+                };
+                Some(Candidate {
+                    distance: self.node.distance(m),
+                    load: load.into(),
+                    age,
+                    unanswered: u32::try_from(peer.unanswered()).unwrap_or(u32::MAX),
+                    failures: peer.failures(),
+                    cold: back_end.cold,
+                })
+            });
+            if let Some(candidate) = candidate.flatten() {
+                places.push((peer.machine.clone(), Place::There(peer), candidate));
+            }
+        }
+        places
+    }
+
+    fn max_wait(&self, patient: bool) -> Duration {
+        if patient {
+            return self.left();
+        }
+        self.route.latency_target.mul_f64(FIRST_WAIT_PART)
+    }
+
+    async fn send(&self, place: &Place, patient: bool) -> Outcome {
+        let mut request = self.template.clone();
+        request.patience_ms = millis(self.left());
+        request.max_wait_ms = millis(self.max_wait(patient));
+        match place {
+            Place::Here => gate::submit(self.node, Rc::new(request)).await,
+            Place::There(peer) => {
+                request.id = peer.next_id();
+                self.send_there(peer, request).await
+            }
+        }
+    }
+
+    /// Sends to another machine; after a lost connection it asks again under the same number.
+    async fn send_there(&self, peer: &Rc<Peer>, mut request: ForwardedRequest) -> Outcome {
+        let incarnation = peer.incarnation();
+        let id = request.id;
+        loop {
+            request.patience_ms = millis(self.left());
+            let frame = Frame::Request(Box::new(request.clone()));
+            let outcome = peer.request(id, &frame).await;
+            if !matches!(outcome, Outcome::Lost(Loss::LinkLost)) {
+                return outcome;
+            }
+            if !self.relinked(peer, incarnation).await {
+                return outcome;
+            }
+        }
+    }
+
+    /// Waits until the connection to the same process is open again.
+    async fn relinked(&self, peer: &Rc<Peer>, incarnation: u64) -> bool {
+        let limit = if self.route.idempotent {
+            RELINK_TIME_IDEMPOTENT
+        } else {
+            RELINK_TIME
+        };
+        let until = BootClock.now() + limit;
+        while BootClock.now() < until {
+            if peer.is_confirmed() {
+                return peer.incarnation() == incarnation;
+            }
+            tokio::time::sleep(REROUTE_PAUSE).await;
+        }
+        false
+    }
+
+    /// Decides what follows from an outcome; nothing if another back end is to be tried.
+    async fn judge(
+        &mut self,
+        machine: &MachineName,
+        place: &Place,
+        outcome: Outcome,
+        patient: bool,
+    ) -> Option<End> {
+        match outcome {
+            Outcome::Answer(answer) => {
+                let failed = answer.status >= 500;
+                self.count_result(place, failed);
+                self.tried.push(machine.clone());
+                self.doubt = true;
+                if failed && self.may_retry() {
+                    self.spare = Some(answer);
+                    return None;
+                }
+                self.node.metrics.on_sent("answered");
+                Some(self.deliver(*answer))
+            }
+            Outcome::NotRun { reason, retry_ms } => {
+                self.node.metrics.on_sent("not-run");
+                self.on_not_run(machine, place, reason, retry_ms, patient)
+                    .await
+            }
+            Outcome::Lost(loss) => {
+                self.node.metrics.on_sent("lost");
+                self.count_result(place, true);
+                self.doubt = true;
+                self.tried.push(machine.clone());
+                log::warn!(event = "send-lost", id = self.id_text(), machine = machine.as_str(), loss:? = loss; "");
+                if self.may_retry() {
+                    return None;
+                }
+                Some(self.give_up())
+            }
+        }
+    }
+
+    fn id_text(&self) -> &str {
+        std::str::from_utf8(&self.template.request_id).unwrap_or("?")
+    }
+
+    async fn on_not_run(
+        &mut self,
+        machine: &MachineName,
+        place: &Place,
+        reason: Reason,
+        retry_ms: u32,
+        patient: bool,
+    ) -> Option<End> {
+        log::debug!(event = "not-run", id = self.id_text(), machine = machine.as_str(), reason:? = reason, retry_ms; "");
+        match reason {
+            Reason::Full if !patient => {
+                self.refused.push((machine.clone(), retry_ms));
+                None
+            }
+            Reason::Full | Reason::Expired => {
+                self.refused.push((machine.clone(), retry_ms));
+                Some(self.give_up())
+            }
+            Reason::BackEndRefused => {
+                self.count_result(place, true);
+                self.refused.push((machine.clone(), retry_ms));
+                self.tried.push(machine.clone());
+                if self.may_retry() {
+                    None
+                } else {
+                    Some(self.give_up())
+                }
+            }
+            Reason::NotHolder => {
+                if let Place::There(peer) = place {
+                    peer.send(&Frame::AskAssignments);
+                }
+                tokio::time::sleep(REROUTE_PAUSE).await;
+                self.check_patience()
+            }
+            Reason::NoBackEnd | Reason::Unreachable => {
+                if self.keyed_view().is_none() {
+                    self.refused.push((machine.clone(), retry_ms));
+                    return None;
+                }
+                tokio::time::sleep(REROUTE_PAUSE).await;
+                self.check_patience()
+            }
+        }
+    }
+
+    /// Gives up on a keyed request whose key has had no holder for too long.
+    fn check_patience(&mut self) -> Option<End> {
+        let total = self.route.timeout.as_secs_f64();
+        let spent = total - self.left().as_secs_f64();
+        (spent > total * REROUTE_PART).then(|| self.give_up())
+    }
+
+    fn count_result(&self, place: &Place, failed: bool) {
+        match place {
+            Place::Here => self.node.count_own_result(failed),
+            Place::There(peer) => peer.count_result(failed),
+        }
+    }
+
+    /// Whether the request may go to one more back end; takes the retry out of the budget.
+    fn may_retry(&mut self) -> bool {
+        let distinct = self.tried.len() < usize::from(self.route.attempts);
+        let allowed = self.route.idempotent || !self.doubt;
+        if !distinct || !allowed || self.left() < Duration::from_millis(20) {
+            return false;
+        }
+        if self.keyed_view().is_some() {
+            return false;
+        }
+        let now = BootClock.now();
+        let granted = self.node.with_budget(&self.service, |b| b.take(now));
+        if granted {
+            self.node.metrics.on_retry();
+        }
+        granted
+    }
+
+    fn deliver(&self, answer: ForwardedAnswer) -> End {
+        End {
+            answer: Answer {
+                status: answer.status,
+                fields: unpack_fields(answer.fields),
+                body: answer.body,
+            },
+            outcome: "answered",
+        }
+    }
+
+    /// The final answer of a request that no back end can serve.
+    fn give_up(&mut self) -> End {
+        if let Some(answer) = self.spare.take() {
+            return self.deliver(*answer);
+        }
+        let id = &self.template.request_id;
+        if self.doubt {
+            return End {
+                answer: message::own_answer(502, id, None),
+                outcome: "lost",
+            };
+        }
+        let soonest = self.refused.iter().map(|(_, ms)| *ms).min();
+        let wait = soonest.map_or(OUTAGE_RETRY, |ms| Duration::from_millis(u64::from(ms)));
+        let spread = rand::rng().random_range(0.8..1.3);
+        End {
+            answer: message::own_answer(503, id, Some(wait.mul_f64(spread))),
+            outcome: if soonest.is_some() { "no-room" } else { "no-back-end" },
+        }
+    }
+
+    fn time_out(&mut self) -> End {
+        if let Some(answer) = self.spare.take() {
+            return self.deliver(*answer);
+        }
+        End {
+            answer: message::own_answer(504, &self.template.request_id, None),
+            outcome: "timed-out",
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/gate.rs
@@ -0,0 +1,395 @@
+//! The way to the back end on this machine: every request to it passes here.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use admission::queue::{Admission, Departure, Job, Queue};
+use bytes::BytesMut;
+use http1::answer::Answer;
+use platform::message::{self, Outgoing, Verdict};
+use shards::life::Life;
+use timer::{BootClock, Clock};
+use tokio::sync::oneshot;
+use world::moment::Moment;
+use world::name::ServiceName;
+
+use crate::back_end::{Connections, ExchangeFault};
+use crate::frame::{
+    ForwardedAnswer, ForwardedRequest, LoadReport, Loss, Outcome, Reason, pack_fields,
+    unpack_fields,
+};
+use crate::node::Node;
+
+/// Time beyond the deadline for the back end's own answer that the time is over.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// Wait that callers are told when nothing better is known.
+const USUAL_RETRY: Duration = Duration::from_millis(300);
+/// Time without a heartbeat after which a back end with unanswered requests gets no more.
+pub(crate) const SILENCE: Duration = Duration::from_millis(2_600);
+
+/// The back end on this machine.
+#[derive(Clone, Debug)]
+pub struct LocalBackEnd {
+    /// Service that it offers.
+    pub service: ServiceName,
+    /// Its boot.
+    pub life: Life,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Until when it is slow after its start.
+    pub cold_until: Moment,
+    /// Last heartbeat or answer.
+    pub heard: Moment,
+    /// Whether it takes requests.
+    pub state: BackEndCondition,
+}
+
+/// Whether a back end takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackEndCondition {
+    /// It takes requests.
+    Ready,
+    /// It is about to leave.
+    Leaving,
+    /// It cannot be reached.
+    Down,
+}
+
+/// Queue and connections of the back end on this machine.
+pub struct Gate {
+    queue: RefCell<Queue>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Departure>>>,
+    next_id: Cell<u64>,
+    /// Connections to the back end.
+    pub connections: Connections,
+    /// The back end, once it has sent a heartbeat.
+    pub back_end: RefCell<Option<LocalBackEnd>>,
+    busy: Cell<f64>,
+}
+
+/// How fast the moving average of the used capacity follows, per sample.
+const BUSY_GAIN: f64 = 0.1;
+
+impl Gate {
+    /// Makes the gate of a back end that has not been heard of.
+    #[must_use]
+    pub fn new(connections: Connections) -> Self {
+        Self {
+            queue: RefCell::new(Queue::new(0)),
+            waiting: RefCell::default(),
+            next_id: Cell::new(0),
+            connections,
+            back_end: RefCell::new(None),
+            busy: Cell::new(0.0),
+        }
+    }
+
+    /// Load of the back end.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        let queue = self.queue.borrow();
+        let service = queue.estimate().overall().as_micros();
+        LoadReport {
+            running: count(queue.running()),
+            waiting: count(queue.waiting()),
+            slots: count(queue.slots()),
+            service_us: u32::try_from(service).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Moving average of the share of its capacity that is in use.
+    #[must_use]
+    pub fn busy(&self) -> f64 {
+        self.busy.get()
+    }
+
+    /// Takes a sample of the used capacity.
+    pub fn sample_busy(&self) {
+        let load = self.load();
+        let used = f64::from(load.running + load.waiting) / f64::from(load.slots.max(1));
+        self.busy
+            .set(self.busy.get() + BUSY_GAIN * (used - self.busy.get()));
+    }
+
+    /// Whether any request runs or waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let queue = self.queue.borrow();
+        queue.running() == 0 && queue.waiting() == 0
+    }
+
+    /// Takes over what the back end says of itself.
+    pub fn set_back_end(&self, back_end: LocalBackEnd) {
+        let mut queue = self.queue.borrow_mut();
+        let same = self
+            .back_end
+            .borrow()
+            .as_ref()
+            .is_some_and(|b| b.life == back_end.life);
+        if !same {
+            queue.reset_estimate();
+        }
+        queue.set_slots(back_end.slots as usize);
+        *self.back_end.borrow_mut() = Some(back_end);
+    }
+
+    /// Changes whether the back end takes requests; those that wait are refused if it does not.
+    pub fn set_condition(&self, condition: BackEndCondition) {
+        if let Some(b) = self.back_end.borrow_mut().as_mut() {
+            b.state = condition;
+        }
+        if condition != BackEndCondition::Ready {
+            for id in self.queue.borrow_mut().clear() {
+                self.notify(id, Departure::Expire(id));
+            }
+        }
+    }
+
+    /// The back end, if it takes requests for `service`.
+    #[must_use]
+    pub fn ready_for(&self, service: &ServiceName) -> Option<LocalBackEnd> {
+        self.back_end
+            .borrow()
+            .as_ref()
+            .filter(|b| b.state == BackEndCondition::Ready && b.service == *service)
+            .cloned()
+    }
+
+    fn notify(&self, id: u64, departure: Departure) -> bool {
+        let waiter = self.waiting.borrow_mut().remove(&id);
+        waiter.is_some_and(|w| w.send(departure).is_ok())
+    }
+
+    /// Lets requests leave the queue that start now or can no longer end in time.
+    pub fn pump(&self) {
+        loop {
+            let next = self.queue.borrow_mut().next(BootClock.now());
+            match next {
+                None => return,
+                Some(Departure::Start(id)) => {
+                    if !self.notify(id, Departure::Start(id)) {
+                        self.queue.borrow_mut().finish(0, None);
+                    }
+                }
+                Some(Departure::Expire(id)) => {
+                    self.notify(id, Departure::Expire(id));
+                }
+            }
+        }
+    }
+
+    fn retry_ms(&self, wait: Duration) -> u32 {
+        let wait = if wait.is_zero() { USUAL_RETRY } else { wait };
+        u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+/// A request's place in the queue; gives it back when dropped.
+struct WaitGuard<'a> {
+    gate: &'a Gate,
+    id: u64,
+    receiver: oneshot::Receiver<Departure>,
+    done: bool,
+}
+
+impl WaitGuard<'_> {
+    async fn wait(mut self) -> Departure {
+        let departure = (&mut self.receiver).await;
+        self.done = true;
+        departure.unwrap_or(Departure::Expire(self.id))
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        self.gate.waiting.borrow_mut().remove(&self.id);
+        let waited = self.gate.queue.borrow_mut().withdraw(self.id);
+        let started = matches!(self.receiver.try_recv(), Ok(Departure::Start(_)));
+        if !waited && started {
+            self.gate.queue.borrow_mut().finish(0, None);
+            self.gate.pump();
+        }
+    }
+}
+
+/// A request's slot; gives it back when dropped.
+struct SlotGuard {
+    node: Rc<Node>,
+    class: u32,
+    started: Moment,
+    ended: bool,
+}
+
+impl SlotGuard {
+    /// Records that the back end has run the request.
+    fn complete(&mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let took = self.ended.then(|| BootClock.now().since(self.started));
+        let gate = &self.node.gate;
+        gate.queue.borrow_mut().finish(self.class, took);
+        gate.pump();
+    }
+}
+
+fn not_run(reason: Reason, retry_ms: u32) -> Outcome {
+    Outcome::NotRun { reason, retry_ms }
+}
+
+/// Runs a request at the back end on this machine, once there is room.
+///
+/// Dropping the future withdraws a request that has not started, and ends one that may be repeated.
+pub async fn submit(node: &Rc<Node>, request: Rc<ForwardedRequest>) -> Outcome {
+    let now = BootClock.now();
+    let gate = &node.gate;
+    let usual = gate.retry_ms(Duration::ZERO);
+    if gate.ready_for(&request.service).is_none() {
+        return not_run(Reason::NoBackEnd, usual);
+    }
+    if let Some(key) = node.shard_key(&request) {
+        if !node.keeper.borrow().serves(now, key) {
+            return not_run(Reason::NotHolder, usual);
+        }
+        node.keeper.borrow_mut().count(key);
+    }
+    let id = gate.next_id.get();
+    gate.next_id.set(id + 1);
+    let deadline = now + Duration::from_millis(u64::from(request.patience_ms));
+    let job = Job {
+        id,
+        priority: request.priority,
+        class: request.class,
+        max_wait: Duration::from_millis(u64::from(request.max_wait_ms)),
+        deadline,
+    };
+    let admission = gate.queue.borrow_mut().arrive(now, job);
+    match admission {
+        Admission::Start => {}
+        Admission::Refuse(wait) => return not_run(Reason::Full, gate.retry_ms(wait)),
+        Admission::Wait => {
+            let (sender, receiver) = oneshot::channel();
+            gate.waiting.borrow_mut().insert(id, sender);
+            let guard = WaitGuard {
+                gate,
+                id,
+                receiver,
+                done: false,
+            };
+            if let Departure::Expire(_) = guard.wait().await {
+                return not_run(Reason::Expired, usual);
+            }
+        }
+    }
+    let slot = SlotGuard {
+        node: Rc::clone(node),
+        class: request.class,
+        started: BootClock.now(),
+        ended: false,
+    };
+    if request.idempotent {
+        return run(Rc::clone(node), request, deadline, slot).await;
+    }
+    // A request that must not run twice goes on even if nobody waits for it any more.
+    let (sender, receiver) = oneshot::channel();
+    let task = run(Rc::clone(node), request, deadline, slot);
+    tokio::task::spawn_local(async move {
+        let _ = sender.send(task.await);
+    });
+    receiver.await.unwrap_or(Outcome::Lost(Loss::Cut))
+}
+
+async fn run(
+    node: Rc<Node>,
+    request: Rc<ForwardedRequest>,
+    deadline: Moment,
+    mut slot: SlotGuard,
+) -> Outcome {
+    let usual = node.gate.retry_ms(Duration::ZERO);
+    let Some(back_end) = node.gate.ready_for(&request.service) else {
+        return not_run(Reason::NoBackEnd, usual);
+    };
+    if let Some(key) = node.shard_key(&request) {
+        if !node.keeper.borrow().serves(BootClock.now(), key) {
+            return not_run(Reason::NotHolder, usual);
+        }
+    }
+    let patience = deadline.since(BootClock.now());
+    let head = encode_head(&request, &back_end, patience);
+    let connections = &node.gate.connections;
+    let exchange = connections.exchange(
+        &head,
+        &request.body,
+        &request.request_id,
+        !request.idempotent,
+    );
+    match tokio::time::timeout(patience + DEADLINE_SLACK, exchange).await {
+        Err(_) => Outcome::Lost(Loss::TimedOut),
+        Ok(Ok((answer, verdict))) => {
+            node.on_back_end_heard();
+            let outcome = judged(answer, verdict, node.shard_key(&request).is_some(), usual);
+            if matches!(outcome, Outcome::Answer(_)) {
+                slot.complete();
+            }
+            outcome
+        }
+        Ok(Err(fault)) => {
+            node.on_exchange_fault(fault);
+            match fault {
+                ExchangeFault::NobodyListens | ExchangeFault::Unreachable => {
+                    not_run(Reason::Unreachable, usual)
+                }
+                ExchangeFault::Cut => Outcome::Lost(Loss::Cut),
+                ExchangeFault::Spoilt => Outcome::Lost(Loss::Spoilt),
+            }
+        }
+    }
+}
+
+fn encode_head(request: &ForwardedRequest, back_end: &LocalBackEnd, left: Duration) -> BytesMut {
+    let fields = unpack_fields(request.fields.clone());
+    let mut head = BytesMut::with_capacity(512);
+    message::encode_head(
+        &mut head,
+        &Outgoing {
+            method: &request.method,
+            target: &request.target,
+            fields: &fields,
+            body: &request.body,
+            patience: left,
+            back_end: &back_end.life.id,
+            caller: request.caller.as_str(),
+        },
+    );
+    head
+}
+
+fn judged(answer: Answer, verdict: Verdict, keyed: bool, usual: u32) -> Outcome {
+    match verdict {
+        Verdict::Genuine => {
+            let mut fields = answer.fields;
+            fields.remove_hop_fields();
+            Outcome::Answer(Box::new(ForwardedAnswer {
+                status: answer.status,
+                fields: pack_fields(&fields),
+                body: answer.body,
+            }))
+        }
+        Verdict::NotRun => not_run(Reason::BackEndRefused, usual),
+        Verdict::WrongBackEnd if keyed => not_run(Reason::NotHolder, usual),
+        Verdict::WrongBackEnd => not_run(Reason::NoBackEnd, usual),
+        Verdict::Foreign | Verdict::Spoilt => Outcome::Lost(Loss::Spoilt),
+    }
+}
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,21 @@
+//! The process beside a back end on the platform.
+//!
+//! Callers on the machine send their requests to the [`entry`]; [`dispatch`] chooses the machine
+//! that runs each; a [`link`] carries it there, where the [`gate`] hands it to the back end.
+
+pub mod back_end;
+pub mod catalog_watch;
+pub mod dispatch;
+pub mod entry;
+pub mod frame;
+pub mod gate;
+pub mod keys;
+pub mod link;
+pub mod log_queue;
+pub mod members;
+pub mod metrics;
+pub mod node;
+pub mod peer_server;
+pub mod ready;
+pub mod relay;
+pub mod run;
--- /dev/null
+++ b/components/node/src/members.rs
@@ -0,0 +1,98 @@
+//! How processes find each other: each keeps one object in the store that tells where it is.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::store::MEMBERS;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use shards::keeper::{Call, Outcome, Stored};
+use world::name::MachineName;
+
+use crate::node::Node;
+use crate::relay::StoreClient;
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two looks at who is there.
+const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// The same while no other process is known.
+const LONELY_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What the store says of a process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of the machine.
+    pub machine: MachineName,
+    /// Address for other processes.
+    pub address: SocketAddr,
+}
+
+/// Registers this process, then looks for others.
+pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
+    register(&node, &store).await;
+    loop {
+        match store.list(MEMBERS).await {
+            Ok(listing) => {
+                for object in listing.objects {
+                    match serde_json::from_value::<Entry>(object.stored.value) {
+                        Ok(entry) => node.meet(&entry.machine, entry.address),
+                        Err(error) => {
+                            log::warn!(event = "member-skipped", name = object.name.as_str(), error:% = error; "");
+                        }
+                    }
+                }
+                let lonely = !node.peers().iter().any(|p| p.is_connected());
+                let pause = if lonely { LONELY_INTERVAL } else { LIST_INTERVAL };
+                pause_about(pause).await;
+            }
+            Err(error) => {
+                log::warn!(event = "members-unknown", error:% = error; "");
+                pause_about(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn pause_about(pause: Duration) {
+    let jitter = rand::rng().random_range(0.8..1.2);
+    tokio::time::sleep(pause.mul_f64(jitter)).await;
+}
+
+async fn register(node: &Rc<Node>, store: &Rc<StoreClient>) {
+    let entry = Entry {
+        machine: node.settings.machine.clone(),
+        address: node.settings.peers,
+    };
+    let name = entry.machine.as_str().to_owned();
+    let mut call = Call::Create(entry.clone());
+    loop {
+        match store.call(MEMBERS, &name, &call).await {
+            Outcome::Done(stored) if stored.value == entry => return,
+            Outcome::Done(stored) | Outcome::Conflict(Some(stored)) => {
+                if stored.value == entry {
+                    return;
+                }
+                call = Call::Replace(Stored {
+                    revision: stored.revision,
+                    value: entry.clone(),
+                });
+            }
+            Outcome::Conflict(None) => call = Call::Read,
+            Outcome::Absent => call = Call::Create(entry.clone()),
+            Outcome::Unknown | Outcome::Refused => pause_about(RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Removes this process's object, when its machine is not needed any more.
+pub async fn unregister(node: &Rc<Node>, store: &StoreClient) {
+    let name = node.settings.machine.as_str();
+    let found: Outcome<Entry> = store.call(MEMBERS, name, &Call::Read).await;
+    if let Outcome::Done(stored) = found {
+        if let Err(error) = store.remove(MEMBERS, name, stored.revision).await {
+            log::warn!(event = "member-not-removed", error:% = error; "");
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/node.rs
@@ -0,0 +1,498 @@
+//! State that the parts of the process share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use balance::choice::Distance;
+use balance::retry_budget::RetryBudget;
+use catalog::Catalog;
+use platform::configuration;
+use platform::settings::Settings;
+use platform::store::Direct;
+use serde_json::Value;
+use shards::assignment::Assignment;
+use shards::keeper::{Keeper, Stored, Timing};
+use timer::{BootClock, Clock};
+use tokio::sync::Notify;
+use world::moment::Moment;
+use world::name::{MachineName, ServiceName};
+
+use crate::back_end::{Connections, ExchangeFault};
+use crate::frame::{BackEndState, ForwardedRequest, Frame, Member};
+use crate::gate::{BackEndCondition, Gate, LocalBackEnd};
+use crate::link::{FAILURE_GAIN, FrameSender, Peer, keep_connected, send_frame};
+use crate::metrics::Metrics;
+use crate::peer_server::ServedCalls;
+
+/// Time after the start in which a back end that is not there yet is not taken for gone.
+const START_GRACE: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// The configuration in force.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// Revision of the stored object.
+    pub revision: u64,
+    /// Decoded form.
+    pub catalog: Rc<Catalog>,
+    /// The document, for other processes.
+    pub document: Rc<Value>,
+}
+
+/// The process.
+pub struct Node {
+    /// What it was told when it started.
+    pub settings: Settings,
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// When it started.
+    pub started: Moment,
+    /// Connections to the store.
+    pub direct: Direct,
+    /// The way to the back end.
+    pub gate: Gate,
+    /// This machine's part in the assignment of its service's keys.
+    pub keeper: RefCell<Keeper>,
+    /// Requests of other processes.
+    pub served: RefCell<ServedCalls>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Callers' requests that are not answered.
+    pub open_requests: Cell<usize>,
+    /// Position of the last heartbeat of the present back end.
+    pub last_sequence: Cell<u64>,
+    /// Share of recent requests that failed at the back end on this machine.
+    pub own_failures: Cell<f64>,
+    /// Woken when the keys may need attention.
+    pub keys_changed: Notify,
+    catalog: RefCell<Option<InForce>>,
+    views: RefCell<HashMap<ServiceName, Rc<Stored<Assignment>>>>,
+    peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    stopping: Cell<bool>,
+    store_works: Cell<bool>,
+    change: Cell<u64>,
+    last_hello: RefCell<Option<Member>>,
+}
+
+impl Node {
+    /// Makes the process's state.
+    #[must_use]
+    pub fn new(settings: Settings, incarnation: u64) -> Self {
+        let now = BootClock.now();
+        let timing = Timing {
+            hold_max: settings.bounds.hold_max,
+            ..Timing::default()
+        };
+        Self {
+            incarnation,
+            started: now,
+            direct: Direct::new(settings.store),
+            gate: Gate::new(Connections::new(settings.back_end)),
+            keeper: RefCell::new(Keeper::new(settings.machine.clone(), timing, now)),
+            served: RefCell::default(),
+            metrics: Metrics::default(),
+            open_requests: Cell::new(0),
+            last_sequence: Cell::new(0),
+            own_failures: Cell::new(0.0),
+            keys_changed: Notify::new(),
+            catalog: RefCell::default(),
+            views: RefCell::default(),
+            peers: RefCell::default(),
+            budgets: RefCell::default(),
+            stopping: Cell::new(false),
+            store_works: Cell::new(true),
+            change: Cell::new(0),
+            last_hello: RefCell::default(),
+            settings,
+        }
+    }
+
+    // ---- configuration ----
+
+    /// The configuration in force, if any is known.
+    #[must_use]
+    pub fn in_force(&self) -> Option<InForce> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is; returns whether it did.
+    pub fn on_configuration(&self, revision: u64, document: Value, source: &str) -> bool {
+        let known = self.catalog.borrow().as_ref().map(|c| c.revision);
+        if known >= Some(revision) {
+            return false;
+        }
+        let catalog = match configuration::decode(&document) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log::error!(event = "configuration-refused", revision, source, error:% = error; "");
+                return false;
+            }
+        };
+        log::info!(event = "configuration-in-force", revision, version = catalog.version, source; "");
+        *self.catalog.borrow_mut() = Some(InForce {
+            revision,
+            catalog: Rc::new(catalog),
+            document: Rc::new(document),
+        });
+        self.keys_changed.notify_one();
+        self.announce();
+        true
+    }
+
+    /// Whether the keys of this machine's service are held by one back end each.
+    #[must_use]
+    pub fn is_keyed(&self) -> bool {
+        let service = self.service();
+        self.in_force()
+            .is_some_and(|c| c.catalog.is_keyed(&service))
+    }
+
+    /// The key of a request, if its service is divided by key.
+    #[must_use]
+    pub fn shard_key(&self, request: &ForwardedRequest) -> Option<u16> {
+        let keyed = self
+            .in_force()
+            .is_some_and(|c| c.catalog.is_keyed(&request.service));
+        request.key.filter(|_| keyed)
+    }
+
+    // ---- this machine ----
+
+    /// Service of the back end on this machine.
+    #[must_use]
+    pub fn service(&self) -> ServiceName {
+        let back_end = self.gate.back_end.borrow();
+        back_end
+            .as_ref()
+            .map_or_else(|| self.settings.service.clone(), |b| b.service.clone())
+    }
+
+    /// Whether the process is about to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Records that the process is about to stop.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.keeper.borrow_mut().stop();
+        self.announce();
+    }
+
+    /// What this process says of itself.
+    #[must_use]
+    pub fn member(&self) -> Member {
+        let now = BootClock.now();
+        let back_end = self.gate.back_end.borrow();
+        let ready = back_end
+            .as_ref()
+            .filter(|b| b.state == BackEndCondition::Ready);
+        Member {
+            machine: self.settings.machine.clone(),
+            region: self.settings.region.clone(),
+            zone: self.settings.zone.clone(),
+            service: back_end
+                .as_ref()
+                .map_or_else(|| self.settings.service.clone(), |b| b.service.clone()),
+            address: self.settings.peers,
+            incarnation: self.incarnation,
+            change: self.change.get(),
+            back_end: ready.map(|b| BackEndState {
+                life: b.life.clone(),
+                slots: b.slots,
+                cold: b.cold_until > now,
+            }),
+            lease: self
+                .keeper
+                .borrow()
+                .lease()
+                .map(|l| (l.revision, l.value)),
+            catalog: self.catalog.borrow().as_ref().map_or(0, |c| c.revision),
+            store: self.store_works.get(),
+            leaving: self.stopping.get(),
+            busy: (self.gate.busy() * 1e3) as u32,
+        }
+    }
+
+    /// Tells the other processes what has changed about this one.
+    pub fn announce(&self) {
+        let mut member = self.member();
+        let same = self.last_hello.borrow().as_ref().is_some_and(|last| {
+            member.change = last.change;
+            *last == member
+        });
+        if same {
+            return;
+        }
+        self.change.set(self.change.get() + 1);
+        member.change = self.change.get();
+        *self.last_hello.borrow_mut() = Some(member.clone());
+        self.broadcast(&Frame::Hello(Box::new(member)));
+    }
+
+    /// Records whether the store has answered.
+    pub fn on_store_result(&self, works: bool) {
+        if self.store_works.replace(works) != works {
+            log::info!(event = if works { "store-regained" } else { "store-lost" }; "");
+            self.announce();
+        }
+    }
+
+    /// Whether the store answered the last call.
+    #[must_use]
+    pub fn store_works(&self) -> bool {
+        self.store_works.get()
+    }
+
+    /// Takes over a heartbeat of the back end.
+    pub fn on_back_end(&self, back_end: LocalBackEnd) {
+        let before = self.gate.back_end.borrow().as_ref().map(|b| (b.life.clone(), b.state));
+        let state = back_end.state;
+        let after = Some((back_end.life.clone(), state));
+        if before != after {
+            log::info!(event = "back-end", id = back_end.life.id.as_str(), born = back_end.life.born, state:? = state; "");
+        }
+        self.gate.set_back_end(back_end);
+        if before != after {
+            self.gate.set_condition(state);
+            self.announce();
+            self.keys_changed.notify_one();
+        }
+    }
+
+    /// Changes whether the back end takes requests.
+    pub fn set_condition(&self, condition: BackEndCondition) {
+        let changed = self
+            .gate
+            .back_end
+            .borrow()
+            .as_ref()
+            .is_some_and(|b| b.state != condition);
+        if changed {
+            log::info!(event = "back-end", state:? = condition; "");
+            self.gate.set_condition(condition);
+            self.announce();
+            self.keys_changed.notify_one();
+        }
+    }
+
+    /// Counts a request that failed or did not fail at the back end on this machine.
+    pub fn count_own_result(&self, failed: bool) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        let old = self.own_failures.get();
+        self.own_failures.set(old + FAILURE_GAIN * (sample - old));
+    }
+
+    /// Records a sign of life of the back end.
+    pub fn on_back_end_heard(&self) {
+        if let Some(b) = self.gate.back_end.borrow_mut().as_mut() {
+            b.heard = BootClock.now();
+        }
+    }
+
+    /// Takes in that an exchange with the back end failed.
+    pub fn on_exchange_fault(&self, fault: ExchangeFault) {
+        if fault != ExchangeFault::NobodyListens {
+            return;
+        }
+        let now = BootClock.now();
+        let connections = &self.gate.connections;
+        // Its process has ended only if no connection of it is left either.
+        if connections.in_use() > 0 || connections.sweep(now) > 0 {
+            return;
+        }
+        let known = self.gate.back_end.borrow().is_some();
+        self.set_condition(BackEndCondition::Down);
+        if known || now.since(self.started) > START_GRACE {
+            self.keeper.borrow_mut().on_back_end_gone(now);
+            self.keys_changed.notify_one();
+        }
+    }
+
+    // ---- other processes ----
+
+    /// All other processes that are known.
+    #[must_use]
+    pub fn peers(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// The process on a machine.
+    #[must_use]
+    pub fn peer(&self, machine: &MachineName) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(machine).cloned()
+    }
+
+    /// Sends a frame to every process that is connected.
+    pub fn broadcast(&self, frame: &Frame) {
+        for peer in self.peers.borrow().values() {
+            peer.send(frame);
+        }
+    }
+
+    /// Starts to look for a process unless it is known.
+    pub fn meet(self: &Rc<Self>, machine: &MachineName, address: std::net::SocketAddr) {
+        if *machine == self.settings.machine || self.peers.borrow().contains_key(machine) {
+            return;
+        }
+        log::info!(event = "peer-found", machine = machine.as_str(), address:% = address; "");
+        let peer = Rc::new(Peer::new(machine.clone(), address));
+        self.peers
+            .borrow_mut()
+            .insert(machine.clone(), Rc::clone(&peer));
+        tokio::task::spawn_local(keep_connected(Rc::clone(self), peer));
+    }
+
+    /// Takes in that a connection was opened or lost.
+    pub fn on_link_change(&self) {
+        self.keys_changed.notify_one();
+    }
+
+    /// Takes in news of another process; `sender` leads back to it.
+    pub fn on_news(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
+        match frame {
+            Frame::Hello(member) => self.on_hello(*member, sender),
+            Frame::Catalog { revision, document } => match serde_json::from_slice(&document) {
+                Ok(document) => {
+                    self.on_configuration(revision, document, "peer");
+                }
+                Err(error) => {
+                    log::warn!(event = "configuration-refused", revision, error:% = error; "");
+                }
+            },
+            Frame::AskCatalog => {
+                if let Some(c) = self.in_force() {
+                    send_frame(
+                        sender,
+                        &Frame::Catalog {
+                            revision: c.revision,
+                            document: c.document.to_string().into_bytes(),
+                        },
+                    );
+                }
+            }
+            Frame::Assignment {
+                service,
+                revision,
+                assignment,
+            } => {
+                let value = *assignment;
+                self.on_assignment(&service, Stored { revision, value });
+            }
+            Frame::AskAssignments => {
+                for (service, view) in self.views.borrow().iter() {
+                    send_frame(sender, &assignment_frame(service, view));
+                }
+            }
+            Frame::Ping => {
+                send_frame(sender, &Frame::Pong);
+            }
+            Frame::Pong => {}
+            Frame::Request(_)
+            | Frame::Answer { .. }
+            | Frame::Cancel { .. }
+            | Frame::StoreCall { .. }
+            | Frame::StoreAnswer { .. } => {
+                log::warn!(event = "frame-unexpected"; "");
+            }
+        }
+    }
+
+    fn on_hello(self: &Rc<Self>, member: Member, sender: &FrameSender) {
+        let behind = self.in_force().map_or(0, |c| c.revision) < member.catalog;
+        self.meet(&member.machine, member.address);
+        if let Some(peer) = self.peer(&member.machine) {
+            if peer.update(member) {
+                self.keys_changed.notify_one();
+            }
+        }
+        if behind {
+            send_frame(sender, &Frame::AskCatalog);
+        }
+    }
+
+    /// How far a machine is away.
+    #[must_use]
+    pub fn distance(&self, member: &Member) -> Distance {
+        if member.zone == self.settings.zone {
+            Distance::Zone
+        } else if member.region == self.settings.region {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+
+    // ---- keys ----
+
+    /// The assignment of a service's keys, if it is known.
+    #[must_use]
+    pub fn view(&self, service: &ServiceName) -> Option<Rc<Stored<Assignment>>> {
+        self.views.borrow().get(service).cloned()
+    }
+
+    /// Takes over an assignment if it is newer than the one known.
+    pub fn on_assignment(&self, service: &ServiceName, view: Stored<Assignment>) -> bool {
+        if !view.value.is_sound() {
+            log::error!(event = "assignment-refused", service = service.as_str(), revision = view.revision; "");
+            return false;
+        }
+        let newer = self
+            .views
+            .borrow()
+            .get(service)
+            .is_none_or(|v| v.revision < view.revision);
+        if !newer {
+            return false;
+        }
+        log::info!(event = "assignment", service = service.as_str(), revision = view.revision, ranges = view.value.ranges.len(); "");
+        if *service == self.service() {
+            self.keeper.borrow_mut().on_view(view.clone());
+            self.keys_changed.notify_one();
+        }
+        self.views
+            .borrow_mut()
+            .insert(service.clone(), Rc::new(view));
+        true
+    }
+
+    /// Tells the other processes an assignment that this one has written.
+    pub fn publish_assignment(&self, service: &ServiceName) {
+        if let Some(view) = self.view(service) {
+            self.broadcast(&assignment_frame(service, &view));
+        }
+    }
+
+    // ---- retries ----
+
+    /// Works on the retry budget of a service.
+    pub fn with_budget<R>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryBudget) -> R,
+    ) -> R {
+        let bounds = &self.settings.bounds;
+        let machines = self.peers.borrow().len() + 1;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let extra = bounds.retry_extra * EXTRA_SHARE / machines as f64;
+            RetryBudget::new(bounds.retry_ratio * RATIO_SHARE, extra, bounds.retry_window)
+        });
+        work(budget)
+    }
+}
+
+/// Part of the allowed ratio that is used; the rest covers windows that lie otherwise.
+const RATIO_SHARE: f64 = 0.5;
+/// Part of the allowed number that is used; the rest covers machines that join.
+const EXTRA_SHARE: f64 = 0.6;
+
+fn assignment_frame(service: &ServiceName, view: &Stored<Assignment>) -> Frame {
+    Frame::Assignment {
+        service: service.clone(),
+        revision: view.revision,
+        assignment: Box::new(view.value.clone()),
+    }
+}
--- /dev/null
+++ b/components/node/src/ready.rs
@@ -0,0 +1,185 @@
+//! What the platform, the back end and operators ask this process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http1::answer::{Answer, encode};
+use http1::request::{Bounds, Reader, Request};
+use platform::heartbeat::{Heartbeat, encode_reply};
+use platform::surface::Surface;
+use timer::{BootClock, Clock};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::gate::{BackEndCondition, LocalBackEnd};
+use crate::node::Node;
+
+/// Longest head and body of such a call.
+const BOUNDS: Bounds = Bounds {
+    head_bytes: 16_384,
+    body_bytes: 4 << 20,
+};
+/// Time after which an idle connection is closed.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
+/// Answers calls on a listener.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(Rc::clone(&node), stream));
+            }
+            Err(error) => {
+                log::warn!(event = "accept-failed", listener = "platform", error:% = error; "");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(node: Rc<Node>, mut stream: TcpStream) {
+    let mut reader = Reader::default();
+    let mut buf = BytesMut::new();
+    loop {
+        let request = match reader.next(&mut buf, BOUNDS) {
+            Ok(Some(request)) => request,
+            Ok(None) => {
+                let read = tokio::time::timeout(IDLE_TIME, stream.read_buf(&mut buf)).await;
+                match read {
+                    Ok(Ok(n)) if n > 0 => continue,
+                    _ => return,
+                }
+            }
+            Err(fault) => {
+                log::warn!(event = "call-refused", fault:% = fault; "");
+                let _ = send(&mut stream, &Answer::new(400), true).await;
+                return;
+            }
+        };
+        let answer = handle(&node, &request);
+        if send(&mut stream, &answer, request.close).await.is_err() || request.close {
+            return;
+        }
+    }
+}
+
+async fn send(stream: &mut TcpStream, answer: &Answer, close: bool) -> std::io::Result<()> {
+    let mut out = BytesMut::new();
+    encode(&mut out, answer, close);
+    stream.write_all(&out).await
+}
+
+fn handle(node: &Rc<Node>, request: &Request) -> Answer {
+    match Surface::from_call(&request.method, request.path()) {
+        Surface::Readiness => readiness(node),
+        Surface::Heartbeat(id) => heartbeat(node, id, &request.body),
+        Surface::Deregister(id) => deregister(node, id),
+        Surface::Other if request.path() == "/metrics" => metrics(node),
+        Surface::Other => Answer::new(404),
+    }
+}
+
+fn readiness(node: &Node) -> Answer {
+    let ready = node.in_force().is_some() && !node.is_stopping();
+    Answer::new(if ready { 200 } else { 503 })
+}
+
+fn json(body: Vec<u8>) -> Answer {
+    let mut answer = Answer::new(200).with("Content-Type", "application/json");
+    answer.body = body.into();
+    answer
+}
+
+fn heartbeat(node: &Rc<Node>, id: &str, body: &[u8]) -> Answer {
+    let beat = match Heartbeat::from_json(id, body) {
+        Ok(beat) => beat,
+        Err(error) => {
+            log::warn!(event = "heartbeat-refused", id, error:% = error; "");
+            return Answer::new(400);
+        }
+    };
+    if beat.address != node.settings.back_end {
+        log::warn!(event = "heartbeat-refused", id, address:% = beat.address; "");
+        return Answer::new(400);
+    }
+    let now = BootClock.now();
+    let life = &beat.keys.life;
+    let known = node.gate.back_end.borrow().clone();
+    let outdated = known.as_ref().is_some_and(|k| {
+        k.life != *life && life.born <= k.life.born
+            || k.life == *life && beat.keys.sequence <= node.last_sequence.get()
+    });
+    if outdated {
+        log::info!(event = "heartbeat-outdated", id, sequence = beat.keys.sequence; "");
+        return json(encode_reply(None));
+    }
+    node.last_sequence.set(beat.keys.sequence);
+    let left_already = known
+        .as_ref()
+        .is_some_and(|k| k.life == *life && k.state == BackEndCondition::Leaving);
+    let state = if beat.keys.draining || left_already {
+        BackEndCondition::Leaving
+    } else {
+        BackEndCondition::Ready
+    };
+    let reply = if node.is_keyed() {
+        node.keeper.borrow_mut().on_check_in(now, &beat.keys)
+    } else {
+        None
+    };
+    node.on_back_end(LocalBackEnd {
+        service: beat.service,
+        life: beat.keys.life,
+        slots: beat.slots,
+        cold_until: now + beat.cold,
+        heard: now,
+        state,
+    });
+    json(encode_reply(reply.as_ref()))
+}
+
+fn deregister(node: &Node, id: &str) -> Answer {
+    let known = node
+        .gate
+        .back_end
+        .borrow()
+        .as_ref()
+        .is_some_and(|b| b.life.id == id);
+    if known {
+        node.keeper.borrow_mut().on_deregistered(id);
+        node.set_condition(BackEndCondition::Leaving);
+    }
+    log::info!(event = "back-end-deregistered", id, known; "");
+    json(b"{}".to_vec())
+}
+
+fn metrics(node: &Node) -> Answer {
+    let load = node.gate.load();
+    let connected = node.peers().iter().filter(|p| p.is_connected()).count();
+    let text = node.metrics.render(&[
+        ("plantaingauge_back_end_running", f64::from(load.running)),
+        ("plantaingauge_back_end_waiting", f64::from(load.waiting)),
+        ("plantaingauge_back_end_slots", f64::from(load.slots)),
+        ("plantaingauge_peers_connected", connected as f64),
+        (
+            "plantaingauge_back_end_connections_opened",
+            node.gate.connections.opened() as f64,
+        ),
+    ]);
+    let mut answer = Answer::new(200).with("Content-Type", "text/plain; version=0.0.4");
+    answer.body = text.into();
+    answer
+}
+
+/// Opens a listener whose address may have been in use a moment ago.
+///
+/// # Errors
+/// Fails with the system's error.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
--- /dev/null
+++ b/components/node/src/relay.rs
@@ -0,0 +1,86 @@
+//! Calls to the store, through another process while the store turns this one away.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::store::{CallFault, Client, RawAnswer, RawCall, Transport};
+use rand::seq::IndexedRandom;
+use timer::{BootClock, Clock};
+use world::moment::Moment;
+
+use crate::node::Node;
+
+/// Time after a failure for which the direct way is not tried first.
+const DETOUR_TIME: Duration = Duration::from_millis(1_500);
+/// Longest time for a call through another process.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// The ways to the store.
+pub struct Ways {
+    node: Rc<Node>,
+    direct_failed: Cell<Option<Moment>>,
+}
+
+/// A client of the store over any way.
+pub type StoreClient = Client<Ways>;
+
+/// Makes a client of the store.
+#[must_use]
+pub fn client(node: &Rc<Node>) -> StoreClient {
+    Client::new(Ways {
+        node: Rc::clone(node),
+        direct_failed: Cell::new(None),
+    })
+}
+
+impl Ways {
+    async fn through_peer(&self, call: &RawCall) -> Result<RawAnswer, CallFault> {
+        let able: Vec<_> = self
+            .node
+            .peers()
+            .into_iter()
+            .filter(|p| p.is_connected() && p.with_member(|m| m.store).unwrap_or(false))
+            .collect();
+        let Some(peer) = able.choose(&mut rand::rng()) else {
+            return Err(CallFault::NotDone);
+        };
+        self.node.metrics.on_store_call("relayed");
+        let relayed = peer.store_call(call.clone());
+        let result = tokio::time::timeout(RELAY_TIMEOUT, relayed).await;
+        result.unwrap_or(Err(CallFault::Unknown))
+    }
+}
+
+impl Transport for Ways {
+    async fn perform(&self, call: &RawCall) -> Result<RawAnswer, CallFault> {
+        let now = BootClock.now();
+        let detour = self
+            .direct_failed
+            .get()
+            .is_some_and(|at| now.since(at) < DETOUR_TIME);
+        if detour {
+            let relayed = self.through_peer(call).await;
+            if relayed != Err(CallFault::NotDone) {
+                return relayed;
+            }
+        }
+        let direct = self.node.direct.perform(call).await;
+        self.node.metrics.on_store_call(match &direct {
+            Ok(answer) if matches!(answer.status, 429 | 503) => "refused",
+            Ok(_) => "answered",
+            Err(CallFault::NotDone) => "not-done",
+            Err(CallFault::Unknown) => "unknown",
+        });
+        let refused = matches!(&direct, Ok(a) if matches!(a.status, 429 | 503));
+        let works = direct.is_ok() && !refused;
+        self.node.on_store_result(works);
+        self.direct_failed.set((!works).then_some(now));
+        if refused || direct == Err(CallFault::NotDone) {
+            if let Ok(answer) = self.through_peer(call).await {
+                return Ok(answer);
+            }
+        }
+        direct
+    }
+}
--- /dev/null
+++ b/components/node/src/run.rs
@@ -0,0 +1,114 @@
+//! Start and stop of the process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::settings::Settings;
+use snafu::{ResultExt, Snafu};
+use timer::{BootClock, Clock, TimerService};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+
+use crate::gate::BackEndCondition;
+use crate::node::Node;
+use crate::{catalog_watch, entry, keys, log_queue, members, peer_server, ready, relay};
+
+/// Time between two looks at keys, queue and silence.
+const TICK: Duration = Duration::from_millis(100);
+/// Time after the request to stop in which callers may still arrive.
+const LEAVE_TIME: Duration = Duration::from_millis(2_300);
+/// Part of the grace period after which the process ends whatever still runs.
+const GRACE_PART: f64 = 0.95;
+
+/// Why the process cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartFault {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("cannot wait for signals: {source}"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+fn open(address: SocketAddr) -> Result<TcpListener, StartFault> {
+    ready::listen(address).context(ListenSnafu { address })
+}
+
+/// Runs the process until it is asked to stop.
+///
+/// # Errors
+/// Fails if it cannot start.
+pub async fn run(settings: Settings) -> Result<(), StartFault> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let callers = open(settings.callers)?;
+    let readiness = open(settings.readiness)?;
+    let heartbeats = open(settings.heartbeats)?;
+    let peers = open(settings.peers)?;
+    let metrics = open(settings.metrics)?;
+    log::info!(event = "start", machine = settings.machine.as_str(), zone = settings.zone.as_str(), service = settings.service.as_str(); "");
+    let node = Rc::new(Node::new(settings, rand::random()));
+    let store = Rc::new(relay::client(&node));
+    let timer = TimerService::new(BootClock);
+    spawn_local(log_queue::run());
+    spawn_local(catalog_watch::run(Rc::clone(&node), Rc::clone(&store)));
+    spawn_local(members::run(Rc::clone(&node), Rc::clone(&store)));
+    spawn_local(keys::run(
+        Rc::clone(&node),
+        Rc::clone(&store),
+        timer.subscribe(TICK),
+    ));
+    spawn_local(peer_server::serve(Rc::clone(&node), peers));
+    spawn_local(entry::serve(Rc::clone(&node), callers));
+    for listener in [readiness, heartbeats, metrics] {
+        spawn_local(ready::serve(Rc::clone(&node), listener));
+    }
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => log::info!(event = "reload"; ""),
+        }
+    }
+    stop(&node, &store).await;
+    Ok(())
+}
+
+/// Lets callers go elsewhere and finishes what runs.
+async fn stop(node: &Rc<Node>, store: &relay::StoreClient) {
+    let started = BootClock.now();
+    log::info!(event = "stop-requested"; "");
+    node.stop();
+    let grace = node.settings.bounds.grace.mul_f64(GRACE_PART);
+    loop {
+        tokio::time::sleep(TICK / 2).await;
+        let spent = BootClock.now().since(started);
+        let idle = node.gate.is_idle()
+            && node.served.borrow().unfinished() == 0
+            && node.open_requests.get() == 0;
+        if (spent >= LEAVE_TIME && idle) || spent >= grace {
+            break;
+        }
+    }
+    let gone = !node
+        .gate
+        .back_end
+        .borrow()
+        .as_ref()
+        .is_some_and(|b| b.state == BackEndCondition::Ready);
+    if gone {
+        let _ = tokio::time::timeout(TICK * 3, members::unregister(node, store)).await;
+    }
+    log::info!(event = "stop"; "");
+    log_queue::flush();
+}
--- /dev/null
+++ b/components/shards/src/lib.rs
@@ -0,0 +1,15 @@
+//! Which back end holds which keys.
+//!
+//! All that several machines must agree on lies in two kinds of stored objects: one
+//! [`assignment::Assignment`] a service and one [`lease::Lease`] a machine, both changed by
+//! conditional writes only. [`keeper::Keeper`] decides for one machine what it grants to the back
+//! end beside it and which changes it wants to write.
+
+pub mod assignment;
+pub mod check_in;
+pub mod keeper;
+pub mod lease;
+pub mod life;
+pub mod placement;
+pub mod release;
+pub mod span;
--- /dev/null
+++ b/components/shards/src/placement.rs
@@ -0,0 +1,141 @@
+//! Which machines take over keys, and which keys a busy machine gives away.
+
+use world::name::MachineName;
+
+use crate::span::Span;
+
+/// Keys in one bucket of [`KeyLoad`].
+const KEYS_PER_BUCKET: u16 = 16;
+const BUCKETS: usize = 65_536 / KEYS_PER_BUCKET as usize;
+
+/// Load of a span that has seen no request, per key; it makes idle keys spread by their number.
+const IDLE_KEY_LOAD: f64 = 1e-6;
+
+/// Decaying count of requests by key.
+#[derive(Clone, Debug)]
+pub struct KeyLoad {
+    buckets: Vec<f32>,
+}
+
+impl Default for KeyLoad {
+    fn default() -> Self {
+        Self {
+            buckets: vec![0.0; BUCKETS],
+        }
+    }
+}
+
+impl KeyLoad {
+    /// Counts a request.
+    pub fn add(&mut self, key: u16) {
+        if let Some(b) = self.buckets.get_mut(usize::from(key / KEYS_PER_BUCKET)) {
+            *b += 1.0;
+        }
+    }
+
+    /// Multiplies all counts by `factor`.
+    pub fn decay(&mut self, factor: f32) {
+        for b in &mut self.buckets {
+            *b *= factor;
+        }
+    }
+
+    /// The load of a span.
+    #[must_use]
+    pub fn of(&self, span: Span) -> f64 {
+        let idle = f64::from(span.len()) * IDLE_KEY_LOAD;
+        let counted: f64 = bucket_parts(span)
+            .map(|part| {
+                let bucket = self.buckets[usize::from(part.from / KEYS_PER_BUCKET)];
+                f64::from(bucket) * f64::from(part.len()) / f64::from(KEYS_PER_BUCKET)
+            })
+            .sum();
+        idle + counted
+    }
+
+    /// Splits `spans`, taken in order, after a share of about `load`.
+    #[must_use]
+    pub fn split(&self, spans: &[Span], load: f64) -> (Vec<Span>, Vec<Span>) {
+        let mut left = load;
+        let mut head = Vec::new();
+        let mut tail = Vec::new();
+        for part in spans.iter().flat_map(|s| bucket_parts(*s)) {
+            let cost = self.of(part);
+            if tail.is_empty() && left > cost / 2.0 {
+                left -= cost;
+                push_joined(&mut head, part);
+            } else {
+                push_joined(&mut tail, part);
+            }
+        }
+        (head, tail)
+    }
+}
+
+/// The span cut at bucket borders.
+fn bucket_parts(span: Span) -> impl Iterator<Item = Span> {
+    let first = span.from / KEYS_PER_BUCKET;
+    let last = span.to / KEYS_PER_BUCKET;
+    (first..=last).filter_map(move |b| {
+        let from = b * KEYS_PER_BUCKET;
+        Span::new(from, from + (KEYS_PER_BUCKET - 1))?.overlap(span)
+    })
+}
+
+fn push_joined(spans: &mut Vec<Span>, next: Span) {
+    match spans.last_mut() {
+        Some(last) if last.to.checked_add(1) == Some(next.from) => last.to = next.to,
+        _ => spans.push(next),
+    }
+}
+
+/// A machine that can take keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Taker {
+    /// The machine.
+    pub machine: MachineName,
+    /// Share of its capacity that is in use; 1 is full.
+    pub busy: f64,
+}
+
+/// Divides `spans` among `takers` so that those with more room get more.
+#[must_use]
+pub fn divide(spans: &[Span], load: &KeyLoad, takers: &[Taker]) -> Vec<(Span, MachineName)> {
+    let room: Vec<f64> = takers.iter().map(|t| (1.0 - t.busy).max(0.05)).collect();
+    let mut room_left: f64 = room.iter().sum();
+    let mut rest: Vec<Span> = spans.to_vec();
+    let mut shares = Vec::new();
+    for (taker, own) in takers.iter().zip(&room) {
+        let total: f64 = rest.iter().map(|s| load.of(*s)).sum();
+        let last = room_left <= own + 1e-9;
+        let (mine, others) = if last {
+            (std::mem::take(&mut rest), Vec::new())
+        } else {
+            load.split(&rest, total * own / room_left)
+        };
+        shares.extend(mine.into_iter().map(|s| (s, taker.machine.clone())));
+        rest = others;
+        room_left -= own;
+    }
+    shares
+}
+
+/// Least difference between a machine's busy share and the mean at which keys move.
+const MIN_EXCESS: f64 = 0.15;
+/// Part of the mean by which a machine must exceed it before keys move.
+const RELATIVE_EXCESS: f64 = 0.25;
+
+/// The machine that should take keys from one that is `busy`, and the part of its load to give.
+#[must_use]
+pub fn relief(busy: f64, others: &[Taker]) -> Option<(MachineName, f64)> {
+    let idlest = others.iter().min_by(|a, b| a.busy.total_cmp(&b.busy))?;
+    let total: f64 = busy + others.iter().map(|t| t.busy).sum::<f64>();
+    let mean = total / (others.len() as f64 + 1.0);
+    let excess = busy - mean;
+    if excess < MIN_EXCESS.max(RELATIVE_EXCESS * mean) {
+        return None;
+    }
+    let gap = (mean - idlest.busy).max(0.0);
+    let given = excess.min(gap);
+    (given > 0.05).then(|| (idlest.machine.clone(), given / busy))
+}
--- /dev/null
+++ b/src/bin/plantaingauge-node/main.rs
@@ -0,0 +1,57 @@
+//! The process beside a back end on the platform.
+
+mod logging;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use platform::settings::Settings;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+/// Exit code when the settings are at fault.
+const BAD_SETTINGS: u8 = 2;
+
+/// Route requests between the back ends of a deployment on the platform.
+///
+/// The settings are read from the file that the platform names in the environment.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Level of detail of the log: error, warn, info, debug or trace
+    #[bpaf(
+        env("PLANTAINGAUGE_LOG_LEVEL"),
+        argument("LEVEL"),
+        fallback(log::LevelFilter::Info),
+        display_fallback
+    )]
+    log_level: log::LevelFilter,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    logging::start(options.log_level);
+    let settings = match Settings::from_environment() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("plantaingauge-node: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    // Requests and control share one thread: the machines have one core, and each thread costs
+    // memory.
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("plantaingauge-node: cannot start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match LocalSet::new().block_on(&runtime, node::run::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("plantaingauge-node: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/cmd/lists.rs
+++ b/src/cmd/lists.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use daemon::admin_api::AcceptedLists;
 use lists::LISTS_OBJECT;
-use platform::client::{Store, StoreError, Update};
-use platform::http_client::HttpStore;
+use store::client::{Store, StoreError, Update};
+use store::http_client::HttpStore;
 
 use crate::admin;
 use crate::cli::ListsCommand;
