--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -107,7 +107,7 @@
     pub store: bool,
     /// Whether the process is about to stop.
     pub leaving: bool,
-    /// Share of the back end's capacity that is in use, in thousandths.
+    /// Share of the back end's capacity that is in use, in eighths.
     pub busy: u32,
 }
 
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -13,7 +13,7 @@
 use world::name::MachineName;
 
 use crate::gate::{BackEndCondition, SILENCE};
-use crate::node::Node;
+use crate::node::{BUSY_STEPS, Node};
 use crate::relay::StoreClient;
 
 /// Pause after a call that the store did not carry out.
@@ -134,7 +134,7 @@
                     life: staying.map(|b| b.life),
                     lease: m.lease.map(|(revision, value)| Stored { revision, value }),
                     lease_seen: peer.lease_seen(),
-                    busy: f64::from(m.busy) / 1e3,
+                    busy: f64::from(m.busy) / BUSY_STEPS,
                 },
             );
         }
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -212,7 +212,7 @@
             catalog: self.catalog.borrow().as_ref().map_or(0, |c| c.revision),
             store: self.store_works.get(),
             leaving: self.stopping.get(),
-            busy: (self.gate.busy() * 1e3) as u32,
+            busy: (self.gate.busy() * BUSY_STEPS).round() as u32,
         }
     }
 
@@ -484,6 +484,8 @@
     }
 }
 
+/// Steps in which the used share of the capacity is told, so that small changes stay untold.
+pub(crate) const BUSY_STEPS: f64 = 8.0;
 /// Part of the allowed ratio that is used; the rest covers windows that lie otherwise.
 const RATIO_SHARE: f64 = 0.5;
 /// Part of the allowed number that is used; the rest covers machines that join.
--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -42,7 +42,7 @@
     /// Fence; rises with each change of owner or of the owner's back end.
     pub fence: u64,
     /// Record of the last holder for the present one, or empty.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
+    #[serde(default)]
     pub handover: String,
 }
 
--- a/components/shards/src/keeper.rs
+++ b/components/shards/src/keeper.rs
@@ -160,6 +160,9 @@
     silent: bool,
     stopping: bool,
     granted_until: Moment,
+    /// Keys of the last grant, and until when the back end surely holds them.
+    granted: Vec<Span>,
+    held_until: Moment,
     releases: Vec<(Release, Option<MachineName>)>,
     peers: BTreeMap<MachineName, Peer>,
     takeovers: BTreeMap<MachineName, Takeover>,
@@ -190,6 +193,8 @@
             silent: false,
             stopping: false,
             granted_until: now + with_drift(timing.hold_max),
+            granted: Vec::new(),
+            held_until: now,
             releases: Vec::new(),
             peers: BTreeMap::new(),
             takeovers: BTreeMap::new(),
@@ -330,6 +335,7 @@
             Some(known) if life.born <= known.born => return false,
             Some(_) => {
                 self.granted_until = now;
+                self.held_until = now;
                 self.releases.clear();
             }
             None => self.adopt_first_life(now, life),
@@ -395,6 +401,8 @@
         let grants = self.grants();
         let until = now + with_drift(hold);
         self.granted_until = self.granted_until.max(until);
+        self.granted = grants.iter().map(|g| g.span).collect();
+        self.held_until = now + hold;
         Some(Reply { grants, hold })
     }
 
@@ -417,10 +425,11 @@
         grants
     }
 
-    /// Whether the key is granted to the back end beside this machine and stays so.
+    /// Whether the back end beside this machine holds the key and is to keep it.
     #[must_use]
     pub fn serves(&self, now: Moment, key: u16) -> bool {
-        self.may_grant(now) && self.owns(key) && now < self.granted_until
+        let held = now < self.held_until && self.granted.iter().any(|s| s.contains(key));
+        held && !self.dead && self.owns(key)
     }
 
     /// Whether the key belongs to this machine and is not being taken back.
