--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -28,6 +28,8 @@
 const USUAL_PATIENCE: Duration = Duration::from_secs(30);
 /// Wait that callers are told while nothing can be served.
 const OUTAGE_RETRY: Duration = Duration::from_millis(500);
+/// Time until a stopped process is expected back.
+const RESTART_RETRY: Duration = Duration::from_millis(1_000);
 /// Pause before a request without a usable back end is looked at again.
 const REROUTE_PAUSE: Duration = Duration::from_millis(25);
 /// Part of a caller's patience for which a request waits for a usable back end.
@@ -105,6 +107,10 @@
     let _open = OpenRequest::new(&node);
     let incoming = message::incoming(&request);
     let id = incoming.id.clone();
+    if node.is_closing() {
+        node.metrics.on_request("stopping", Duration::ZERO);
+        return message::own_answer(503, &id, Some(RESTART_RETRY));
+    }
     let Some(in_force) = node.in_force() else {
         node.metrics.on_request("no-configuration", Duration::ZERO);
         return message::own_answer(503, &id, Some(OUTAGE_RETRY));
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -256,7 +256,7 @@
     let now = BootClock.now();
     let gate = &node.gate;
     let usual = gate.retry_ms(Duration::ZERO);
-    if gate.ready_for(&request.service).is_none() {
+    if node.is_closing() || gate.ready_for(&request.service).is_none() {
         return not_run(Reason::NoBackEnd, usual);
     }
     if let Some(key) = node.shard_key(&request) {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -70,6 +70,7 @@
     peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     stopping: Cell<bool>,
+    closing: Cell<bool>,
     store_works: Cell<bool>,
     change: Cell<u64>,
     last_hello: RefCell<Option<Member>>,
@@ -101,6 +102,7 @@
             peers: RefCell::default(),
             budgets: RefCell::default(),
             stopping: Cell::new(false),
+            closing: Cell::new(false),
             store_works: Cell::new(true),
             change: Cell::new(0),
             last_hello: RefCell::default(),
@@ -181,6 +183,17 @@
         self.announce();
     }
 
+    /// Whether the process only finishes what has begun.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Takes no new requests any more.
+    pub fn close(&self) {
+        self.closing.set(true);
+    }
+
     /// What this process says of itself.
     #[must_use]
     pub fn member(&self) -> Member {
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -17,7 +17,7 @@
 
 /// Time between two looks at keys, queue and silence.
 const TICK: Duration = Duration::from_millis(100);
-/// Time after the request to stop in which callers may still arrive.
+/// Time after the request to stop in which callers are still served.
 const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 /// Part of the grace period after which the process ends whatever still runs.
 const GRACE_PART: f64 = 0.95;
@@ -93,6 +93,9 @@
     loop {
         tokio::time::sleep(TICK / 2).await;
         let spent = BootClock.now().since(started);
+        if spent >= LEAVE_TIME {
+            node.close();
+        }
         let idle = node.gate.is_idle()
             && node.served.borrow().unfinished() == 0
             && node.open_requests.get() == 0;
