--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -115,6 +115,14 @@
             })
     }
 
+    /// Opens and closes a connection to see whether the back end listens.
+    ///
+    /// # Errors
+    /// Says why it could not be opened.
+    pub async fn probe(&self) -> Result<(), ExchangeFault> {
+        self.dial().await.map(drop)
+    }
+
     /// Sends a request and returns the back end's answer to it.
     ///
     /// With `once` the request must not reach the back end twice.
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -13,7 +13,7 @@
 use world::name::MachineName;
 
 use crate::gate::{BackEndCondition, SILENCE};
-use crate::node::{BUSY_STEPS, Node};
+use crate::node::{BUSY_STEPS, Node, START_GRACE};
 use crate::relay::StoreClient;
 
 /// Pause after a call that the store did not carry out.
@@ -78,6 +78,7 @@
                 peer.forgive(0.97);
             }
             driver.look_at_load(now);
+            driver.look_for_back_end(now);
         }
         driver.check_silence(now);
         node.gate.pump();
@@ -104,6 +105,19 @@
         }
     }
 
+    /// A back end that held keys and has not shown up may be gone; a refused connection shows it.
+    fn look_for_back_end(&self, now: Moment) {
+        let missing = self.node.is_keyed() && self.node.keeper.borrow().misses_back_end();
+        if missing && now.since(self.node.started) > START_GRACE {
+            let node = Rc::clone(&self.node);
+            tokio::task::spawn_local(async move {
+                if let Err(fault) = node.gate.connections.probe().await {
+                    node.on_exchange_fault(fault);
+                }
+            });
+        }
+    }
+
     /// A back end that owes answers and sends no heartbeats gets no more requests.
     fn check_silence(&self, now: Moment) {
         let silent = self.node.gate.back_end.borrow().as_ref().is_some_and(|b| {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use balance::choice::Distance;
 use balance::retry_budget::RetryBudget;
@@ -26,7 +27,7 @@
 use crate::peer_server::ServedCalls;
 
 /// Time after the start in which a back end that is not there yet is not taken for gone.
-const START_GRACE: std::time::Duration = std::time::Duration::from_secs(3);
+pub(crate) const START_GRACE: Duration = Duration::from_secs(3);
 
 /// The configuration in force.
 #[derive(Clone, Debug)]
--- a/components/shards/src/keeper.rs
+++ b/components/shards/src/keeper.rs
@@ -266,7 +266,12 @@
     /// Records whether the back end has fallen silent; its keys are taken back if so.
     pub fn set_silent(&mut self, silent: bool) {
         self.silent = silent;
-        self.start_leaving();
+    }
+
+    /// Whether keys are stored as this machine's though its back end has not shown up.
+    #[must_use]
+    pub fn misses_back_end(&self) -> bool {
+        self.life.is_none() && !self.dead && self.owns_stored_keys()
     }
 
     /// Records that the back end leaves without a further report.
@@ -321,7 +326,7 @@
         for (release, _) in &mut self.releases {
             release.on_report(&report.held, &report.freed);
         }
-        self.start_leaving();
+        self.start_leaving(now);
         self.reply(now)
     }
 
@@ -471,8 +476,11 @@
     }
 
     /// Takes back every key if the back end is leaving or gone and others can take them.
-    fn start_leaving(&mut self) {
-        if !(self.leaving || self.dead || self.silent) || self.takers().is_empty() {
+    fn start_leaving(&mut self, now: Moment) {
+        // A back end that has not shown up holds nothing once every earlier grant has run out.
+        let missing = self.life.is_none() && now >= self.granted_until;
+        let going = self.leaving || self.dead || self.silent || missing;
+        if !going || self.takers().is_empty() {
             return;
         }
         let mut open = self.owned_spans();
@@ -931,6 +939,6 @@
             let outdated = t.fenced.is_some_and(|(fenced, _)| epoch > Some(fenced));
             silent.contains(m) && !outdated
         });
-        self.start_leaving();
+        self.start_leaving(now);
     }
 }
