--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -70,17 +70,24 @@
 
 /// Age at which half of a report has lost its meaning.
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Weight of a report that has lost its meaning, beside 1 for a new one.
+const LEAST_WEIGHT: f64 = 1e-3;
 /// Cost of a request that fails.
 const FAILURE_COST: f64 = 1.5;
 /// How much slower a cold back end is.
 const COLD_FACTOR: f64 = 2.0;
 
 impl Candidate {
+    /// What the report still means, 1 when it is new.
+    fn fade(&self) -> f64 {
+        0.5f64.powf(self.age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
     /// Expected cost in seconds of sending the request there; `usual` is the mean time of a request
     /// in the service.
     #[must_use]
     pub fn cost(&self, usual: Duration) -> f64 {
-        let fade = 0.5f64.powf(self.age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let fade = self.fade();
         let usual = usual.as_secs_f64();
         let mut service = usual + (self.load.service_time.as_secs_f64() - usual) * fade;
         if self.cold {
@@ -100,9 +107,16 @@
 /// Index of the cheapest candidate.
 #[must_use]
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
-    let times = candidates.iter().map(|c| c.load.service_time);
-    let count = u32::try_from(candidates.len()).ok().filter(|n| *n > 0)?;
-    let usual = times.sum::<Duration>() / count;
+    let usual = usual_time(candidates)?;
     let costs: Vec<f64> = candidates.iter().map(|c| c.cost(usual)).collect();
     (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))
 }
+
+/// Mean time of a request in the service; new reports weigh most.
+fn usual_time(candidates: &[Candidate]) -> Option<Duration> {
+    let weights = candidates.iter().map(|c| c.fade() + LEAST_WEIGHT);
+    let total: f64 = weights.clone().sum();
+    let times = candidates.iter().map(|c| c.load.service_time.as_secs_f64());
+    let sum: f64 = weights.zip(times).map(|(w, t)| w * t).sum();
+    (total > 0.0).then(|| Duration::from_secs_f64(sum / total))
+}
--- /dev/null
+++ b/components/balance/tests/choice.rs
@@ -0,0 +1,76 @@
+//! Near back ends are preferred unless they are busy, slow or failing.
+
+use std::time::Duration;
+
+use balance::choice::{Candidate, Distance, Load, choose};
+
+fn candidate(distance: Distance) -> Candidate {
+    Candidate {
+        distance,
+        load: Load {
+            running: 4,
+            waiting: 0,
+            slots: 18,
+            service_time: Duration::from_millis(200),
+        },
+        age: Duration::from_millis(50),
+        unanswered: 0,
+        failures: 0.0,
+        cold: false,
+    }
+}
+
+#[test]
+fn prefers_the_nearest_of_equally_busy_back_ends() {
+    let all = [Distance::Remote, Distance::Zone, Distance::Region].map(candidate);
+    assert_eq!(choose(&all), Some(1));
+}
+
+#[test]
+fn leaves_a_full_back_end_for_the_next_zone() {
+    let mut near = candidate(Distance::Zone);
+    near.load.running = 18;
+    near.load.waiting = 9;
+    assert_eq!(choose(&[near, candidate(Distance::Region)]), Some(1));
+}
+
+#[test]
+fn crosses_regions_only_for_a_long_wait() {
+    let mut near = candidate(Distance::Zone);
+    near.load.running = 18;
+    near.load.waiting = 3;
+    assert_eq!(choose(&[near, candidate(Distance::Remote)]), Some(0));
+    near.load.waiting = 60;
+    assert_eq!(choose(&[near, candidate(Distance::Remote)]), Some(1));
+}
+
+#[test]
+fn leaves_a_back_end_that_fails_while_others_do_not() {
+    let mut near = candidate(Distance::Zone);
+    near.failures = 0.5;
+    assert_eq!(choose(&[near, candidate(Distance::Region)]), Some(1));
+}
+
+#[test]
+fn comes_back_to_a_back_end_whose_slow_report_is_old() {
+    let mut near = candidate(Distance::Zone);
+    near.load.service_time = Duration::from_millis(1_000);
+    let far = candidate(Distance::Region);
+    assert_eq!(choose(&[near, far]), Some(1));
+    near.age = Duration::from_secs(20);
+    near.load.running = 0;
+    assert_eq!(choose(&[near, far]), Some(0));
+}
+
+#[test]
+fn counts_what_was_sent_since_the_last_report() {
+    let mut near = candidate(Distance::Zone);
+    near.load.running = 0;
+    near.unanswered = 40;
+    assert_eq!(choose(&[near, candidate(Distance::Region)]), Some(1));
+}
+
+#[test]
+fn finds_nothing_without_candidates() {
+    assert_eq!(choose(&[]), None);
+}
--- /dev/null
+++ b/components/balance/tests/retry_budget.rs
@@ -0,0 +1,63 @@
+//! Retries stay within the budget over any window and any split over machines.
+
+use std::time::Duration;
+
+use balance::retry_budget::RetryBudget;
+use proptest::prelude::*;
+use world::moment::Moment;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+proptest! {
+    #[test]
+    fn retries_never_exceed_the_bound_over_any_window(
+        machines in 1usize..6,
+        steps in proptest::collection::vec((0usize..6, 0u64..400, any::<bool>()), 1..400),
+    ) {
+        let ratio = 0.2;
+        let extra = 12.0;
+        let share = extra / machines as f64;
+        let mut budgets: Vec<RetryBudget> =
+            (0..machines).map(|_| RetryBudget::new(ratio, share, WINDOW)).collect();
+        let mut now = Moment::from_millis(1_000_000);
+        let mut requests = Vec::new();
+        let mut retries = Vec::new();
+        for (machine, gap, retry) in steps {
+            now = now + Duration::from_millis(gap);
+            let budget = &mut budgets[machine % machines];
+            if retry {
+                if budget.take(now) {
+                    retries.push(now);
+                }
+            } else {
+                budget.on_request(now);
+                requests.push(now);
+            }
+        }
+        // The requests are counted over the window and the one before it, whichever has most.
+        for start in &retries {
+            let within = |t: &&Moment, from: Moment| **t >= from && t.since(from) < WINDOW;
+            let taken = retries.iter().filter(|t| within(t, *start)).count();
+            let half = *start - WINDOW / 2;
+            let before = *start - WINDOW;
+            let most = [*start, half, before]
+                .map(|from| requests.iter().filter(|t| within(t, from)).count())
+                .into_iter()
+                .max()
+                .unwrap_or(0);
+            // A machine's window may begin in the one before, so both count in the worst case.
+            let bound = 2.0 * (ratio * most as f64 + extra);
+            prop_assert!(taken as f64 <= bound, "{taken} retries, bound {bound}");
+        }
+    }
+}
+
+#[test]
+fn an_idle_machine_may_still_use_its_share() {
+    let mut budget = RetryBudget::new(0.1, 3.0, WINDOW);
+    let now = Moment::from_millis(50_000);
+    let granted = (0..10).filter(|_| budget.take(now)).count();
+    assert_eq!(granted, 3);
+    let later = now + WINDOW + Duration::from_millis(1);
+    assert!(budget.take(later));
+}
--- /dev/null
+++ b/components/http1/tests/framing.rs
@@ -0,0 +1,134 @@
+//! Requests and answers are read whole, however their bytes arrive, and never two ways.
+
+use bytes::{Bytes, BytesMut};
+use http1::answer;
+use http1::fault::Fault;
+use http1::request::{Bounds, Reader, Request};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const BOUNDS: Bounds = Bounds {
+    head_bytes: 1_024,
+    body_bytes: 64,
+};
+
+fn read_all(bytes: &[u8], cut: usize) -> Result<Vec<Request>, Fault> {
+    let mut reader = Reader::default();
+    let mut buf = BytesMut::new();
+    let mut found = Vec::new();
+    for part in [&bytes[..cut], &bytes[cut..]] {
+        buf.extend_from_slice(part);
+        while let Some(request) = reader.next(&mut buf, BOUNDS)? {
+            found.push(request);
+        }
+    }
+    Ok(found)
+}
+
+#[test]
+fn reads_pipelined_requests_in_order_wherever_the_bytes_are_cut() {
+    let bytes = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc\
+        GET /b?c=d HTTP/1.1\r\nHost: h\r\n\r\n\
+        POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nde\r\n1\r\nf\r\n0\r\nT: 1\r\n\r\n";
+    for cut in 0..=bytes.len() {
+        let found = read_all(bytes, cut).expect("well-formed");
+        let bodies: Vec<&[u8]> = found.iter().map(|r| r.body.as_ref()).collect();
+        assert_eq!(bodies, [b"abc".as_ref(), b"", b"def"], "cut at {cut}");
+        assert_eq!(found[1].target, "/b?c=d");
+        assert_eq!(found[1].path(), "/b");
+    }
+}
+
+#[rstest]
+#[case("Content-Length: 3\r\nTransfer-Encoding: chunked")]
+#[case("Content-Length: 3\r\nContent-Length: 4")]
+#[case("Content-Length: +3")]
+#[case("Content-Length: 3, 3")]
+#[case("Transfer-Encoding: gzip, chunked")]
+#[case("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked")]
+#[case(" folded: no")]
+fn errors_on_framing_that_can_be_read_two_ways(#[case] fields: &str) {
+    let text = format!("POST /a HTTP/1.1\r\n{fields}\r\n\r\nabc");
+    let result = read_all(text.as_bytes(), 0);
+    assert!(matches!(result, Err(Fault::Malformed { .. })), "{result:?}");
+}
+
+#[rstest]
+#[case("POST /a HTTP/1.1\r\nContent-Length: 65\r\n\r\n", Fault::BodyTooLong)]
+#[case(
+    "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n",
+    Fault::BodyTooLong
+)]
+fn errors_on_bodies_over_the_limit(#[case] text: &str, #[case] fault: Fault) {
+    assert_eq!(read_all(text.as_bytes(), 0), Err(fault));
+}
+
+#[test]
+fn errors_on_heads_over_the_limit() {
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(2_000));
+    assert_eq!(read_all(long.as_bytes(), 0), Err(Fault::HeadTooLong));
+    let endless = "a".repeat(2_000);
+    assert_eq!(read_all(endless.as_bytes(), 0), Err(Fault::HeadTooLong));
+}
+
+fn read_answer(bytes: &[u8], closed: bool) -> Result<Option<answer::Answer>, Fault> {
+    let mut buf = BytesMut::from(bytes);
+    answer::Reader::new(1_000).next(&mut buf, closed)
+}
+
+#[test]
+fn an_answer_without_length_ends_with_its_connection() {
+    let bytes = b"HTTP/1.1 200 OK\r\n\r\nabc";
+    assert_eq!(read_answer(bytes, false), Ok(None));
+    let whole = read_answer(bytes, true).expect("well-formed");
+    assert_eq!(whole.expect("whole").body, "abc");
+}
+
+#[rstest]
+#[case(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc")]
+#[case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")]
+#[case(b"HTTP/1.1 200 O")]
+fn errors_on_answers_that_are_cut(#[case] bytes: &[u8]) {
+    assert_eq!(read_answer(bytes, false), Ok(None));
+    assert!(read_answer(bytes, true).is_err());
+}
+
+#[test]
+fn skips_interim_answers() {
+    let bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    let found = read_answer(bytes, false).expect("well-formed");
+    assert_eq!(found.expect("whole").status, 204);
+}
+
+#[test]
+fn drops_fields_of_one_connection_and_those_it_names() {
+    let text = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close, X-Own\r\nX-Own: 1\r\nTE: a\r\n\
+        Keep-Alive: timeout=3\r\nX-Kept: 2\r\n\r\n";
+    let mut found = read_all(text, 0).expect("well-formed");
+    let mut request = found.remove(0);
+    assert!(request.close);
+    request.fields.remove_hop_fields();
+    let names: Vec<&Bytes> = request.fields.iter().map(|f| &f.name).collect();
+    assert_eq!(names, ["Host", "X-Kept"]);
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400), cut in 0usize..400) {
+        let _ = read_all(&bytes, cut.min(bytes.len()));
+        let _ = read_answer(&bytes, true);
+    }
+
+    #[test]
+    fn an_encoded_answer_is_read_back(status in 200u16..600, body in proptest::collection::vec(any::<u8>(), 0..500)) {
+        prop_assume!(status != 204 && status != 304);
+        let mut sent = answer::Answer::new(status).with("X-Field", "v w");
+        sent.body = body.into();
+        let mut out = BytesMut::new();
+        answer::encode(&mut out, &sent, false);
+        let found = read_answer(&out, false).expect("well-formed").expect("whole");
+        prop_assert_eq!(found.status, status);
+        prop_assert_eq!(found.body, sent.body);
+        prop_assert_eq!(found.fields.text("x-field"), Some("v w"));
+    }
+}
