Bound waiting by the latency target; move keys more rarely; serve keys until told to release

Cause: at the co-operative every search in an overloaded spell waited up to its whole patience, so all of them were late (p50 414 ms, aim 300), and keys moved every 1.5 s even to full machines, each move costing about a second without a holder. Change: a request waits only while it can still meet its latency target; a caller that was refused before may wait longer. A key is served until its back end has been told to release it. Keys move as the smallest run that carries the load, not to machines over 0.75 busy, every 2.5 s at most. A machine without keys is given some.

--- a/bench/src/cmd/lists.rs
+++ b/bench/src/cmd/lists.rs
@@ -17,10 +17,10 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use lists::LISTS_OBJECT;
-use store::client::{Store, StoreError, Update};
-use store::http_client::HttpStore;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use store::client::{Store, StoreError, Update};
+use store::http_client::HttpStore;
 use tokio::time::Instant;
 
 use crate::cli::ListsOptions;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -6,6 +6,9 @@
 
 use crate::estimate::Estimate;
 
+/// Part of the time to its target for which a request may wait even if it will be late.
+const LEAST_WAIT_PART: f64 = 0.2;
+
 /// A request that asks to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Job {
@@ -15,8 +18,8 @@
     pub priority: u8,
     /// Kind of request; requests of one class take about equally long.
     pub class: u32,
-    /// Longest time that it may wait for a slot.
-    pub max_wait: Duration,
+    /// Instant at which it should have ended.
+    pub target: Moment,
     /// Instant at which its caller stops waiting.
     pub deadline: Moment,
 }
@@ -125,7 +128,11 @@
         }
         let wait = self.expected_wait(job.priority);
         let ends = now + wait + self.estimate.of(job.class);
-        if wait > job.max_wait || ends > job.deadline {
+        let room = job.target.since(now);
+        let latest_start = room
+            .saturating_sub(self.estimate.of(job.class))
+            .max(room.mul_f64(LEAST_WAIT_PART));
+        if wait > latest_start || ends > job.deadline {
             return Admission::Refuse(wait);
         }
         self.waiting.push(Waiting { job, since: now });
--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -72,6 +72,8 @@
 const HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// Weight of a report that has lost its meaning, beside 1 for a new one.
 const LEAST_WEIGHT: f64 = 1e-3;
+/// Age of a report after which a back end is tried again as if it were fast.
+const EXPLORE_AGE: Duration = Duration::from_secs(3);
 /// Cost of a request that fails.
 const FAILURE_COST: f64 = 1.5;
 /// How much slower a cold back end is.
@@ -84,12 +86,16 @@
     }
 
     /// Expected cost in seconds of sending the request there; `usual` is the mean time of a request
-    /// in the service.
+    /// in the service and `fastest` the least one, which a back end that has not reported lately is
+    /// given credit for.
     #[must_use]
-    pub fn cost(&self, usual: Duration) -> f64 {
+    pub fn cost(&self, usual: Duration, fastest: Duration) -> f64 {
         let fade = self.fade();
         let usual = usual.as_secs_f64();
         let mut service = usual + (self.load.service_time.as_secs_f64() - usual) * fade;
+        if self.age > EXPLORE_AGE && self.unanswered == 0 {
+            service = service.min(fastest.as_secs_f64());
+        }
         if self.cold {
             service *= COLD_FACTOR;
         }
@@ -108,7 +114,9 @@
 #[must_use]
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
     let usual = usual_time(candidates)?;
-    let costs: Vec<f64> = candidates.iter().map(|c| c.cost(usual)).collect();
+    let recent = candidates.iter().filter(|c| c.age <= EXPLORE_AGE);
+    let fastest = recent.map(|c| c.load.service_time).min().unwrap_or(usual);
+    let costs: Vec<f64> = candidates.iter().map(|c| c.cost(usual, fastest)).collect();
     (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))
 }
 
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -138,6 +138,9 @@
                 return Some(&part.service);
             }
         }
-        self.parts.iter().rfind(|p| p.weight > 0).map(|p| &p.service)
+        self.parts
+            .iter()
+            .rfind(|p| p.weight > 0)
+            .map(|p| &p.service)
     }
 }
--- a/components/daemon/src/control/report.rs
+++ b/components/daemon/src/control/report.rs
@@ -1,8 +1,8 @@
 //! The status that operators see.
 
 use ownership::table::RouteTable;
-use store::client::Store;
 use serde::Serialize;
+use store::client::Store;
 use world::moment::Moment;
 
 use crate::control::{Control, Role};
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -8,8 +8,8 @@
 use peers::secret::{PeerToken, Verify};
 use peers::wire::control_server::ControlServer as ControlService;
 use peers::wire::traffic_server::TrafficServer as TrafficService;
-use store::http_client::HttpStore;
 use snafu::{ResultExt, Snafu};
+use store::http_client::HttpStore;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, oneshot};
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -34,12 +34,20 @@
 const REROUTE_PAUSE: Duration = Duration::from_millis(25);
 /// Part of a caller's patience for which a request waits for a usable back end.
 const REROUTE_PART: f64 = 0.25;
+/// The same while its key changes hands.
+const HANDOVER_PART: f64 = 0.5;
+/// Time that a request and its answer spend between the caller and this process.
+const CALLER_TRAVEL: Duration = Duration::from_millis(20);
+/// Part of the remaining time that a caller who was refused before may wait for a slot.
+const RETURNED_PART: f64 = 0.5;
+/// Part of the longest patience below which a caller has been refused before.
+const FIRST_ATTEMPT_PART: f64 = 0.85;
 /// Time for a lost connection to come back before the request counts as lost.
 const RELINK_TIME: Duration = Duration::from_millis(900);
 /// The same for a request that can be sent elsewhere.
 const RELINK_TIME_IDEMPOTENT: Duration = Duration::from_millis(120);
-/// Part of the latency target for which a request may wait while other back ends may have room.
-const FIRST_WAIT_PART: f64 = 0.4;
+/// Part of the latency target that may pass at a back end while others may have room.
+const FIRST_TARGET_PART: f64 = 0.75;
 /// Step of a sequence that spreads evenly over 0..1: the golden ratio's fractional part.
 const GOLDEN_STEP: f64 = 0.618_033_988_749_894_9;
 
@@ -55,6 +63,27 @@
     }
 }
 
+/// The longest patience seen on each route.
+#[derive(Debug, Default)]
+pub struct Patience(std::cell::RefCell<std::collections::HashMap<String, Duration>>);
+
+impl Patience {
+    /// Whether a caller with this patience has used up a part of it before.
+    fn has_returned(&self, route: &Route, patience: Duration) -> bool {
+        let mut longest = self.0.borrow_mut();
+        match longest.get_mut(&route.name) {
+            Some(known) => {
+                *known = (*known).max(patience);
+                patience < known.mul_f64(FIRST_ATTEMPT_PART)
+            }
+            None => {
+                longest.insert(route.name.clone(), patience);
+                false
+            }
+        }
+    }
+}
+
 /// A back end that a request can go to.
 #[derive(Clone)]
 enum Place {
@@ -69,12 +98,16 @@
     service: ServiceName,
     template: ForwardedRequest,
     deadline: Moment,
+    /// How long the caller waits in all.
+    patience: Duration,
     /// Back ends that may have run the request.
     tried: SmallVec<[MachineName; 2]>,
     /// Back ends that refused it, and the wait that they told.
     refused: SmallVec<[(MachineName, u32); 4]>,
     /// Whether a back end may have run it.
     doubt: bool,
+    /// Whether the caller seems to have been refused before.
+    returned: bool,
     /// The last answer of a back end that was not good enough to be final.
     spare: Option<Box<ForwardedAnswer>>,
     machine: Option<MachineName>,
@@ -103,7 +136,12 @@
 }
 
 /// Handles a request and returns its final answer.
-pub async fn handle(node: Rc<Node>, draws: Rc<EvenDraws>, request: Request, received: Moment) -> Answer {
+pub async fn handle(
+    node: Rc<Node>,
+    draws: Rc<EvenDraws>,
+    request: Request,
+    received: Moment,
+) -> Answer {
     let _open = OpenRequest::new(&node);
     let incoming = message::incoming(&request);
     let id = incoming.id.clone();
@@ -131,8 +169,10 @@
         node: &node,
         route,
         template: template(&node, &service, route, request, incoming),
+        returned: node.patience.has_returned(route, patience),
         service,
         deadline,
+        patience,
         tried: SmallVec::new(),
         refused: SmallVec::new(),
         doubt: false,
@@ -204,7 +244,7 @@
         body: request.body,
         request_id: incoming.id,
         patience_ms: 0,
-        max_wait_ms: 0,
+        target_ms: 0,
         idempotent: route.idempotent,
         priority: route.priority,
         class,
@@ -342,17 +382,39 @@
         places
     }
 
-    fn max_wait(&self, patient: bool) -> Duration {
-        if patient {
-            return self.left();
+    /// Time within which the answer should be ready at a machine that far away.
+    ///
+    /// A longer queue would not serve more requests, only all of them late.
+    fn target(&self, patient: bool, distance: Distance) -> Duration {
+        if patient && self.returned {
+            return self.left().mul_f64(RETURNED_PART);
+        }
+        let spent = self
+            .route
+            .timeout
+            .min(self.patience)
+            .saturating_sub(self.left());
+        let left = self
+            .route
+            .latency_target
+            .saturating_sub(spent + CALLER_TRAVEL + distance.round_trip());
+        let part = if patient { 1.0 } else { FIRST_TARGET_PART };
+        left.mul_f64(part)
+    }
+
+    fn distance(&self, place: &Place) -> Distance {
+        match place {
+            Place::Here => Distance::Local,
+            Place::There(peer) => peer
+                .with_member(|m| self.node.distance(m))
+                .unwrap_or(Distance::Remote),
         }
-        self.route.latency_target.mul_f64(FIRST_WAIT_PART)
     }
 
     async fn send(&self, place: &Place, patient: bool) -> Outcome {
         let mut request = self.template.clone();
         request.patience_ms = millis(self.left());
-        request.max_wait_ms = millis(self.max_wait(patient));
+        request.target_ms = millis(self.target(patient, self.distance(place)));
         match place {
             Place::Here => gate::submit(self.node, Rc::new(request)).await,
             Place::There(peer) => {
@@ -490,7 +552,7 @@
     fn check_patience(&mut self) -> Option<End> {
         let total = self.route.timeout.as_secs_f64();
         let spent = total - self.left().as_secs_f64();
-        (spent > total * REROUTE_PART).then(|| self.give_up())
+        (spent > total * HANDOVER_PART).then(|| self.give_up())
     }
 
     fn count_result(&self, place: &Place, failed: bool) {
@@ -546,7 +608,11 @@
         let spread = rand::rng().random_range(0.8..1.3);
         End {
             answer: message::own_answer(503, id, Some(wait.mul_f64(spread))),
-            outcome: if soonest.is_some() { "no-room" } else { "no-back-end" },
+            outcome: if soonest.is_some() {
+                "no-room"
+            } else {
+                "no-back-end"
+            },
         }
     }
 
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -94,7 +94,9 @@
         check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             while self.waiting.len() < MAX_PIPELINED && !self.last {
-                let Some(request) = self.next_request() else { break };
+                let Some(request) = self.next_request() else {
+                    break;
+                };
                 self.waiting.push_back(request.close);
                 self.last |= request.close;
                 let draws = Rc::clone(&self.draws);
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -141,8 +141,8 @@
     pub request_id: Bytes,
     /// Time that is left, in milliseconds.
     pub patience_ms: u32,
-    /// Longest time that it may wait for a slot, in milliseconds.
-    pub max_wait_ms: u32,
+    /// Time within which the answer should be ready, in milliseconds.
+    pub target_ms: u32,
     /// Whether it may run more than once.
     pub idempotent: bool,
     /// Rank; 0 runs first.
@@ -301,5 +301,7 @@
     }
     buf.advance(LENGTH_BYTES);
     let body = buf.split_to(length);
-    postcard::from_bytes(&body).map(Some).context(MalformedSnafu)
+    postcard::from_bytes(&body)
+        .map(Some)
+        .context(MalformedSnafu)
 }
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -70,7 +70,7 @@
 }
 
 /// How fast the moving average of the used capacity follows, per sample.
-const BUSY_GAIN: f64 = 0.1;
+const BUSY_GAIN: f64 = 0.08;
 
 impl Gate {
     /// Makes the gate of a back end that has not been heard of.
@@ -272,7 +272,7 @@
         id,
         priority: request.priority,
         class: request.class,
-        max_wait: Duration::from_millis(u64::from(request.max_wait_ms)),
+        target: now + Duration::from_millis(u64::from(request.target_ms)),
         deadline,
     };
     let admission = gate.queue.borrow_mut().arrive(now, job);
@@ -293,6 +293,7 @@
             }
         }
     }
+    log_start(gate, &request, BootClock.now().since(now));
     let slot = SlotGuard {
         node: Rc::clone(node),
         class: request.class,
@@ -311,6 +312,23 @@
     receiver.await.unwrap_or(Outcome::Lost(Loss::Cut))
 }
 
+fn log_start(gate: &Gate, request: &ForwardedRequest, waited: Duration) {
+    let queue = gate.queue.borrow();
+    log::info!(
+        event = "run",
+        id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
+        priority = request.priority,
+        waited_ms = waited.as_millis() as u64,
+        target_ms = request.target_ms,
+        patience_ms = request.patience_ms,
+        running = queue.running(),
+        waiting = queue.waiting(),
+        slots = queue.slots(),
+        expected_ms = queue.estimate().of(request.class).as_millis() as u64;
+        ""
+    );
+}
+
 async fn run(
     node: Rc<Node>,
     request: Rc<ForwardedRequest>,
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -66,14 +66,19 @@
     });
     let mut looked = BootClock.now();
     loop {
-        tokio::select! {
-            tick = ticks.recv() => if tick.is_none() { return },
-            () = node.keys_changed.notified() => {}
-        }
+        let ticked = tokio::select! {
+            tick = ticks.recv() => match tick {
+                Some(_) => true,
+                None => return,
+            },
+            () = node.keys_changed.notified() => false,
+        };
         let now = BootClock.now();
+        if ticked {
+            node.gate.sample_busy();
+        }
         if now.since(looked) >= LOAD_INTERVAL {
             looked = now;
-            node.gate.sample_busy();
             for peer in node.peers() {
                 peer.forgive(0.97);
             }
@@ -183,7 +188,10 @@
         while let Some(call) = next {
             let sent = BootClock.now();
             let outcome = self.store.call(LEASES, name.as_str(), &call).await;
-            failed = !matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent);
+            failed = !matches!(
+                outcome,
+                Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent
+            );
             if failed {
                 log::warn!(event = "lease-not-renewed", outcome:? = outcome; "");
             }
@@ -197,7 +205,10 @@
     async fn do_view(self: Rc<Self>, call: Call<Assignment>) {
         let service = self.node.service();
         let outcome = self.store.call(ASSIGNMENTS, service.as_str(), &call).await;
-        let failed = !matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent);
+        let failed = !matches!(
+            outcome,
+            Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent
+        );
         log::info!(event = "assignment-call", call = call_name(&call), outcome = outcome_name(&outcome); "");
         let found = match &outcome {
             Outcome::Done(stored) | Outcome::Conflict(Some(stored)) => Some(stored.clone()),
@@ -218,7 +229,10 @@
 
     async fn do_fence(self: Rc<Self>, machine: MachineName, call: Call<Lease>) {
         let outcome = self.store.call(LEASES, machine.as_str(), &call).await;
-        let failed = !matches!(outcome, Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent);
+        let failed = !matches!(
+            outcome,
+            Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent
+        );
         log::info!(event = "fence", machine = machine.as_str(), call = call_name(&call), outcome = outcome_name(&outcome); "");
         let now = BootClock.now();
         self.node
--- a/components/node/src/log_queue.rs
+++ b/components/node/src/log_queue.rs
@@ -46,7 +46,10 @@
         text.push('\n');
     }
     if waiting.left_out > 0 {
-        text.push_str(&format!("event=lines-left-out count={}\n", waiting.left_out));
+        text.push_str(&format!(
+            "event=lines-left-out count={}\n",
+            waiting.left_out
+        ));
     }
     // Nobody can be told if standard output is gone.
     let _ = std::io::stdout().write_all(text.as_bytes());
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -44,7 +44,11 @@
                     }
                 }
                 let lonely = !node.peers().iter().any(|p| p.is_connected());
-                let pause = if lonely { LONELY_INTERVAL } else { LIST_INTERVAL };
+                let pause = if lonely {
+                    LONELY_INTERVAL
+                } else {
+                    LIST_INTERVAL
+                };
                 pause_about(pause).await;
             }
             Err(error) => {
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -79,7 +79,11 @@
         for (name, label, counts) in [
             ("plantaingauge_requests_total", "outcome", &self.requests),
             ("plantaingauge_sends_total", "outcome", &self.sent),
-            ("plantaingauge_store_calls_total", "outcome", &self.store_calls),
+            (
+                "plantaingauge_store_calls_total",
+                "outcome",
+                &self.store_calls,
+            ),
         ] {
             let _ = writeln!(out, "# TYPE {name} counter");
             for (value, n) in counts.0.borrow().iter() {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -20,6 +20,7 @@
 use world::name::{MachineName, ServiceName};
 
 use crate::back_end::{Connections, ExchangeFault};
+use crate::dispatch::Patience;
 use crate::frame::{BackEndState, ForwardedRequest, Frame, Member};
 use crate::gate::{BackEndCondition, Gate, LocalBackEnd};
 use crate::link::{FAILURE_GAIN, FrameSender, Peer, keep_connected, send_frame};
@@ -58,6 +59,8 @@
     pub served: RefCell<ServedCalls>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// The longest patience of callers by route.
+    pub patience: Patience,
     /// Callers' requests that are not answered.
     pub open_requests: Cell<usize>,
     /// Position of the last heartbeat of the present back end.
@@ -94,6 +97,7 @@
             keeper: RefCell::new(Keeper::new(settings.machine.clone(), timing, now)),
             served: RefCell::default(),
             metrics: Metrics::default(),
+            patience: Patience::default(),
             open_requests: Cell::new(0),
             last_sequence: Cell::new(0),
             own_failures: Cell::new(0.0),
@@ -218,11 +222,7 @@
                 slots: b.slots,
                 cold: b.cold_until > now,
             }),
-            lease: self
-                .keeper
-                .borrow()
-                .lease()
-                .map(|l| (l.revision, l.value)),
+            lease: self.keeper.borrow().lease().map(|l| (l.revision, l.value)),
             catalog: self.catalog.borrow().as_ref().map_or(0, |c| c.revision),
             store: self.store_works.get(),
             leaving: self.stopping.get(),
@@ -262,7 +262,12 @@
 
     /// Takes over a heartbeat of the back end.
     pub fn on_back_end(&self, back_end: LocalBackEnd) {
-        let before = self.gate.back_end.borrow().as_ref().map(|b| (b.life.clone(), b.state));
+        let before = self
+            .gate
+            .back_end
+            .borrow()
+            .as_ref()
+            .map(|b| (b.life.clone(), b.state));
         let state = back_end.state;
         let after = Some((back_end.life.clone(), state));
         if before != after {
@@ -461,7 +466,7 @@
         if !newer {
             return false;
         }
-        log::info!(event = "assignment", service = service.as_str(), revision = view.revision, ranges = view.value.ranges.len(); "");
+        log::info!(event = "assignment", service = service.as_str(), revision = view.revision, ranges = view.value.ranges.len(), keys = key_counts(&view.value).as_str(); "");
         if *service == self.service() {
             self.keeper.borrow_mut().on_view(view.clone());
             self.keys_changed.notify_one();
@@ -512,3 +517,13 @@
         assignment: Box::new(view.value.clone()),
     }
 }
+
+/// How many keys each machine owns, for logs.
+fn key_counts(assignment: &Assignment) -> String {
+    let counts: Vec<String> = assignment
+        .holders
+        .keys()
+        .map(|m| format!("{m}:{}", assignment.key_count(m)))
+        .collect();
+    counts.join(",")
+}
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -107,12 +107,7 @@
     }
 }
 
-fn on_request(
-    node: &Rc<Node>,
-    incarnation: u64,
-    request: ForwardedRequest,
-    sender: &FrameSender,
-) {
+fn on_request(node: &Rc<Node>, incarnation: u64, request: ForwardedRequest, sender: &FrameSender) {
     let id = (incarnation, request.id);
     {
         let mut served = node.served.borrow_mut();
--- a/components/shards/src/keeper.rs
+++ b/components/shards/src/keeper.rs
@@ -58,7 +58,7 @@
 /// Grants shorter than this are not worth sending.
 const MIN_HOLD: Duration = Duration::from_millis(100);
 /// Time between two moves for the sake of load.
-const RELIEF_INTERVAL: Duration = Duration::from_millis(1_500);
+const RELIEF_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Reports after the supposed end of a back end that show that it lives.
 const REPORTS_OF_LIFE: u32 = 3;
 /// Time that each lower-ranked machine waits longer before it acts for a silent one.
@@ -407,6 +407,9 @@
         let until = now + with_drift(hold);
         self.granted_until = self.granted_until.max(until);
         self.granted = grants.iter().map(|g| g.span).collect();
+        for (release, _) in &mut self.releases {
+            release.tell();
+        }
         self.held_until = now + hold;
         Some(Reply { grants, hold })
     }
@@ -437,7 +440,7 @@
         held && !self.dead && self.owns(key)
     }
 
-    /// Whether the key belongs to this machine and is not being taken back.
+    /// Whether the key belongs to this machine and its back end has not been told to release it.
     #[must_use]
     pub fn owns(&self, key: u16) -> bool {
         let owned = self
@@ -445,7 +448,8 @@
             .as_ref()
             .and_then(|v| v.value.range(key))
             .is_some_and(|r| r.machine == self.machine);
-        owned && !self.releases.iter().any(|(r, _)| r.span().contains(key))
+        let mut told = self.releases.iter().filter(|(r, _)| r.is_told());
+        owned && !told.any(|(r, _)| r.span().contains(key))
     }
 
     // ---- giving keys away ----
@@ -502,10 +506,16 @@
         if !quiet || !self.may_grant(now) {
             return None;
         }
-        let (taker, part) = relief(busy, &self.takers())?;
+        let takers = self.takers();
+        let (taker, part) = self
+            .newcomer(busy, &takers)
+            .or_else(|| relief(busy, &takers))?;
         let spans = self.owned_spans();
         let total: f64 = spans.iter().map(|s| self.load.of(*s)).sum();
-        let (_, given) = self.load.split(&spans, total * (1.0 - part));
+        let given = match self.load.densest(&spans, total * part) {
+            Some(window) => vec![window],
+            None => self.load.split(&spans, total * (1.0 - part)).1,
+        };
         if given.is_empty() {
             return None;
         }
@@ -517,6 +527,21 @@
         Some(taker)
     }
 
+    /// A machine without keys, if this one is the busiest and so has to give it some.
+    fn newcomer(&self, busy: f64, takers: &[Taker]) -> Option<(MachineName, f64)> {
+        let view = self.view.as_ref()?;
+        let busiest = takers
+            .iter()
+            .all(|t| (t.busy, &t.machine) < (busy, &self.machine));
+        let empty = takers.iter().find(|t| !view.value.owns(&t.machine))?;
+        let holders = takers
+            .iter()
+            .filter(|t| view.value.owns(&t.machine))
+            .count()
+            + 1;
+        busiest.then(|| (empty.machine.clone(), 1.0 / (holders as f64 + 1.0)))
+    }
+
     // ---- own lease ----
 
     /// The call that the lease needs now.
--- a/components/shards/src/placement.rs
+++ b/components/shards/src/placement.rs
@@ -11,6 +11,11 @@
 /// Load of a span that has seen no request, per key; it makes idle keys spread by their number.
 const IDLE_KEY_LOAD: f64 = 1e-6;
 
+/// Part of the wanted load that a run of keys must carry to be moved at once.
+const LEAST_SHARE: f64 = 0.7;
+/// Part of the wanted load that a run of keys may carry.
+const MOST_SHARE: f64 = 1.2;
+
 /// Decaying count of requests by key.
 #[derive(Clone, Debug)]
 pub struct KeyLoad {
@@ -53,6 +58,44 @@
         idle + counted
     }
 
+    /// The smallest run of keys whose load is about `load`, if there is one.
+    #[must_use]
+    pub fn densest(&self, spans: &[Span], load: f64) -> Option<Span> {
+        let least = load * LEAST_SHARE;
+        let most = load * MOST_SHARE;
+        let windows = spans.iter().filter_map(|s| {
+            let parts: Vec<Span> = bucket_parts(*s).collect();
+            self.densest_of(&parts, least, most)
+        });
+        windows.min_by_key(|w| w.len())
+    }
+
+    /// The smallest window over neighbouring `parts` with a load between `least` and `most`.
+    fn densest_of(&self, parts: &[Span], least: f64, most: f64) -> Option<Span> {
+        let mut best: Option<Span> = None;
+        let mut first = 0;
+        let mut sum = 0.0;
+        for (last, part) in parts.iter().enumerate() {
+            sum += self.of(*part);
+            while sum > most && first <= last {
+                sum -= self.of(parts[first]);
+                first += 1;
+            }
+            while first < last && sum - self.of(parts[first]) >= least {
+                sum -= self.of(parts[first]);
+                first += 1;
+            }
+            if sum < least || first > last {
+                continue;
+            }
+            let window = Span::new(parts[first].from, part.to)?;
+            if best.is_none_or(|b| window.len() < b.len()) {
+                best = Some(window);
+            }
+        }
+        best
+    }
+
     /// Splits `spans`, taken in order, after a share of about `load`.
     #[must_use]
     pub fn split(&self, spans: &[Span], load: f64) -> (Vec<Span>, Vec<Span>) {
@@ -121,15 +164,23 @@
 }
 
 /// Least difference between a machine's busy share and the mean at which keys move.
-const MIN_EXCESS: f64 = 0.15;
+const MIN_EXCESS: f64 = 0.2;
 /// Part of the mean by which a machine must exceed it before keys move.
-const RELATIVE_EXCESS: f64 = 0.25;
+const RELATIVE_EXCESS: f64 = 0.3;
+/// Busy share from which a machine takes no keys for the sake of load.
+const MAX_TAKER_BUSY: f64 = 0.75;
+/// Busy share beyond which a machine is merely full.
+const FULL: f64 = 1.5;
 
 /// The machine that should take keys from one that is `busy`, and the part of its load to give.
 #[must_use]
 pub fn relief(busy: f64, others: &[Taker]) -> Option<(MachineName, f64)> {
+    let busy = busy.min(FULL);
     let idlest = others.iter().min_by(|a, b| a.busy.total_cmp(&b.busy))?;
-    let total: f64 = busy + others.iter().map(|t| t.busy).sum::<f64>();
+    if idlest.busy > MAX_TAKER_BUSY {
+        return None;
+    }
+    let total: f64 = busy + others.iter().map(|t| t.busy.min(FULL)).sum::<f64>();
     let mean = total / (others.len() as f64 + 1.0);
     let excess = busy - mean;
     if excess < MIN_EXCESS.max(RELATIVE_EXCESS * mean) {
--- a/components/shards/src/release.rs
+++ b/components/shards/src/release.rs
@@ -23,6 +23,7 @@
     pieces: Vec<Piece>,
     open: Vec<Span>,
     still_held: bool,
+    told: bool,
 }
 
 impl Release {
@@ -35,6 +36,7 @@
             pieces: Vec::new(),
             open: vec![span],
             still_held: true,
+            told: false,
         }
     }
 
@@ -44,6 +46,17 @@
         self.span
     }
 
+    /// Records that the back end has been told to release the keys.
+    pub fn tell(&mut self) {
+        self.told = true;
+    }
+
+    /// Whether the back end has been told to release the keys.
+    #[must_use]
+    pub fn is_told(&self) -> bool {
+        self.told
+    }
+
     /// Takes in a report of the back end.
     pub fn on_report(&mut self, held: &[Held], freed: &[Freed]) {
         for f in freed {
