--- a/components/admission/src/estimate.rs
+++ b/components/admission/src/estimate.rs
@@ -35,7 +35,13 @@
     /// Expected time of a request of any class.
     #[must_use]
     pub fn overall(&self) -> Duration {
-        self.overall.map_or(FIRST_GUESS, Duration::from_secs_f64)
+        self.observed().unwrap_or(FIRST_GUESS)
+    }
+
+    /// Mean time of the requests seen so far, if there were any.
+    #[must_use]
+    pub fn observed(&self) -> Option<Duration> {
+        self.overall.map(Duration::from_secs_f64)
     }
 
     /// Forgets everything, such as when another back end takes the place.
--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -47,7 +47,7 @@
     pub waiting: u32,
     /// Requests that may run there at once.
     pub slots: u32,
-    /// Mean time that a request takes there.
+    /// Mean time that a request takes there; zero if none has ended yet.
     pub service_time: Duration,
 }
 
@@ -93,7 +93,9 @@
         let fade = self.fade();
         let usual = usual.as_secs_f64();
         let mut service = usual + (self.load.service_time.as_secs_f64() - usual) * fade;
-        if self.age > EXPLORE_AGE && self.unanswered == 0 {
+        let unknown = self.load.service_time.is_zero();
+        let outdated = self.age > EXPLORE_AGE && self.unanswered == 0;
+        if unknown || outdated {
             service = service.min(fastest.as_secs_f64());
         }
         if self.cold {
@@ -114,7 +116,9 @@
 #[must_use]
 pub fn choose(candidates: &[Candidate]) -> Option<usize> {
     let usual = usual_time(candidates)?;
-    let recent = candidates.iter().filter(|c| c.age <= EXPLORE_AGE);
+    let recent = candidates
+        .iter()
+        .filter(|c| c.age <= EXPLORE_AGE && !c.load.service_time.is_zero());
     let fastest = recent.map(|c| c.load.service_time).min().unwrap_or(usual);
     let costs: Vec<f64> = candidates.iter().map(|c| c.cost(usual, fastest)).collect();
     (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))
@@ -122,9 +126,12 @@
 
 /// Mean time of a request in the service; new reports weigh most.
 fn usual_time(candidates: &[Candidate]) -> Option<Duration> {
-    let weights = candidates.iter().map(|c| c.fade() + LEAST_WEIGHT);
+    candidates.first()?;
+    let known = candidates.iter().filter(|c| !c.load.service_time.is_zero());
+    let weights = known.clone().map(|c| c.fade() + LEAST_WEIGHT);
     let total: f64 = weights.clone().sum();
-    let times = candidates.iter().map(|c| c.load.service_time.as_secs_f64());
+    let times = known.map(|c| c.load.service_time.as_secs_f64());
     let sum: f64 = weights.zip(times).map(|(w, t)| w * t).sum();
-    (total > 0.0).then(|| Duration::from_secs_f64(sum / total))
+    let mean = if total > 0.0 { sum / total } else { 0.0 };
+    Some(Duration::from_secs_f64(mean))
 }
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -70,6 +70,15 @@
     assert_eq!(choose(&[near, candidate(Distance::Region)]), Some(1));
 }
 
+#[test]
+fn a_back_end_that_joins_is_tried_before_it_has_answered() {
+    let mut joined = candidate(Distance::Zone);
+    joined.load.running = 0;
+    joined.load.service_time = Duration::ZERO;
+    joined.age = Duration::from_secs(60);
+    assert_eq!(choose(&[candidate(Distance::Zone), joined]), Some(1));
+}
+
 #[test]
 fn finds_nothing_without_candidates() {
     assert_eq!(choose(&[]), None);
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -221,7 +221,7 @@
     pub waiting: u32,
     /// Requests that may run at once.
     pub slots: u32,
-    /// Mean time that a request takes, in microseconds.
+    /// Mean time that a request takes, in microseconds; 0 if none has ended yet.
     pub service_us: u32,
 }
 
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -90,7 +90,7 @@
     #[must_use]
     pub fn load(&self) -> LoadReport {
         let queue = self.queue.borrow();
-        let service = queue.estimate().overall().as_micros();
+        let service = queue.estimate().observed().unwrap_or_default().as_micros();
         LoadReport {
             running: count(queue.running()),
             waiting: count(queue.waiting()),
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -96,10 +96,10 @@
 
 impl Driver {
     fn look_at_load(&self, now: Moment) {
+        self.node.announce();
         if !self.node.is_keyed() {
             return;
         }
-        self.node.announce();
         let mut keeper = self.node.keeper.borrow_mut();
         keeper.decay_load(LOAD_DECAY);
         if self.node.is_stopping() {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -226,7 +226,16 @@
             catalog: self.catalog.borrow().as_ref().map_or(0, |c| c.revision),
             store: self.store_works.get(),
             leaving: self.stopping.get(),
-            busy: (self.gate.busy() * BUSY_STEPS).round() as u32,
+            busy: self.told_busy(),
+        }
+    }
+
+    /// The used share of the capacity, which matters to others only where keys can move.
+    fn told_busy(&self) -> u32 {
+        if self.is_keyed() {
+            (self.gate.busy() * BUSY_STEPS).round() as u32
+        } else {
+            0
         }
     }
 
