Put first attempts before those that are late already; move keys to the mean at once

Cause: in overload most waiting requests were repeats of refused ones, so everybody was late; a holder that left gave all its keys to one machine; the busy share counted queues rather than offered load.

--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -6,8 +6,11 @@
 
 use crate::estimate::Estimate;
 
+/// Part of the time that is left after its expected run for which a request may wait; the rest
+/// covers runs that take longer than expected.
+const WAIT_PART: f64 = 0.6;
 /// Part of the time to its target for which a request may wait even if it will be late.
-const LEAST_WAIT_PART: f64 = 0.2;
+const LEAST_WAIT_PART: f64 = 0.15;
 
 /// A request that asks to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +21,8 @@
     pub priority: u8,
     /// Kind of request; requests of one class take about equally long.
     pub class: u32,
+    /// Whether it has missed its latency target already; such requests wait behind the others.
+    pub late: bool,
     /// Instant at which it should have ended.
     pub target: Moment,
     /// Instant at which its caller stops waiting.
@@ -109,11 +114,11 @@
 
     /// Expected wait of a request of this rank that arrives now.
     #[must_use]
-    pub fn expected_wait(&self, priority: u8) -> Duration {
+    pub fn expected_wait(&self, priority: u8, late: bool) -> Duration {
         let ahead = self
             .waiting
             .iter()
-            .filter(|w| w.job.priority <= priority)
+            .filter(|w| (w.job.priority, w.job.late) <= (priority, late))
             .count();
         let backlog = (self.running + ahead + 1).saturating_sub(self.slots);
         let turns = backlog as f64 / self.slots.max(1) as f64;
@@ -126,19 +131,25 @@
             self.running += 1;
             return Admission::Start;
         }
-        let wait = self.expected_wait(job.priority);
+        let wait = self.expected_wait(job.priority, job.late);
         let ends = now + wait + self.estimate.of(job.class);
         let room = job.target.since(now);
-        let latest_start = room
+        let longest = room
             .saturating_sub(self.estimate.of(job.class))
+            .mul_f64(WAIT_PART)
             .max(room.mul_f64(LEAST_WAIT_PART));
-        if wait > latest_start || ends > job.deadline {
+        let crowded = job.late && self.late_waiting() >= self.slots.div_ceil(2);
+        if wait > longest || ends > job.deadline || crowded {
             return Admission::Refuse(wait);
         }
         self.waiting.push(Waiting { job, since: now });
         Admission::Wait
     }
 
+    fn late_waiting(&self) -> usize {
+        self.waiting.iter().filter(|w| w.job.late).count()
+    }
+
     /// Records that a request has ended; with `took`, how long it ran.
     pub fn finish(&mut self, class: u32, took: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
@@ -165,7 +176,7 @@
         }
         let index = (0..self.waiting.len()).min_by_key(|i| {
             let w = &self.waiting[*i];
-            (w.job.priority, w.since)
+            (w.job.priority, w.job.late, w.since)
         })?;
         let chosen = self.waiting.remove(index);
         self.running += 1;
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -244,6 +244,7 @@
         body: request.body,
         request_id: incoming.id,
         patience_ms: 0,
+        late: false,
         target_ms: 0,
         idempotent: route.idempotent,
         priority: route.priority,
@@ -386,7 +387,7 @@
     ///
     /// A longer queue would not serve more requests, only all of them late.
     fn target(&self, patient: bool, distance: Distance) -> Duration {
-        if patient && self.returned {
+        if self.returned {
             return self.left().mul_f64(RETURNED_PART);
         }
         let spent = self
@@ -414,6 +415,7 @@
     async fn send(&self, place: &Place, patient: bool) -> Outcome {
         let mut request = self.template.clone();
         request.patience_ms = millis(self.left());
+        request.late = self.returned;
         request.target_ms = millis(self.target(patient, self.distance(place)));
         match place {
             Place::Here => gate::submit(self.node, Rc::new(request)).await,
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -141,6 +141,8 @@
     pub request_id: Bytes,
     /// Time that is left, in milliseconds.
     pub patience_ms: u32,
+    /// Whether it has missed its latency target already.
+    pub late: bool,
     /// Time within which the answer should be ready, in milliseconds.
     pub target_ms: u32,
     /// Whether it may run more than once.
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -67,10 +67,12 @@
     /// The back end, once it has sent a heartbeat.
     pub back_end: RefCell<Option<LocalBackEnd>>,
     busy: Cell<f64>,
+    arrived: Cell<u32>,
+    sampled: Cell<Moment>,
 }
 
-/// How fast the moving average of the used capacity follows, per sample.
-const BUSY_GAIN: f64 = 0.08;
+/// Time over which the offered load is averaged.
+const BUSY_WINDOW: Duration = Duration::from_millis(1_200);
 
 impl Gate {
     /// Makes the gate of a back end that has not been heard of.
@@ -83,6 +85,8 @@
             connections,
             back_end: RefCell::new(None),
             busy: Cell::new(0.0),
+            arrived: Cell::new(0),
+            sampled: Cell::new(BootClock.now()),
         }
     }
 
@@ -99,18 +103,26 @@
         }
     }
 
-    /// Moving average of the share of its capacity that is in use.
+    /// Offered load as a share of the capacity: requests that arrive, whether they run or not,
+    /// times the slots that each takes.
     #[must_use]
     pub fn busy(&self) -> f64 {
         self.busy.get()
     }
 
-    /// Takes a sample of the used capacity.
-    pub fn sample_busy(&self) {
-        let load = self.load();
-        let used = f64::from(load.running + load.waiting) / f64::from(load.slots.max(1));
+    /// Takes a sample of the offered load since the last one.
+    pub fn sample_busy(&self, now: Moment) {
+        let span = now.since(self.sampled.replace(now)).as_secs_f64();
+        let arrived = f64::from(self.arrived.replace(0));
+        if span <= 0.0 {
+            return;
+        }
+        let queue = self.queue.borrow();
+        let time = queue.estimate().overall().as_secs_f64();
+        let offered = arrived / span * time / queue.slots().max(1) as f64;
+        let gain = (span / BUSY_WINDOW.as_secs_f64()).min(1.0);
         self.busy
-            .set(self.busy.get() + BUSY_GAIN * (used - self.busy.get()));
+            .set(self.busy.get() + gain * (offered - self.busy.get()));
     }
 
     /// Whether any request runs or waits.
@@ -265,6 +277,7 @@
         }
         node.keeper.borrow_mut().count(key);
     }
+    gate.arrived.set(gate.arrived.get() + 1);
     let id = gate.next_id.get();
     gate.next_id.set(id + 1);
     let deadline = now + Duration::from_millis(u64::from(request.patience_ms));
@@ -272,6 +285,7 @@
         id,
         priority: request.priority,
         class: request.class,
+        late: request.late,
         target: now + Duration::from_millis(u64::from(request.target_ms)),
         deadline,
     };
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -75,7 +75,7 @@
         };
         let now = BootClock.now();
         if ticked {
-            node.gate.sample_busy();
+            node.gate.sample_busy(now);
         }
         if now.since(looked) >= LOAD_INTERVAL {
             looked = now;
@@ -105,8 +105,10 @@
         if self.node.is_stopping() {
             return;
         }
-        if let Some(taker) = keeper.relieve(now, self.node.gate.busy()) {
-            log::info!(event = "keys-moving", to = taker.as_str(), busy = self.node.gate.busy(); "");
+        let busy = self.node.gate.busy();
+        let takers = keeper.relieve(now, busy);
+        if takers > 0 {
+            log::info!(event = "keys-moving", takers, busy; "");
         }
     }
 
--- a/components/shards/src/keeper.rs
+++ b/components/shards/src/keeper.rs
@@ -494,37 +494,47 @@
                 .flat_map(|s| s.without(release.span()))
                 .collect();
         }
-        for span in open {
+        for (span, taker) in divide(&open, &self.load, &self.takers()) {
             let release = Release::new(span, self.granted_until);
-            self.releases.push((release, None));
+            self.releases.push((release, Some(taker)));
         }
     }
 
-    /// Starts to give keys to a machine with more room, if this one is busy beyond the mean.
-    pub fn relieve(&mut self, now: Moment, busy: f64) -> Option<MachineName> {
+    /// Starts to give keys to machines with more room, if this one is busy beyond the mean.
+    ///
+    /// Returns how many machines are to take keys.
+    pub fn relieve(&mut self, now: Moment, busy: f64) -> usize {
         let quiet = self.releases.is_empty() && now.since(self.relieved) >= RELIEF_INTERVAL;
         if !quiet || !self.may_grant(now) {
-            return None;
+            return 0;
         }
         let takers = self.takers();
-        let (taker, part) = self
-            .newcomer(busy, &takers)
-            .or_else(|| relief(busy, &takers))?;
-        let spans = self.owned_spans();
-        let total: f64 = spans.iter().map(|s| self.load.of(*s)).sum();
-        let given = match self.load.densest(&spans, total * part) {
-            Some(window) => vec![window],
-            None => self.load.split(&spans, total * (1.0 - part)).1,
+        let shares = match self.newcomer(busy, &takers) {
+            Some(share) => vec![share],
+            None => relief(busy, &takers),
         };
-        if given.is_empty() {
-            return None;
+        let mut spans = self.owned_spans();
+        let total: f64 = spans.iter().map(|s| self.load.of(*s)).sum();
+        for (taker, part) in &shares {
+            for span in self.part_of(&spans, total * part) {
+                spans = subtract(&spans, span);
+                let release = Release::new(span, self.granted_until);
+                self.releases.push((release, Some(taker.clone())));
+            }
         }
-        self.relieved = now;
-        for span in given {
-            let release = Release::new(span, self.granted_until);
-            self.releases.push((release, Some(taker.clone())));
+        if !self.releases.is_empty() {
+            self.relieved = now;
         }
-        Some(taker)
+        shares.len()
+    }
+
+    /// Keys out of `spans` that carry about `load`, as few as possible.
+    fn part_of(&self, spans: &[Span], load: f64) -> Vec<Span> {
+        if let Some(window) = self.load.densest(spans, load) {
+            return vec![window];
+        }
+        let total: f64 = spans.iter().map(|s| self.load.of(*s)).sum();
+        self.load.split(spans, (total - load).max(0.0)).1
     }
 
     /// A machine without keys, if this one is the busiest and so has to give it some.
--- a/components/shards/src/placement.rs
+++ b/components/shards/src/placement.rs
@@ -164,29 +164,29 @@
 }
 
 /// Least difference between a machine's busy share and the mean at which keys move.
-const MIN_EXCESS: f64 = 0.2;
+const MIN_EXCESS: f64 = 0.15;
 /// Part of the mean by which a machine must exceed it before keys move.
 const RELATIVE_EXCESS: f64 = 0.3;
-/// Busy share from which a machine takes no keys for the sake of load.
-const MAX_TAKER_BUSY: f64 = 0.75;
-/// Busy share beyond which a machine is merely full.
-const FULL: f64 = 1.5;
+/// Least busy share that is worth moving to one machine.
+const MIN_GIVEN: f64 = 0.04;
 
-/// The machine that should take keys from one that is `busy`, and the part of its load to give.
+/// The machines that should take keys from one that is `busy`, and the part of its load for each.
+///
+/// Every machine is brought to the mean at once, so that keys move once rather than step by step.
 #[must_use]
-pub fn relief(busy: f64, others: &[Taker]) -> Option<(MachineName, f64)> {
-    let busy = busy.min(FULL);
-    let idlest = others.iter().min_by(|a, b| a.busy.total_cmp(&b.busy))?;
-    if idlest.busy > MAX_TAKER_BUSY {
-        return None;
-    }
-    let total: f64 = busy + others.iter().map(|t| t.busy.min(FULL)).sum::<f64>();
+pub fn relief(busy: f64, others: &[Taker]) -> Vec<(MachineName, f64)> {
+    let total: f64 = busy + others.iter().map(|t| t.busy).sum::<f64>();
     let mean = total / (others.len() as f64 + 1.0);
     let excess = busy - mean;
     if excess < MIN_EXCESS.max(RELATIVE_EXCESS * mean) {
-        return None;
+        return Vec::new();
     }
-    let gap = (mean - idlest.busy).max(0.0);
-    let given = excess.min(gap);
-    (given > 0.05).then(|| (idlest.machine.clone(), given / busy))
+    let room = |t: &Taker| (mean - t.busy).max(0.0);
+    let all_room: f64 = others.iter().map(room).sum();
+    others
+        .iter()
+        .map(|t| (t, excess * room(t) / all_room))
+        .filter(|(_, given)| *given >= MIN_GIVEN)
+        .map(|(t, given)| (t.machine.clone(), given / busy))
+        .collect()
 }
