--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -40,6 +40,10 @@
 const CALLER_TRAVEL: Duration = Duration::from_millis(20);
 /// Part of the remaining time that a caller who was refused before may wait for a slot.
 const RETURNED_PART: f64 = 0.5;
+/// Rank of requests that others wait for: they are refused only if they cannot end in time at all.
+const MOST_URGENT: u8 = 0;
+/// Part of the remaining time for which such a request may wait for a slot and run.
+const URGENT_PART: f64 = 0.9;
 /// Part of the longest patience below which a caller has been refused before.
 const FIRST_ATTEMPT_PART: f64 = 0.85;
 /// Time for a lost connection to come back before the request counts as lost.
@@ -387,6 +391,9 @@
     ///
     /// A longer queue would not serve more requests, only all of them late.
     fn target(&self, patient: bool, distance: Distance) -> Duration {
+        if self.route.priority == MOST_URGENT {
+            return self.left().mul_f64(URGENT_PART);
+        }
         if self.returned {
             return self.left().mul_f64(RETURNED_PART);
         }
