--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -15,6 +15,8 @@
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without traffic after which a connection is probed.
+const QUIET_TIME: Duration = Duration::from_secs(3);
 /// Time for which an idle connection is kept if the back end states none.
 const USUAL_IDLE: Duration = Duration::from_secs(5);
 /// Part of the stated idle time after which a connection is not used any more.
@@ -107,7 +109,7 @@
 
     async fn dial(&self) -> Result<TcpStream, ExchangeFault> {
         self.opened.set(self.opened.get() + 1);
-        net::connect(self.address, CONNECT_TIMEOUT)
+        net::connect(self.address, CONNECT_TIMEOUT, QUIET_TIME)
             .await
             .map_err(|error| match error.kind() {
                 ErrorKind::ConnectionRefused => ExchangeFault::NobodyListens,
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -111,6 +111,18 @@
     pub busy: u32,
 }
 
+impl Member {
+    /// The member without what only machines of its service need.
+    #[must_use]
+    pub fn without_holding(&self) -> Self {
+        Self {
+            lease: None,
+            busy: 0,
+            ..self.clone()
+        }
+    }
+}
+
 /// A back end that takes requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BackEndState {
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -20,6 +20,8 @@
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without traffic after which a connection is probed.
+pub(crate) const QUIET_TIME: Duration = Duration::from_secs(3);
 /// First pause before a lost connection is opened again.
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest pause before a lost connection is opened again.
@@ -339,7 +341,7 @@
 pub async fn keep_connected(node: Rc<Node>, peer: Rc<Peer>) {
     let mut backoff = FIRST_BACKOFF;
     while !peer.retired.get() {
-        let dialed = net::connect(peer.address.get(), CONNECT_TIMEOUT).await;
+        let dialed = net::connect(peer.address.get(), CONNECT_TIMEOUT, QUIET_TIME).await;
         match dialed {
             Ok(stream) => {
                 backoff = FIRST_BACKOFF;
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -240,19 +240,30 @@
     }
 
     /// Tells the other processes what has changed about this one.
+    ///
+    /// Lease and load matter only to machines of the same service.
     pub fn announce(&self) {
         let mut member = self.member();
-        let same = self.last_hello.borrow().as_ref().is_some_and(|last| {
-            member.change = last.change;
-            *last == member
-        });
-        if same {
+        let last = self.last_hello.borrow().clone();
+        let known = last.as_ref();
+        member.change = known.map_or(0, |l| l.change);
+        if known == Some(&member) {
             return;
         }
+        let unchanged = known.is_some_and(|l| l.without_holding() == member.without_holding());
         self.change.set(self.change.get() + 1);
         member.change = self.change.get();
         *self.last_hello.borrow_mut() = Some(member.clone());
-        self.broadcast(&Frame::Hello(Box::new(member)));
+        let service = member.service.clone();
+        let brief = Frame::Hello(Box::new(member.without_holding()));
+        let full = Frame::Hello(Box::new(member));
+        for peer in self.peers.borrow().values() {
+            if peer.with_member(|m| m.service == service) == Some(true) {
+                peer.send(&full);
+            } else if !unchanged {
+                peer.send(&brief);
+            }
+        }
     }
 
     /// Records whether the store has answered.
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -14,7 +14,7 @@
 
 use crate::frame::{self, ForwardedRequest, Frame};
 use crate::gate;
-use crate::link::{FrameSender, read_frames, send_frame, write_frames};
+use crate::link::{FrameSender, QUIET_TIME, read_frames, send_frame, write_frames};
 use crate::node::Node;
 
 /// Time for which an answer is kept for a process that asks again.
@@ -55,7 +55,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(error) = net::guard_silence(&stream) {
+                if let Err(error) = net::guard_silence(&stream, QUIET_TIME) {
                     log::warn!(event = "socket-option-failed", error:% = error; "");
                 }
                 tokio::task::spawn_local(serve_link(Rc::clone(&node), stream));
