--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -238,6 +238,11 @@
 ) -> ForwardedRequest {
     let mut fields = request.fields;
     message::strip(&mut fields);
+    // The back end waits for the calls of a request that it runs, so they go before new work.
+    let nested = incoming
+        .parent
+        .as_ref()
+        .is_some_and(|id| node.gate.runs(id));
     let class = xxh3::xxh3_64(route.name.as_bytes()) as u32;
     ForwardedRequest {
         id: 0,
@@ -251,7 +256,7 @@
         late: false,
         target_ms: 0,
         idempotent: route.idempotent,
-        priority: route.priority,
+        priority: if nested { MOST_URGENT } else { route.priority },
         class,
         key: incoming.key,
         caller: node.service(),
@@ -391,7 +396,7 @@
     ///
     /// A longer queue would not serve more requests, only all of them late.
     fn target(&self, patient: bool, distance: Distance) -> Duration {
-        if self.route.priority == MOST_URGENT {
+        if self.template.priority == MOST_URGENT {
             return self.left().mul_f64(URGENT_PART);
         }
         if self.returned {
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -1,12 +1,12 @@
 //! The way to the back end on this machine: every request to it passes here.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use admission::queue::{Admission, Departure, Job, Queue};
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http1::answer::Answer;
 use platform::message::{self, Outgoing, Verdict};
 use shards::life::Life;
@@ -62,6 +62,8 @@
     queue: RefCell<Queue>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Departure>>>,
     next_id: Cell<u64>,
+    /// Ids of the requests that the back end runs now.
+    running: RefCell<HashSet<Bytes>>,
     /// Connections to the back end.
     pub connections: Connections,
     /// The back end, once it has sent a heartbeat.
@@ -82,6 +84,7 @@
             queue: RefCell::new(Queue::new(0)),
             waiting: RefCell::default(),
             next_id: Cell::new(0),
+            running: RefCell::default(),
             connections,
             back_end: RefCell::new(None),
             busy: Cell::new(0.0),
@@ -125,6 +128,12 @@
             .set(self.busy.get() + gain * (offered - self.busy.get()));
     }
 
+    /// Whether the back end runs the request with this id now.
+    #[must_use]
+    pub fn runs(&self, id: &Bytes) -> bool {
+        self.running.borrow().contains(id)
+    }
+
     /// Whether any request runs or waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -237,6 +246,7 @@
 struct SlotGuard {
     node: Rc<Node>,
     class: u32,
+    request: Bytes,
     started: Moment,
     ended: bool,
 }
@@ -252,6 +262,7 @@
     fn drop(&mut self) {
         let took = self.ended.then(|| BootClock.now().since(self.started));
         let gate = &self.node.gate;
+        gate.running.borrow_mut().remove(&self.request);
         gate.queue.borrow_mut().finish(self.class, took);
         gate.pump();
     }
@@ -308,7 +319,9 @@
         }
     }
     log_start(gate, &request, BootClock.now().since(now));
+    gate.running.borrow_mut().insert(request.request_id.clone());
     let slot = SlotGuard {
+        request: request.request_id.clone(),
         node: Rc::clone(node),
         class: request.class,
         started: BootClock.now(),
