--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -45,13 +45,29 @@
     ready::listen(address).context(ListenSnafu { address })
 }
 
-/// Runs the process until it is asked to stop.
+/// Runs the process until the platform asks it to stop.
 ///
 /// # Errors
 /// Fails if it cannot start.
 pub async fn run(settings: Settings) -> Result<(), StartFault> {
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let stop = async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return,
+                _ = hangup.recv() => log::info!(event = "reload"; ""),
+            }
+        }
+    };
+    serve(settings, stop).await
+}
+
+/// Runs the process until `stop` ends, on the current local task set.
+///
+/// # Errors
+/// Fails if it cannot start.
+pub async fn serve(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), StartFault> {
     let callers = open(settings.callers)?;
     let readiness = open(settings.readiness)?;
     let heartbeats = open(settings.heartbeats)?;
@@ -74,18 +90,13 @@
     for listener in [readiness, heartbeats, metrics] {
         spawn_local(ready::serve(Rc::clone(&node), listener));
     }
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => log::info!(event = "reload"; ""),
-        }
-    }
-    stop(&node, &store).await;
+    stop.await;
+    finish(&node, &store).await;
     Ok(())
 }
 
 /// Lets callers go elsewhere and finishes what runs.
-async fn stop(node: &Rc<Node>, store: &relay::StoreClient) {
+async fn finish(node: &Rc<Node>, store: &relay::StoreClient) {
     let started = BootClock.now();
     log::info!(event = "stop-requested"; "");
     node.stop();
--- /dev/null
+++ b/components/node/tests/whole_path/deployment.rs
@@ -0,0 +1,312 @@
+//! A small deployment on loopback: machine 0 offers orders, the others hold the keys of lists.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use http1::answer::Answer;
+use platform::settings::Settings;
+use serde_json::json;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use crate::back_end::BackEnd;
+use crate::http;
+use crate::store::Store;
+
+/// Path of a keyed request that may run more than once.
+pub(crate) const LISTING: &str = "/list/today";
+/// Path of a request that must run once at most.
+pub(crate) const ORDER: &str = "/orders/new";
+
+/// Time that callers state as their patience.
+const PATIENCE_MS: u64 = 4_000;
+/// Pause between two tries of a caller that waits for an outcome.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// Status, 0 if there was no answer.
+    pub(crate) status: u16,
+    answer: Option<Answer>,
+}
+
+impl Reply {
+    /// A header field.
+    pub(crate) fn text(&self, name: &str) -> Option<String> {
+        let answer = self.answer.as_ref()?;
+        answer.fields.text(name).map(str::to_owned)
+    }
+
+    /// The caller that the back end was told.
+    pub(crate) fn caller(&self) -> String {
+        self.text("X-Caller").unwrap_or_default()
+    }
+
+    /// The back end that ran the request.
+    pub(crate) fn back_end(&self) -> String {
+        self.text("X-Back-End").unwrap_or_default()
+    }
+}
+
+enum End {
+    Stop,
+    Kill,
+}
+
+struct Process {
+    end: Option<oneshot::Sender<End>>,
+    thread: JoinHandle<()>,
+}
+
+/// The deployment.
+pub(crate) struct Deployment {
+    net: u8,
+    /// The store.
+    pub(crate) store: Store,
+    processes: Vec<Option<Process>>,
+    back_ends: Vec<BackEnd>,
+    next_id: AtomicU64,
+}
+
+fn address(net: u8, machine: usize, port: u16) -> SocketAddr {
+    let host = u8::try_from(machine + 1).expect("few machines");
+    SocketAddr::from(([127, 77, net, host], port))
+}
+
+impl Deployment {
+    /// Starts `machines` machines under a configuration; `net` keeps tests apart.
+    pub(crate) fn start(net: u8, machines: usize) -> Self {
+        let day = Self::start_unconfigured(net, machines);
+        day.store.configure(1, &[]);
+        day
+    }
+
+    /// Starts machines without a configuration.
+    pub(crate) fn start_unconfigured(net: u8, machines: usize) -> Self {
+        let store = Store::start(address(net, 99, 7_000));
+        let mut day = Self {
+            net,
+            store,
+            processes: Vec::new(),
+            back_ends: Vec::new(),
+            next_id: AtomicU64::new(1),
+        };
+        for machine in 0..machines {
+            day.processes.push(None);
+            day.start_process(machine);
+            let service = day.service(machine);
+            day.back_ends.push(BackEnd::start(
+                format!("i-{machine}"),
+                service,
+                address(net, machine, 7_001),
+                address(net, machine, 7_002),
+            ));
+        }
+        day
+    }
+
+    /// Service of a machine's back end.
+    pub(crate) fn service(&self, machine: usize) -> &'static str {
+        if machine == 0 { "orders" } else { "lists" }
+    }
+
+    fn settings(&self, machine: usize) -> Settings {
+        let at = |port| address(self.net, machine, port);
+        let text = json!({
+            "nodeName": format!("m-{machine}"), "ip": at(0).ip(), "zone": "z", "region": "r",
+            "listenAddresses": {"outbound": at(7_003), "ready": at(7_004), "control": at(7_002)},
+            "internalPortRange": [7_005, 7_010],
+            "bounds": ["graceS=6", "holdMaxMs=10000"],
+            "applicationAddress": at(7_001), "service": self.service(machine),
+            "platform": {"address": self.store.address}
+        });
+        Settings::from_json(text.to_string().as_bytes()).expect("well-formed")
+    }
+
+    /// Starts a machine's process.
+    pub(crate) fn start_process(&mut self, machine: usize) {
+        let settings = self.settings(machine);
+        let (end, ended) = oneshot::channel();
+        let thread = std::thread::spawn(move || run_process(settings, ended));
+        self.processes[machine] = Some(Process {
+            end: Some(end),
+            thread,
+        });
+    }
+
+    fn end_process(&mut self, machine: usize, how: End) {
+        let Some(mut process) = self.processes[machine].take() else {
+            return;
+        };
+        if let Some(end) = process.end.take() {
+            let _ = end.send(how);
+        }
+        process.thread.join().expect("the process ends");
+    }
+
+    /// Ends a process at once.
+    pub(crate) fn kill_process(&mut self, machine: usize) {
+        self.end_process(machine, End::Kill);
+    }
+
+    /// Asks a process to stop and waits until it has.
+    pub(crate) fn stop_process(&mut self, machine: usize) {
+        self.end_process(machine, End::Stop);
+    }
+
+    /// Ends a machine's process and back end for good.
+    pub(crate) fn lose_machine(&mut self, machine: usize) {
+        self.back_ends[machine].end();
+        self.kill_process(machine);
+    }
+
+    /// Orders that back ends have run.
+    pub(crate) fn runs_of_orders(&self) -> u64 {
+        self.back_ends.iter().map(BackEnd::orders).sum()
+    }
+
+    /// Sends a request to the process on a machine.
+    pub(crate) fn request(
+        &self,
+        machine: usize,
+        method: &str,
+        path: &str,
+        key: Option<u16>,
+    ) -> Reply {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        send(address(self.net, machine, 7_003), id, method, path, key)
+    }
+
+    /// Sends a request without waiting for its answer.
+    pub(crate) fn request_in_background(
+        &self,
+        machine: usize,
+        method: &'static str,
+        path: &'static str,
+    ) -> JoinHandle<Reply> {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let at = address(self.net, machine, 7_003);
+        std::thread::spawn(move || send(at, id, method, path, None))
+    }
+
+    /// Repeats a request until its answer is as wanted.
+    pub(crate) fn await_reply(
+        &self,
+        machine: usize,
+        path: &str,
+        key: Option<u16>,
+        wanted: impl Fn(&Reply) -> bool,
+        limit: Duration,
+    ) -> Reply {
+        let end = Instant::now() + limit;
+        loop {
+            let reply = self.request(machine, "GET", path, key);
+            if wanted(&reply) {
+                return reply;
+            }
+            assert!(Instant::now() < end, "machine {machine} {path}: {reply:?}");
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    /// Repeats a request until its answer has the status.
+    pub(crate) fn await_status(
+        &self,
+        machine: usize,
+        path: &str,
+        status: u16,
+        limit: Duration,
+    ) -> Reply {
+        self.await_reply(machine, path, None, |r| r.status == status, limit)
+    }
+
+    /// Waits until every machine serves orders and the keys of lists.
+    pub(crate) fn await_served(&self, limit: Duration) {
+        let served = |reply: &Reply| reply.status == 200;
+        for machine in 0..self.processes.len() {
+            for key in [0, 20_000, 45_000, 65_535] {
+                self.await_reply(machine, LISTING, Some(key), served, limit);
+            }
+            let end = Instant::now() + limit;
+            while self.request(machine, "GET", "/orders-ready/", None).status != 404 {
+                assert!(Instant::now() < end, "machine {machine} is not ready");
+                std::thread::sleep(PAUSE);
+            }
+        }
+    }
+
+    fn ask(&self, machine: usize, port: u16, path: &str) -> Answer {
+        let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        http::call(
+            address(self.net, machine, port),
+            &text,
+            Duration::from_secs(5),
+        )
+        .expect("an answer")
+    }
+
+    /// Status of a process's readiness.
+    pub(crate) fn readiness(&self, machine: usize) -> u16 {
+        self.ask(machine, 7_004, "/plantaingauge/readiness").status
+    }
+
+    /// A process's metrics.
+    pub(crate) fn metrics(&self, machine: usize) -> String {
+        let answer = self.ask(machine, 7_006, "/metrics");
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for back_end in &self.back_ends {
+            back_end.end();
+        }
+        for machine in 0..self.processes.len() {
+            if let Some(process) = self.processes[machine].as_mut() {
+                if let Some(end) = process.end.take() {
+                    let _ = end.send(End::Kill);
+                }
+            }
+        }
+    }
+}
+
+fn send(at: SocketAddr, id: u64, method: &str, path: &str, key: Option<u16>) -> Reply {
+    let key = key.map_or(String::new(), |k| format!("Shard-Key: {k}\r\n"));
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r{id}\r\n\
+         Deadline-Ms: {PATIENCE_MS}\r\n{key}Content-Length: 0\r\n\r\n"
+    );
+    let answer = http::call(at, &text, Duration::from_millis(PATIENCE_MS + 1_000)).ok();
+    Reply {
+        status: answer.as_ref().map_or(0, |a| a.status),
+        answer,
+    }
+}
+
+fn run_process(settings: Settings, ended: oneshot::Receiver<End>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let (stop, stopped) = oneshot::channel::<()>();
+    LocalSet::new().block_on(&runtime, async move {
+        let serving = node::run::serve(settings, async {
+            let _ = stopped.await;
+        });
+        tokio::pin!(serving);
+        tokio::select! {
+            result = &mut serving => result.expect("the process starts"),
+            end = ended => {
+                if let Ok(End::Stop) = end {
+                    let _ = stop.send(());
+                    serving.await.expect("the process stops");
+                }
+            }
+        }
+    });
+}
--- /dev/null
+++ b/components/node/tests/whole_path/main.rs
@@ -0,0 +1,135 @@
+//! The whole path: processes, back ends and callers against a stand-in of the platform's store.
+
+mod back_end;
+mod deployment;
+mod http;
+mod store;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use deployment::{Deployment, LISTING, ORDER, Reply};
+
+/// Time for keys to get a first holder, and for a change to arrive everywhere.
+const SETTLE: Duration = Duration::from_secs(20);
+
+#[test]
+fn a_calm_day_serves_every_request_where_it_belongs() {
+    let day = Deployment::start(1, 3);
+    day.await_served(SETTLE);
+    for machine in 0..3 {
+        for key in [0, 17_000, 40_000, 65_535] {
+            let reply = day.request(machine, "GET", LISTING, Some(key));
+            assert_eq!(reply.status, 200, "{reply:?}");
+            assert_eq!(reply.caller(), day.service(machine));
+        }
+        assert_eq!(day.request(machine, "POST", ORDER, None).status, 200);
+        assert_eq!(day.request(machine, "GET", "/nowhere/", None).status, 404);
+    }
+    assert_eq!(day.runs_of_orders(), 3, "each order ran once");
+    assert!(day.metrics(0).contains("plantaingauge_requests_total"));
+}
+
+#[test]
+fn each_key_is_served_by_one_back_end() {
+    let day = Deployment::start(2, 3);
+    day.await_served(SETTLE);
+    for key in (0..65_535).step_by(9_001) {
+        let back_ends: HashSet<String> = (0..3)
+            .map(|machine| day.request(machine, "GET", LISTING, Some(key)))
+            .map(|reply| reply.back_end())
+            .collect();
+        assert_eq!(back_ends.len(), 1, "key {key}: {back_ends:?}");
+    }
+}
+
+#[test]
+fn a_changed_configuration_comes_into_force_everywhere_and_never_reverts() {
+    let day = Deployment::start(3, 2);
+    day.await_served(SETTLE);
+    day.store.configure(2, &["/added/"]);
+    for machine in 0..2 {
+        let reply = day.await_status(machine, "/added/", 200, SETTLE);
+        assert_eq!(reply.status, 200);
+    }
+    day.store.configure(3, &[]);
+    for machine in 0..2 {
+        day.await_status(machine, "/added/", 404, SETTLE);
+        for _ in 0..20 {
+            assert_eq!(day.request(machine, "GET", "/added/", None).status, 404);
+        }
+    }
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_away_and_changes_arrive_after_it() {
+    let day = Deployment::start(4, 2);
+    day.await_served(SETTLE);
+    day.store.set_away(true);
+    std::thread::sleep(Duration::from_secs(2));
+    for machine in 0..2 {
+        assert_eq!(day.request(machine, "POST", ORDER, None).status, 200);
+        assert_eq!(day.request(machine, "GET", LISTING, Some(5)).status, 200);
+    }
+    day.store.set_away(false);
+    day.store.configure(2, &["/added/"]);
+    for machine in 0..2 {
+        day.await_status(machine, "/added/", 200, SETTLE);
+    }
+}
+
+#[test]
+fn keys_of_a_lost_machine_are_served_by_others() {
+    let mut day = Deployment::start(5, 3);
+    day.await_served(SETTLE);
+    day.lose_machine(1);
+    for key in [0, 30_000, 65_535] {
+        let served = |reply: &Reply| reply.status == 200;
+        let reply = day.await_reply(0, LISTING, Some(key), served, 2 * SETTLE);
+        assert_ne!(reply.back_end(), "i-1");
+    }
+}
+
+#[test]
+fn a_process_that_starts_again_goes_on_with_its_keys() {
+    let mut day = Deployment::start(6, 2);
+    day.await_served(SETTLE);
+    let key = (0..60_000)
+        .step_by(1_000)
+        .find(|key| day.request(0, "GET", LISTING, Some(*key)).back_end() == "i-1")
+        .expect("machine 1 holds some keys");
+    day.kill_process(1);
+    day.start_process(1);
+    let served = |reply: &Reply| reply.status == 200;
+    let reply = day.await_reply(0, LISTING, Some(key), served, SETTLE);
+    assert_eq!(reply.back_end(), "i-1");
+}
+
+#[test]
+fn a_planned_stop_cuts_off_no_request() {
+    let mut day = Deployment::start(7, 2);
+    day.await_served(SETTLE);
+    let slow = day.request_in_background(1, "POST", "/orders/slow/");
+    std::thread::sleep(Duration::from_millis(200));
+    day.stop_process(1);
+    let reply = slow.join().expect("no panic");
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
+
+#[test]
+fn an_order_whose_answer_is_lost_is_not_sent_again() {
+    let day = Deployment::start(8, 2);
+    day.await_served(SETTLE);
+    let before = day.runs_of_orders();
+    let reply = day.request(0, "POST", "/orders/cut/", None);
+    assert_eq!(reply.status, 502);
+    assert_eq!(day.runs_of_orders(), before + 1);
+}
+
+#[test]
+fn a_process_without_a_configuration_promises_that_nothing_ran() {
+    let day = Deployment::start_unconfigured(9, 1);
+    let reply = day.await_reply(0, LISTING, Some(1), |r| r.status == 503, SETTLE);
+    assert!(reply.text("Retry-After").is_some());
+    assert_ne!(day.readiness(0), 200);
+}
