Let requests wait for their key at its owner; log refusals with their inputs

Cause: while keys changed hands each waiting request bounced between entry and owner every 25 ms and asked for the whole assignment each time. Metrics are served on the last internal port.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -44,6 +44,8 @@
 const MOST_URGENT: u8 = 0;
 /// Part of the remaining time for which such a request may wait for a slot and run.
 const URGENT_PART: f64 = 0.9;
+/// Time in which a changed assignment reaches every machine that is connected.
+const NEWS_TIME: Duration = Duration::from_millis(200);
 /// Part of the longest patience below which a caller has been refused before.
 const FIRST_ATTEMPT_PART: f64 = 0.85;
 /// Time for a lost connection to come back before the request counts as lost.
@@ -115,6 +117,12 @@
     /// The last answer of a back end that was not good enough to be final.
     spare: Option<Box<ForwardedAnswer>>,
     machine: Option<MachineName>,
+    /// Whether it has been said that there is no back end to try.
+    stranded: bool,
+    /// When a machine first said that it does not hold the key.
+    bounced: Option<Moment>,
+    /// Whether the assignment has been asked for.
+    asked: bool,
 }
 
 /// The end of a request, with a word for logs.
@@ -182,6 +190,9 @@
         doubt: false,
         spare: None,
         machine: None,
+        stranded: false,
+        bounced: None,
+        asked: false,
     };
     let left = deadline.since(BootClock.now());
     let end = match tokio::time::timeout(left, journey.run()).await {
@@ -282,6 +293,7 @@
                     patient = true;
                     continue;
                 }
+                self.log_no_place();
                 if self.refused.is_empty() && BootClock.now() < reroute_until {
                     tokio::time::sleep(REROUTE_PAUSE).await;
                     continue;
@@ -296,6 +308,35 @@
         }
     }
 
+    /// Says once why there is no back end to try.
+    fn log_no_place(&mut self) {
+        if std::mem::replace(&mut self.stranded, true) {
+            return;
+        }
+        let view = self.keyed_view().flatten();
+        let range = view
+            .as_ref()
+            .zip(self.template.key)
+            .and_then(|(v, key)| v.value.range(key));
+        let owner = range.map(|r| r.machine.clone());
+        let connected = owner
+            .as_ref()
+            .and_then(|m| self.node.peer(m))
+            .map(|p| p.is_connected());
+        log::info!(
+            event = "no-place",
+            id = self.id_text(),
+            service = self.service.as_str(),
+            key:? = self.template.key,
+            owner = owner.as_ref().map_or("-", |m| m.as_str()),
+            fence:? = range.map(|r| r.fence),
+            connected:? = connected,
+            revision = view.as_ref().map_or(0, |v| v.revision),
+            refused = self.refused.len();
+            ""
+        );
+    }
+
     /// The back end to try next, if there is one.
     fn pick(&self, patient: bool) -> Option<(MachineName, Place)> {
         if let Some(view) = self.keyed_view() {
@@ -524,7 +565,7 @@
         retry_ms: u32,
         patient: bool,
     ) -> Option<End> {
-        log::debug!(event = "not-run", id = self.id_text(), machine = machine.as_str(), reason:? = reason, retry_ms; "");
+        log::info!(event = "not-run", id = self.id_text(), machine = machine.as_str(), reason:? = reason, retry_ms; "");
         match reason {
             Reason::Full if !patient => {
                 self.refused.push((machine.clone(), retry_ms));
@@ -546,7 +587,7 @@
             }
             Reason::NotHolder => {
                 if let Place::There(peer) = place {
-                    peer.send(&Frame::AskAssignments);
+                    self.ask_assignments(peer);
                 }
                 tokio::time::sleep(REROUTE_PAUSE).await;
                 self.check_patience()
@@ -562,6 +603,15 @@
         }
     }
 
+    /// Asks once for the assignment if news of it should have come by now.
+    fn ask_assignments(&mut self, peer: &Peer) {
+        let since = *self.bounced.get_or_insert_with(|| BootClock.now());
+        if !self.asked && BootClock.now().since(since) > NEWS_TIME {
+            self.asked = true;
+            peer.send(&Frame::AskAssignments);
+        }
+    }
+
     /// Gives up on a keyed request whose key has had no holder for too long.
     fn check_patience(&mut self) -> Option<End> {
         let total = self.route.timeout.as_secs_f64();
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -26,6 +26,10 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Wait that callers are told when nothing better is known.
 const USUAL_RETRY: Duration = Duration::from_millis(300);
+/// Part of a caller's patience for which a request waits for its key.
+const HANDOVER_PART: f64 = 0.4;
+/// Pause between two looks at whether a key is held.
+const KEY_PAUSE: Duration = Duration::from_millis(20);
 /// Time without a heartbeat after which a back end with unanswered requests gets no more.
 pub(crate) const SILENCE: Duration = Duration::from_millis(2_600);
 
@@ -283,7 +287,7 @@
         return not_run(Reason::NoBackEnd, usual);
     }
     if let Some(key) = node.shard_key(&request) {
-        if !node.keeper.borrow().serves(now, key) {
+        if !await_key(node, key, now + patience(&request).mul_f64(HANDOVER_PART)).await {
             return not_run(Reason::NotHolder, usual);
         }
         node.keeper.borrow_mut().count(key);
@@ -291,7 +295,7 @@
     gate.arrived.set(gate.arrived.get() + 1);
     let id = gate.next_id.get();
     gate.next_id.set(id + 1);
-    let deadline = now + Duration::from_millis(u64::from(request.patience_ms));
+    let deadline = now + patience(&request);
     let job = Job {
         id,
         priority: request.priority,
@@ -303,7 +307,10 @@
     let admission = gate.queue.borrow_mut().arrive(now, job);
     match admission {
         Admission::Start => {}
-        Admission::Refuse(wait) => return not_run(Reason::Full, gate.retry_ms(wait)),
+        Admission::Refuse(wait) => {
+            log_refusal(gate, &request, wait);
+            return not_run(Reason::Full, gate.retry_ms(wait));
+        }
         Admission::Wait => {
             let (sender, receiver) = oneshot::channel();
             gate.waiting.borrow_mut().insert(id, sender);
@@ -339,6 +346,42 @@
     receiver.await.unwrap_or(Outcome::Lost(Loss::Cut))
 }
 
+fn patience(request: &ForwardedRequest) -> Duration {
+    Duration::from_millis(u64::from(request.patience_ms))
+}
+
+/// Waits until the back end holds a key that this machine owns; false if it does not get it.
+async fn await_key(node: &Node, key: u16, until: Moment) -> bool {
+    loop {
+        let now = BootClock.now();
+        if node.keeper.borrow().serves(now, key) {
+            return true;
+        }
+        if !node.keeper.borrow().owns(key) || now >= until {
+            return false;
+        }
+        tokio::time::sleep(KEY_PAUSE).await;
+    }
+}
+
+fn log_refusal(gate: &Gate, request: &ForwardedRequest, wait: Duration) {
+    let queue = gate.queue.borrow();
+    log::info!(
+        event = "refuse",
+        id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
+        priority = request.priority,
+        late = request.late,
+        expected_wait_ms = wait.as_millis() as u64,
+        target_ms = request.target_ms,
+        patience_ms = request.patience_ms,
+        running = queue.running(),
+        waiting = queue.waiting(),
+        slots = queue.slots(),
+        expected_ms = queue.estimate().of(request.class).as_millis() as u64;
+        ""
+    );
+}
+
 fn log_start(gate: &Gate, request: &ForwardedRequest, waited: Duration) {
     let queue = gate.queue.borrow();
     log::info!(
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -255,7 +255,7 @@
 
     /// A process's metrics.
     pub(crate) fn metrics(&self, machine: usize) -> String {
-        let answer = self.ask(machine, 7_006, "/metrics");
+        let answer = self.ask(machine, 7_010, "/metrics");
         String::from_utf8_lossy(&answer.body).into_owned()
     }
 }
