--- a/components/shards/src/placement.rs
+++ b/components/shards/src/placement.rs
@@ -167,6 +167,8 @@
 const MIN_EXCESS: f64 = 0.15;
 /// Part of the mean by which a machine must exceed it before keys move.
 const RELATIVE_EXCESS: f64 = 0.3;
+/// Busy share below which a machine keeps its keys: each move costs callers more than the load.
+const MIN_BUSY: f64 = 0.5;
 /// Least busy share that is worth moving to one machine.
 const MIN_GIVEN: f64 = 0.04;
 
@@ -178,7 +180,7 @@
     let total: f64 = busy + others.iter().map(|t| t.busy).sum::<f64>();
     let mean = total / (others.len() as f64 + 1.0);
     let excess = busy - mean;
-    if excess < MIN_EXCESS.max(RELATIVE_EXCESS * mean) {
+    if busy < MIN_BUSY || excess < MIN_EXCESS.max(RELATIVE_EXCESS * mean) {
         return Vec::new();
     }
     let room = |t: &Taker| (mean - t.busy).max(0.0);
