--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -30,6 +30,9 @@
 const OUTAGE_RETRY: Duration = Duration::from_millis(500);
 /// Time until a stopped process is expected back.
 const RESTART_RETRY: Duration = Duration::from_millis(1_000);
+/// Part of its remaining time after which a refused caller comes back at the earliest, so that it
+/// meets another state of the queue.
+const RETRY_PART: f64 = 0.2;
 /// Pause before a request without a usable back end is looked at again.
 const REROUTE_PAUSE: Duration = Duration::from_millis(25);
 /// Part of a caller's patience for which a request waits for a usable back end.
@@ -668,8 +671,9 @@
             };
         }
         let soonest = self.refused.iter().map(|(_, ms)| *ms).min();
-        let wait = soonest.map_or(OUTAGE_RETRY, |ms| Duration::from_millis(u64::from(ms)));
-        let spread = rand::rng().random_range(0.8..1.3);
+        let told = soonest.map_or(OUTAGE_RETRY, |ms| Duration::from_millis(u64::from(ms)));
+        let wait = told.max(self.left().mul_f64(RETRY_PART));
+        let spread = rand::rng().random_range(0.7..1.4);
         End {
             answer: message::own_answer(503, id, Some(wait.mul_f64(spread))),
             outcome: if soonest.is_some() {
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -434,6 +434,14 @@
             outcome
         }
         Ok(Err(fault)) => {
+            log::warn!(
+                event = "exchange-failed",
+                id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
+                back_end = back_end.life.id.as_str(),
+                fault:? = fault,
+                ran_ms = BootClock.now().since(slot.started).as_millis() as u64;
+                ""
+            );
             node.on_exchange_fault(fault);
             match fault {
                 ExchangeFault::NobodyListens | ExchangeFault::Unreachable => {
