--- a/components/http1/src/answer.rs
+++ b/components/http1/src/answer.rs
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 enum State {
     Head,
-    Body(Answer, Decoder),
+    Body(Box<Answer>, Decoder),
 }
 
 /// Reads one answer from the bytes of a connection.
@@ -67,7 +67,7 @@
                 continue;
             }
             let decoder = Decoder::new(framing, self.body_limit)?;
-            self.state = State::Body(answer, decoder);
+            self.state = State::Body(Box::new(answer), decoder);
         }
         let State::Body(_, decoder) = &mut self.state else {
             return Ok(None);
@@ -84,7 +84,7 @@
         match std::mem::replace(&mut self.state, State::Head) {
             State::Body(mut answer, decoder) => {
                 answer.body = decoder.into_body();
-                Ok(Some(answer))
+                Ok(Some(*answer))
             }
             State::Head => Ok(None),
         }
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -388,18 +388,18 @@
             !self.tried.contains(m) && (patient || !self.refused.iter().any(|(r, _)| r == m))
         };
         let own = &self.node.settings.machine;
-        if let Some(b) = self.node.gate.ready_for(&self.service) {
-            if usable(own) {
-                let candidate = Candidate {
-                    distance: Distance::Local,
-                    load: self.node.gate.load().into(),
-                    age: Duration::ZERO,
-                    unanswered: 0,
-                    failures: self.node.own_failures.get(),
-                    cold: b.cold_until > now,
-                };
-                places.push((own.clone(), Place::Here, candidate));
-            }
+        if let Some(b) = self.node.gate.ready_for(&self.service)
+            && usable(own)
+        {
+            let candidate = Candidate {
+                distance: Distance::Local,
+                load: self.node.gate.load().into(),
+                age: Duration::ZERO,
+                unanswered: 0,
+                failures: self.node.own_failures.get(),
+                cold: b.cold_until > now,
+            };
+            places.push((own.clone(), Place::Here, candidate));
         }
         for peer in self.node.peers() {
             if !peer.is_connected() || !usable(&peer.machine) {
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -409,10 +409,10 @@
     let Some(back_end) = node.gate.ready_for(&request.service) else {
         return not_run(Reason::NoBackEnd, usual);
     };
-    if let Some(key) = node.shard_key(&request) {
-        if !node.keeper.borrow().serves(BootClock.now(), key) {
-            return not_run(Reason::NotHolder, usual);
-        }
+    if let Some(key) = node.shard_key(&request)
+        && !node.keeper.borrow().serves(BootClock.now(), key)
+    {
+        return not_run(Reason::NotHolder, usual);
     }
     let patience = deadline.since(BootClock.now());
     let head = encode_head(&request, &back_end, patience);
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -220,10 +220,10 @@
             .keeper
             .borrow_mut()
             .on_view_outcome(&call, outcome);
-        if let Some(stored) = found {
-            if self.node.on_assignment(&service, stored) {
-                self.node.publish_assignment(&service);
-            }
+        if let Some(stored) = found
+            && self.node.on_assignment(&service, stored)
+        {
+            self.node.publish_assignment(&service);
         }
         self.view.end(failed);
         self.node.keys_changed.notify_one();
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -94,9 +94,9 @@
 pub async fn unregister(node: &Rc<Node>, store: &StoreClient) {
     let name = node.settings.machine.as_str();
     let found: Outcome<Entry> = store.call(MEMBERS, name, &Call::Read).await;
-    if let Outcome::Done(stored) = found {
-        if let Err(error) = store.remove(MEMBERS, name, stored.revision).await {
-            log::warn!(event = "member-not-removed", error:% = error; "");
-        }
+    if let Outcome::Done(stored) = found
+        && let Err(error) = store.remove(MEMBERS, name, stored.revision).await
+    {
+        log::warn!(event = "member-not-removed", error:% = error; "");
     }
 }
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -442,10 +442,10 @@
     fn on_hello(self: &Rc<Self>, member: Member, sender: &FrameSender) {
         let behind = self.in_force().map_or(0, |c| c.revision) < member.catalog;
         self.meet(&member.machine, member.address);
-        if let Some(peer) = self.peer(&member.machine) {
-            if peer.update(member) {
-                self.keys_changed.notify_one();
-            }
+        if let Some(peer) = self.peer(&member.machine)
+            && peer.update(member)
+        {
+            self.keys_changed.notify_one();
         }
         if behind {
             send_frame(sender, &Frame::AskCatalog);
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -76,10 +76,10 @@
         let works = direct.is_ok() && !refused;
         self.node.on_store_result(works);
         self.direct_failed.set((!works).then_some(now));
-        if refused || direct == Err(CallFault::NotDone) {
-            if let Ok(answer) = self.through_peer(call).await {
-                return Ok(answer);
-            }
+        if (refused || direct == Err(CallFault::NotDone))
+            && let Ok(answer) = self.through_peer(call).await
+        {
+            return Ok(answer);
         }
         direct
     }
--- a/components/node/tests/whole_path/back_end.rs
+++ b/components/node/tests/whole_path/back_end.rs
@@ -121,10 +121,10 @@
                 self.id,
                 report.len()
             );
-            if let Ok(answer) = http::call(self.heartbeats, &text, Duration::from_secs(1)) {
-                if answer.status == 200 {
-                    self.take(sent, &answer.body);
-                }
+            if let Ok(answer) = http::call(self.heartbeats, &text, Duration::from_secs(1))
+                && answer.status == 200
+            {
+                self.take(sent, &answer.body);
             }
             std::thread::sleep(HEARTBEAT);
         }
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -266,10 +266,10 @@
             back_end.end();
         }
         for machine in 0..self.processes.len() {
-            if let Some(process) = self.processes[machine].as_mut() {
-                if let Some(end) = process.end.take() {
-                    let _ = end.send(End::Kill);
-                }
+            if let Some(process) = self.processes[machine].as_mut()
+                && let Some(end) = process.end.take()
+            {
+                let _ = end.send(End::Kill);
             }
         }
     }
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -27,7 +27,27 @@
         assert_eq!(day.request(machine, "GET", "/nowhere/", None).status, 404);
     }
     assert_eq!(day.runs_of_orders(), 3, "each order ran once");
-    assert!(day.metrics(0).contains("plantaingauge_requests_total"));
+}
+
+#[test]
+fn the_operators_page_names_every_metric() {
+    let day = Deployment::start(10, 2);
+    day.await_served(SETTLE);
+    day.request(1, "POST", ORDER, None);
+    let served: HashSet<String> = day
+        .metrics(1)
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next().map(str::to_owned))
+        .collect();
+    let page = include_str!("../../../../docs/OPERATIONS.md");
+    let listed: HashSet<String> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `plantaingauge_"))
+        .filter_map(|line| line.split('`').next())
+        .map(|name| format!("plantaingauge_{name}"))
+        .collect();
+    assert_eq!(served, listed);
 }
 
 #[test]
