--- a/components/node/tests/whole_path/back_end.rs
+++ b/components/node/tests/whole_path/back_end.rs
@@ -32,6 +32,8 @@
     address: SocketAddr,
     heartbeats: SocketAddr,
     gone: Arc<AtomicBool>,
+    draining: Arc<AtomicBool>,
+    drain_confirmed: Arc<AtomicBool>,
     orders: Arc<AtomicU64>,
     keys: Arc<Mutex<Keys>>,
 }
@@ -50,6 +52,8 @@
             address,
             heartbeats,
             gone: Arc::default(),
+            draining: Arc::default(),
+            drain_confirmed: Arc::default(),
             orders: Arc::default(),
             keys: Arc::default(),
         };
@@ -66,6 +70,14 @@
         self.gone.store(true, Ordering::SeqCst);
     }
 
+    /// Announces that it leaves, and waits until that is confirmed.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        while !self.drain_confirmed.load(Ordering::SeqCst) {
+            std::thread::sleep(HEARTBEAT / 4);
+        }
+    }
+
     /// Number of orders that it has run.
     pub(crate) fn orders(&self) -> u64 {
         self.orders.load(Ordering::SeqCst)
@@ -115,7 +127,8 @@
         while !self.gone.load(Ordering::SeqCst) {
             sequence += 1;
             let sent = Instant::now();
-            let report = self.report(sequence);
+            let draining = self.draining.load(Ordering::SeqCst);
+            let report = self.report(sequence, draining);
             let text = format!(
                 "POST /plantaingauge/Instances.Heartbeat/{} HTTP/1.1\r\nContent-Length: {}\r\n\r\n{report}",
                 self.id,
@@ -125,16 +138,17 @@
                 && answer.status == 200
             {
                 self.take(sent, &answer.body);
+                self.drain_confirmed.fetch_or(draining, Ordering::SeqCst);
             }
             std::thread::sleep(HEARTBEAT);
         }
     }
 
-    fn report(&self, sequence: u64) -> String {
+    fn report(&self, sequence: u64, draining: bool) -> String {
         let keys = self.keys.lock().expect("no panic under the lock");
         json!({
             "service": self.service, "address": self.address, "zone": "z", "version": "v1",
-            "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": 1,
+            "slots": 8, "state": if draining { "draining" } else { "ready" }, "coldRemainingMs": 0, "sequence": sequence, "born": 1,
             "holds": keys.rows, "freed": keys.freed
         })
         .to_string()
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -1,4 +1,5 @@
-//! A small deployment on loopback: machine 0 offers orders, the others hold the keys of lists.
+//! A small deployment on loopback: every third machine offers orders, the others hold the keys of
+//! lists.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -110,7 +111,7 @@
 
     /// Service of a machine's back end.
     pub(crate) fn service(&self, machine: usize) -> &'static str {
-        if machine == 0 { "orders" } else { "lists" }
+        if machine % 3 == 0 { "orders" } else { "lists" }
     }
 
     fn settings(&self, machine: usize) -> Settings {
@@ -163,6 +164,11 @@
         self.kill_process(machine);
     }
 
+    /// Lets a machine's back end announce that it leaves, and waits until that is confirmed.
+    pub(crate) fn drain(&self, machine: usize) {
+        self.back_ends[machine].drain();
+    }
+
     /// Orders that back ends have run.
     pub(crate) fn runs_of_orders(&self) -> u64 {
         self.back_ends.iter().map(BackEnd::orders).sum()
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -136,6 +136,31 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
+#[test]
+fn a_back_end_that_leaves_gets_no_request_once_that_is_confirmed() {
+    let day = Deployment::start(11, 4);
+    day.await_served(SETTLE);
+    day.drain(0);
+    std::thread::sleep(Duration::from_millis(500));
+    for machine in 0..4 {
+        for _ in 0..5 {
+            let reply = day.request(machine, "POST", ORDER, None);
+            assert_eq!(reply.back_end(), "i-3", "{reply:?}");
+        }
+    }
+}
+
+#[test]
+fn keys_of_a_back_end_that_leaves_go_to_others() {
+    let day = Deployment::start(12, 3);
+    day.await_served(SETTLE);
+    day.drain(1);
+    for key in [0, 30_000, 65_535] {
+        let moved = |reply: &Reply| reply.status == 200 && reply.back_end() == "i-2";
+        day.await_reply(0, LISTING, Some(key), moved, SETTLE);
+    }
+}
+
 #[test]
 fn an_order_whose_answer_is_lost_is_not_sent_again() {
     let day = Deployment::start(8, 2);
