Count a link only once the right machine answers; leave addresses of strangers alone

Each link to a gone machine was opened every 50 ms, counted as connected until the other's name arrived, asked for all assignments and reset the time since it was lost: 4,875 times in 10 s on one node, and the gone machine's keys were never taken over. Found in the log (event=link-to-stranger), shown by a test that failed first (keys_of_a_lost_machine_are_served_though_its_address_is_used_again: 503 for 40 s). Change: a link is open once the machine has said its name; an address at which another answers is tried again after 10 s.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -508,7 +508,7 @@
         };
         let until = BootClock.now() + limit;
         while BootClock.now() < until {
-            if peer.is_confirmed() {
+            if peer.is_connected() {
                 return peer.incarnation() == incarnation;
             }
             tokio::time::sleep(REROUTE_PAUSE).await;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -26,6 +26,8 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest pause before a lost connection is opened again.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
+/// Pause before an address is tried again at which another machine has answered.
+const STRANGER_BACKOFF: Duration = Duration::from_secs(10);
 /// Silence after which a process that owes an answer is asked for a sign of life.
 const PING_AFTER: Duration = Duration::from_millis(350);
 /// Time for the sign of life.
@@ -58,7 +60,6 @@
     load: Cell<Option<(LoadReport, Moment)>>,
     failures: Cell<f64>,
     retired: Cell<bool>,
-    confirmed: Cell<bool>,
 }
 
 /// How fast the share of failed requests follows, per request.
@@ -82,22 +83,28 @@
             load: Cell::new(None),
             failures: Cell::new(0.0),
             retired: Cell::new(false),
-            confirmed: Cell::new(false),
         }
     }
 
+    /// Opens the connection for requests, once the process has said who it is.
+    ///
+    /// Returns whether it was closed before.
+    fn connect(&self, sender: &FrameSender) -> bool {
+        if self.is_connected() {
+            return false;
+        }
+        *self.sender.borrow_mut() = Some(sender.clone());
+        self.since.set(BootClock.now());
+        log::info!(event = "link-open", machine = self.machine.as_str(); "");
+        true
+    }
+
     /// Whether a connection to it is open.
     #[must_use]
     pub fn is_connected(&self) -> bool {
         self.sender.borrow().is_some()
     }
 
-    /// Whether the process has said who it is on the open connection.
-    #[must_use]
-    pub fn is_confirmed(&self) -> bool {
-        self.confirmed.get() && self.is_connected()
-    }
-
     /// When the connection was last opened or lost.
     #[must_use]
     pub fn since(&self) -> Moment {
@@ -255,9 +262,9 @@
 
     /// Ends everything that waits for an answer on a connection that is lost.
     fn disconnect(&self) {
-        *self.sender.borrow_mut() = None;
-        self.confirmed.set(false);
-        self.since.set(BootClock.now());
+        if self.sender.borrow_mut().take().is_some() {
+            self.since.set(BootClock.now());
+        }
         let lost: Vec<Pending> = self.pending.borrow_mut().drain().map(|(_, p)| p).collect();
         for pending in lost {
             match pending {
@@ -344,8 +351,12 @@
         let dialed = net::connect(peer.address.get(), CONNECT_TIMEOUT, QUIET_TIME).await;
         match dialed {
             Ok(stream) => {
-                backoff = FIRST_BACKOFF;
-                run_link(&node, &peer, stream).await;
+                let known = run_link(&node, &peer, stream).await;
+                backoff = if known {
+                    FIRST_BACKOFF
+                } else {
+                    STRANGER_BACKOFF
+                };
                 peer.disconnect();
                 log::info!(event = "link-lost", machine = peer.machine.as_str(); "");
                 node.on_link_change();
@@ -356,20 +367,16 @@
         }
         let jitter = rand::rng().random_range(0.7..1.3);
         tokio::time::sleep(backoff.mul_f64(jitter)).await;
-        backoff = (backoff * 2).min(MAX_BACKOFF);
+        backoff = (backoff * 2).min(MAX_BACKOFF.max(backoff));
     }
 }
 
-async fn run_link(node: &Rc<Node>, peer: &Rc<Peer>, stream: tokio::net::TcpStream) {
+/// Carries frames until the connection ends; false if another machine has the address.
+async fn run_link(node: &Rc<Node>, peer: &Rc<Peer>, stream: tokio::net::TcpStream) -> bool {
     let (read, write) = stream.into_split();
     let (sender, frames) = mpsc::unbounded_channel();
     send_frame(&sender, &Frame::Hello(Box::new(node.member())));
-    send_frame(&sender, &Frame::AskAssignments);
-    *peer.sender.borrow_mut() = Some(sender.clone());
-    peer.since.set(BootClock.now());
     peer.heard.set(BootClock.now());
-    log::info!(event = "link-open", machine = peer.machine.as_str(); "");
-    node.on_link_change();
     let stranger = Notify::new();
     let reading = read_frames(read, |frame| {
         peer.heard.set(BootClock.now());
@@ -379,7 +386,10 @@
             Frame::Hello(member) if member.machine != peer.machine => stranger.notify_one(),
             Frame::Hello(member) => {
                 node.on_news(Frame::Hello(member), &sender);
-                peer.confirmed.set(true);
+                if peer.connect(&sender) {
+                    send_frame(&sender, &Frame::AskAssignments);
+                }
+                node.on_link_change();
             }
             other => node.on_news(other, &sender),
         }
@@ -388,12 +398,14 @@
         () = reading => {}
         () = stranger.notified() => {
             log::warn!(event = "link-to-stranger", machine = peer.machine.as_str(); "");
+            return false;
         }
         () = write_frames(write, frames) => {}
         () = watch_silence(peer) => {
             log::warn!(event = "link-silent", machine = peer.machine.as_str(); "");
         }
     }
+    true
 }
 
 /// Ends when a process that owes an answer gives no sign of life.
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -70,6 +70,8 @@
     processes: Vec<Option<Process>>,
     back_ends: Vec<BackEnd>,
     next_id: AtomicU64,
+    /// Machines that took the addresses of lost ones.
+    replaced: Vec<usize>,
 }
 
 fn address(net: u8, machine: usize, port: u16) -> SocketAddr {
@@ -87,13 +89,35 @@
 
     /// Starts machines without a configuration.
     pub(crate) fn start_unconfigured(net: u8, machines: usize) -> Self {
+        Self::start_beside(net, machines, Store::start(address(net, 99, 7_000)))
+    }
+
+    /// Starts machines whose keys are stored as those of a machine that is gone, and whose address
+    /// machine 1 has now.
+    pub(crate) fn start_after_ghost(net: u8, machines: usize) -> Self {
         let store = Store::start(address(net, 99, 7_000));
+        let entry = json!({"machine": "ghost", "address": address(net, 1, 7_005)});
+        store.write("plantaingauge-members", "ghost", entry);
+        let lease = json!({"epoch": 1, "count": 5, "fenced": false});
+        store.write("plantaingauge-leases", "ghost", lease);
+        let assignment = json!({
+            "fence": 1,
+            "holders": {"ghost": {"epoch": 1, "life": {"id": "g", "born": 0}}},
+            "ranges": [{"span": {"from": 0, "to": 65_535}, "machine": "ghost", "fence": 1}]
+        });
+        store.write("plantaingauge-assignments", "lists", assignment);
+        store.configure(1, &[]);
+        Self::start_beside(net, machines, store)
+    }
+
+    fn start_beside(net: u8, machines: usize, store: Store) -> Self {
         let mut day = Self {
             net,
             store,
             processes: Vec::new(),
             back_ends: Vec::new(),
             next_id: AtomicU64::new(1),
+            replaced: Vec::new(),
         };
         for machine in 0..machines {
             day.processes.push(None);
@@ -114,10 +138,15 @@
         if machine % 3 == 0 { "orders" } else { "lists" }
     }
 
+    fn name(&self, machine: usize) -> String {
+        let replaced = self.replaced.contains(&machine);
+        format!("m-{machine}{}", if replaced { "-new" } else { "" })
+    }
+
     fn settings(&self, machine: usize) -> Settings {
         let at = |port| address(self.net, machine, port);
         let text = json!({
-            "nodeName": format!("m-{machine}"), "ip": at(0).ip(), "zone": "z", "region": "r",
+            "nodeName": self.name(machine), "ip": at(0).ip(), "zone": "z", "region": "r",
             "listenAddresses": {"outbound": at(7_003), "ready": at(7_004), "control": at(7_002)},
             "internalPortRange": [7_005, 7_010],
             "bounds": ["graceS=6", "holdMaxMs=10000"],
@@ -164,6 +193,13 @@
         self.kill_process(machine);
     }
 
+    /// Loses a machine and starts another process, without a back end, at its address.
+    pub(crate) fn reuse_address(&mut self, machine: usize) {
+        self.lose_machine(machine);
+        self.replaced.push(machine);
+        self.start_process(machine);
+    }
+
     /// Lets a machine's back end announce that it leaves, and waits until that is confirmed.
     pub(crate) fn drain(&self, machine: usize) {
         self.back_ends[machine].drain();
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -110,6 +110,27 @@
     }
 }
 
+#[test]
+fn keys_of_a_machine_whose_address_another_has_now_are_served() {
+    let day = Deployment::start_after_ghost(13, 3);
+    for key in [0, 30_000, 65_535] {
+        let served = |reply: &Reply| reply.status == 200;
+        day.await_reply(0, LISTING, Some(key), served, 2 * SETTLE);
+    }
+}
+
+#[test]
+fn keys_of_a_lost_machine_are_served_though_its_address_is_used_again() {
+    let mut day = Deployment::start(14, 3);
+    day.await_served(SETTLE);
+    day.reuse_address(1);
+    for key in [0, 30_000, 65_535] {
+        let served = |reply: &Reply| reply.status == 200;
+        let reply = day.await_reply(0, LISTING, Some(key), served, 2 * SETTLE);
+        assert_eq!(reply.back_end(), "i-2");
+    }
+}
+
 #[test]
 fn a_process_that_starts_again_goes_on_with_its_keys() {
     let mut day = Deployment::start(6, 2);
--- a/components/node/tests/whole_path/store.rs
+++ b/components/node/tests/whole_path/store.rs
@@ -67,6 +67,12 @@
         self.state.1.notify_all();
     }
 
+    /// Writes an object without a condition.
+    pub(crate) fn write(&self, kind: &str, name: &str, specification: Value) {
+        self.lock().write(kind, name, specification);
+        self.state.1.notify_all();
+    }
+
     /// Writes a configuration with the usual routes and `added` ones.
     pub(crate) fn configure(&self, version: u64, added: &[&str]) {
         let mut rows = vec![
