--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -8,7 +8,7 @@
 use http1::fields::Fields;
 use platform::store::{CallFault, RawAnswer, RawCall};
 use serde::{Deserialize, Serialize};
-use shards::assignment::Assignment;
+use shards::assignment::{Assignment, Change};
 use shards::lease::Lease;
 use shards::life::Life;
 use snafu::{ResultExt, Snafu, ensure};
@@ -62,6 +62,17 @@
         /// The assignment.
         assignment: Box<Assignment>,
     },
+    /// What a write has changed in an assignment.
+    AssignmentChange {
+        /// The service.
+        service: ServiceName,
+        /// Revision before the write.
+        base: u64,
+        /// Revision after it.
+        revision: u64,
+        /// The change.
+        change: Box<Change>,
+    },
     /// Asks for the assignments that the receiver knows.
     AskAssignments,
     /// A call to the store to make in the sender's place.
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -212,18 +212,22 @@
             Outcome::Done(_) | Outcome::Conflict(_) | Outcome::Absent
         );
         log::info!(event = "assignment-call", call = call_name(&call), outcome = outcome_name(&outcome); "");
+        let wrote = !matches!(call, Call::Read) && matches!(outcome, Outcome::Done(_));
         let found = match &outcome {
             Outcome::Done(stored) | Outcome::Conflict(Some(stored)) => Some(stored.clone()),
             _ => None,
         };
+        let before = self.node.view(&service);
         self.node
             .keeper
             .borrow_mut()
             .on_view_outcome(&call, outcome);
         if let Some(stored) = found
             && self.node.on_assignment(&service, stored)
+            && wrote
         {
-            self.node.publish_assignment(&service);
+            let base = before.filter(|b| is_base(&call, b.revision));
+            self.node.publish_change(&service, base.as_deref());
         }
         self.view.end(failed);
         self.node.keys_changed.notify_one();
@@ -263,3 +267,8 @@
         Outcome::Refused => "refused",
     }
 }
+
+/// Whether the call replaces the object of that revision.
+fn is_base<T>(call: &Call<T>, revision: u64) -> bool {
+    matches!(call, Call::Replace(stored) if stored.revision == revision)
+}
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -420,6 +420,21 @@
                 let value = *assignment;
                 self.on_assignment(&service, Stored { revision, value });
             }
+            Frame::AssignmentChange {
+                service,
+                base,
+                revision,
+                change,
+            } => match self.view(&service).filter(|v| v.revision == base) {
+                Some(view) => {
+                    let value = view.value.with_change(&change);
+                    self.on_assignment(&service, Stored { revision, value });
+                }
+                None if self.view(&service).is_some_and(|v| v.revision >= revision) => {}
+                None => {
+                    send_frame(sender, &Frame::AskAssignments);
+                }
+            },
             Frame::AskAssignments => {
                 for (service, view) in self.views.borrow().iter() {
                     send_frame(sender, &assignment_frame(service, view));
@@ -497,11 +512,21 @@
         true
     }
 
-    /// Tells the other processes an assignment that this one has written.
-    pub fn publish_assignment(&self, service: &ServiceName) {
-        if let Some(view) = self.view(service) {
-            self.broadcast(&assignment_frame(service, &view));
-        }
+    /// Tells the other processes what this one has changed in an assignment.
+    pub fn publish_change(&self, service: &ServiceName, before: Option<&Stored<Assignment>>) {
+        let Some(view) = self.view(service) else {
+            return;
+        };
+        let frame = match before {
+            Some(old) => Frame::AssignmentChange {
+                service: service.clone(),
+                base: old.revision,
+                revision: view.revision,
+                change: Box::new(old.value.change_to(&view.value)),
+            },
+            None => assignment_frame(service, &view),
+        };
+        self.broadcast(&frame);
     }
 
     // ---- retries ----
--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -46,7 +46,66 @@
     pub handover: String,
 }
 
+/// What one write changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Highest fence after the write.
+    pub fence: u64,
+    /// Holders that are new or have changed.
+    pub holders: BTreeMap<MachineName, Holder>,
+    /// Holders that are gone.
+    pub dismissed: Vec<MachineName>,
+    /// Ranges that are new or have changed.
+    pub ranges: Vec<Range>,
+}
+
 impl Assignment {
+    /// What has to change in `self` to get `next`; both have their neighbours merged.
+    #[must_use]
+    pub fn change_to(&self, next: &Self) -> Change {
+        let changed = |(machine, holder): &(&MachineName, &Holder)| {
+            self.holders.get(*machine) != Some(*holder)
+        };
+        let added = next.holders.iter().filter(changed);
+        let gone = self
+            .holders
+            .keys()
+            .filter(|m| !next.holders.contains_key(*m));
+        let ranges = next.ranges.iter().filter(|r| !self.ranges.contains(r));
+        Change {
+            fence: next.fence,
+            holders: added.map(|(m, h)| (m.clone(), h.clone())).collect(),
+            dismissed: gone.cloned().collect(),
+            ranges: ranges.cloned().collect(),
+        }
+    }
+
+    /// The assignment after a change.
+    #[must_use]
+    pub fn with_change(&self, change: &Change) -> Self {
+        let mut next = self.clone();
+        next.fence = change.fence;
+        next.holders.extend(change.holders.clone());
+        for machine in &change.dismissed {
+            next.holders.remove(machine);
+        }
+        for new in &change.ranges {
+            let old = std::mem::take(&mut next.ranges);
+            next.ranges = old
+                .into_iter()
+                .flat_map(|r| {
+                    let left: Vec<Span> = r.span.without(new.span).collect();
+                    left.into_iter()
+                        .map(move |span| Range { span, ..r.clone() })
+                })
+                .collect();
+            next.ranges.push(new.clone());
+        }
+        next.ranges.sort_by_key(|r| r.span.from);
+        next.merge_neighbours();
+        next
+    }
+
     /// Divides all keys evenly among `holders`; nothing if there are none.
     #[must_use]
     pub fn new(holders: BTreeMap<MachineName, Holder>) -> Option<Self> {
