Blur the costs of back ends, so that machines with the same reports spread

Cause: the entries of a zone see the same reports and chose the same back end together. Change: a quarter of the usual time is added at random.

--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -74,6 +74,8 @@
 const LEAST_WEIGHT: f64 = 1e-3;
 /// Age of a report after which a back end is tried again as if it were fast.
 const EXPLORE_AGE: Duration = Duration::from_secs(3);
+/// Part of the usual time of a request by which costs are blurred.
+const BLUR: f64 = 0.25;
 /// Cost of a request that fails.
 const FAILURE_COST: f64 = 1.5;
 /// How much slower a cold back end is.
@@ -113,14 +115,20 @@
 }
 
 /// Index of the cheapest candidate.
+///
+/// `draw` gives numbers that are uniform in 0..1; they blur the costs, so that machines with the same
+/// old reports do not all choose the same back end.
 #[must_use]
-pub fn choose(candidates: &[Candidate]) -> Option<usize> {
+pub fn choose(candidates: &[Candidate], mut draw: impl FnMut() -> f64) -> Option<usize> {
     let usual = usual_time(candidates)?;
     let recent = candidates
         .iter()
         .filter(|c| c.age <= EXPLORE_AGE && !c.load.service_time.is_zero());
     let fastest = recent.map(|c| c.load.service_time).min().unwrap_or(usual);
-    let costs: Vec<f64> = candidates.iter().map(|c| c.cost(usual, fastest)).collect();
+    let costs: Vec<f64> = candidates
+        .iter()
+        .map(|c| c.cost(usual, fastest) + draw() * BLUR * usual.as_secs_f64())
+        .collect();
     (0..costs.len()).min_by(|a, b| costs[*a].total_cmp(&costs[*b]))
 }
 
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use balance::choice::{Candidate, Distance, Load, choose};
+use balance::choice::{self, Candidate, Distance, Load};
+
+fn choose(candidates: &[Candidate]) -> Option<usize> {
+    choice::choose(candidates, || 0.0)
+}
 
 fn candidate(distance: Distance) -> Candidate {
     Candidate {
@@ -83,3 +87,18 @@
 fn finds_nothing_without_candidates() {
     assert_eq!(choose(&[]), None);
 }
+
+#[test]
+fn equally_good_back_ends_share_the_requests_of_machines_with_the_same_reports() {
+    let all = [candidate(Distance::Zone); 4];
+    let mut seed = 0.0;
+    let mut draw = || {
+        seed = f64::fract(seed + 0.618);
+        seed
+    };
+    let mut counts = [0; 4];
+    for _ in 0..400 {
+        counts[choice::choose(&all, &mut draw).expect("a candidate")] += 1;
+    }
+    assert!(counts.iter().all(|n| *n >= 50), "{counts:?}");
+}
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -350,7 +350,8 @@
         }
         let places = self.places(patient);
         let candidates: SmallVec<[Candidate; 16]> = places.iter().map(|p| p.2).collect();
-        let index = choose(&candidates)?;
+        let mut rng = rand::rng();
+        let index = choose(&candidates, || rng.random())?;
         let (machine, place, _) = places.into_iter().nth(index)?;
         Some((machine, place))
     }
