--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -74,8 +74,8 @@
 const LEAST_WEIGHT: f64 = 1e-3;
 /// Age of a report after which a back end is tried again as if it were fast.
 const EXPLORE_AGE: Duration = Duration::from_secs(3);
-/// Part of the usual time of a request by which costs are blurred.
-const BLUR: f64 = 0.25;
+/// Part of the usual time of a request by which costs are blurred at most.
+const BLUR: f64 = 0.1;
 /// Cost of a request that fails.
 const FAILURE_COST: f64 = 1.5;
 /// How much slower a cold back end is.
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -135,7 +135,11 @@
 
     /// Service of a machine's back end.
     pub(crate) fn service(&self, machine: usize) -> &'static str {
-        if machine % 3 == 0 { "orders" } else { "lists" }
+        if machine.is_multiple_of(3) {
+            "orders"
+        } else {
+            "lists"
+        }
     }
 
     fn name(&self, machine: usize) -> String {
