--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -16,6 +16,7 @@
 use world::name::{MachineName, ServiceName};
 use xxhash_rust::xxh3;
 
+use crate::draws::EvenDraws;
 use crate::frame::{
     ForwardedAnswer, ForwardedRequest, Frame, LoadReport, Loss, Outcome, Reason, pack_fields,
     unpack_fields,
@@ -49,50 +50,12 @@
 const URGENT_PART: f64 = 0.9;
 /// Time in which a changed assignment reaches every machine that is connected.
 const NEWS_TIME: Duration = Duration::from_millis(200);
-/// Part of the longest patience below which a caller has been refused before.
-const FIRST_ATTEMPT_PART: f64 = 0.85;
 /// Time for a lost connection to come back before the request counts as lost.
 const RELINK_TIME: Duration = Duration::from_millis(900);
 /// The same for a request that can be sent elsewhere.
 const RELINK_TIME_IDEMPOTENT: Duration = Duration::from_millis(120);
 /// Part of the latency target that may pass at a back end while others may have room.
 const FIRST_TARGET_PART: f64 = 0.75;
-/// Step of a sequence that spreads evenly over 0..1: the golden ratio's fractional part.
-const GOLDEN_STEP: f64 = 0.618_033_988_749_894_9;
-
-/// Draws that spread evenly over 0..1.
-#[derive(Debug, Default)]
-pub struct EvenDraws(std::cell::Cell<f64>);
-
-impl EvenDraws {
-    fn next(&self) -> f64 {
-        let next = (self.0.get() + GOLDEN_STEP).fract();
-        self.0.set(next);
-        next
-    }
-}
-
-/// The longest patience seen on each route.
-#[derive(Debug, Default)]
-pub struct Patience(std::cell::RefCell<std::collections::HashMap<String, Duration>>);
-
-impl Patience {
-    /// Whether a caller with this patience has used up a part of it before.
-    fn has_returned(&self, route: &Route, patience: Duration) -> bool {
-        let mut longest = self.0.borrow_mut();
-        match longest.get_mut(&route.name) {
-            Some(known) => {
-                *known = (*known).max(patience);
-                patience < known.mul_f64(FIRST_ATTEMPT_PART)
-            }
-            None => {
-                longest.insert(route.name.clone(), patience);
-                false
-            }
-        }
-    }
-}
-
 /// A back end that a request can go to.
 #[derive(Clone)]
 enum Place {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -19,7 +19,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::moment::Moment;
 
-use crate::dispatch::{self, EvenDraws};
+use crate::dispatch;
+use crate::draws::EvenDraws;
 use crate::node::Node;
 
 /// Most requests of one connection that are handled at once.
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -308,7 +308,7 @@
     match admission {
         Admission::Start => {}
         Admission::Refuse(wait) => {
-            log_refusal(gate, &request, wait);
+            log_decision(gate, &request, "refuse", wait);
             return not_run(Reason::Full, gate.retry_ms(wait));
         }
         Admission::Wait => {
@@ -325,7 +325,7 @@
             }
         }
     }
-    log_start(gate, &request, BootClock.now().since(now));
+    log_decision(gate, &request, "run", BootClock.now().since(now));
     gate.running.borrow_mut().insert(request.request_id.clone());
     let slot = SlotGuard {
         request: request.request_id.clone(),
@@ -364,31 +364,15 @@
     }
 }
 
-fn log_refusal(gate: &Gate, request: &ForwardedRequest, wait: Duration) {
+/// Logs a decision on a request with what it was based on.
+fn log_decision(gate: &Gate, request: &ForwardedRequest, event: &str, wait: Duration) {
     let queue = gate.queue.borrow();
     log::info!(
-        event = "refuse",
+        event = event,
         id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
         priority = request.priority,
         late = request.late,
-        expected_wait_ms = wait.as_millis() as u64,
-        target_ms = request.target_ms,
-        patience_ms = request.patience_ms,
-        running = queue.running(),
-        waiting = queue.waiting(),
-        slots = queue.slots(),
-        expected_ms = queue.estimate().of(request.class).as_millis() as u64;
-        ""
-    );
-}
-
-fn log_start(gate: &Gate, request: &ForwardedRequest, waited: Duration) {
-    let queue = gate.queue.borrow();
-    log::info!(
-        event = "run",
-        id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
-        priority = request.priority,
-        waited_ms = waited.as_millis() as u64,
+        wait_ms = wait.as_millis() as u64,
         target_ms = request.target_ms,
         patience_ms = request.patience_ms,
         running = queue.running(),
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod back_end;
 pub mod catalog_watch;
 pub mod dispatch;
+pub mod draws;
 pub mod entry;
 pub mod frame;
 pub mod gate;
@@ -15,6 +16,7 @@
 pub mod members;
 pub mod metrics;
 pub mod node;
+pub mod patience;
 pub mod peer_server;
 pub mod ready;
 pub mod relay;
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -20,11 +20,11 @@
 use world::name::{MachineName, ServiceName};
 
 use crate::back_end::{Connections, ExchangeFault};
-use crate::dispatch::Patience;
 use crate::frame::{BackEndState, ForwardedRequest, Frame, Member};
 use crate::gate::{BackEndCondition, Gate, LocalBackEnd};
 use crate::link::{FAILURE_GAIN, FrameSender, Peer, keep_connected, send_frame};
 use crate::metrics::Metrics;
+use crate::patience::Patience;
 use crate::peer_server::ServedCalls;
 
 /// Time after the start in which a back end that is not there yet is not taken for gone.
--- /dev/null
+++ b/components/shards/src/keeper/takeover.rs
@@ -0,0 +1,179 @@
+//! Keys of silent machines.
+
+use std::collections::BTreeSet;
+
+use world::moment::Moment;
+use world::name::MachineName;
+
+use super::table::RANK_DELAY;
+use super::types::{Call, MARGIN, Outcome, Stored, with_drift};
+use super::{Keeper, Takeover};
+use crate::assignment::Assignment;
+use crate::lease::Lease;
+use crate::placement::{KeyLoad, Taker, divide};
+use crate::release::Piece;
+use crate::span::Span;
+
+impl Keeper {
+    /// Machines that own keys, are not connected and have been silent for long enough.
+    fn silent_holders(&self, now: Moment) -> BTreeSet<MachineName> {
+        let Some(view) = &self.view else {
+            return BTreeSet::new();
+        };
+        let patience = self.timing.suspicion + RANK_DELAY * self.rank();
+        let owners = view.value.ranges.iter().map(|r| &r.machine);
+        owners
+            .filter(|m| **m != self.machine)
+            .filter(|m| match self.peers.get(*m) {
+                Some(p) => !p.connected && now.since(p.since) >= patience,
+                None => now.since(self.started) >= patience + self.timing.renewal,
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Whether this machine may act for others.
+    fn can_take_over(&self, now: Moment) -> bool {
+        self.is_live(now) && self.life().is_some()
+    }
+
+    /// The next call that fences a silent holder: its machine and the call on its lease.
+    #[must_use]
+    pub fn fence_call(&self, now: Moment) -> Option<(MachineName, Call<Lease>)> {
+        if !self.can_take_over(now) {
+            return None;
+        }
+        self.silent_holders(now)
+            .into_iter()
+            .find_map(|machine| Some((machine.clone(), self.fence_step(now, &machine)?)))
+    }
+
+    fn fence_step(&self, now: Moment, machine: &MachineName) -> Option<Call<Lease>> {
+        let takeover = self.takeovers.get(machine);
+        if let Some(t) = takeover {
+            if t.fenced.is_some() || now < t.not_before {
+                return None;
+            }
+            if t.absent {
+                let holder = self.view.as_ref()?.value.holders.get(machine)?;
+                return Some(Call::Create(Lease {
+                    epoch: holder.epoch,
+                    count: 0,
+                    fenced: true,
+                }));
+            }
+            if let Some((lease, _)) = &t.lease {
+                return Some(Call::Replace(Stored {
+                    revision: lease.revision,
+                    value: lease.value.ended(),
+                }));
+            }
+        }
+        let heard = self.heard_lease(machine).filter(|_| takeover.is_none());
+        Some(heard.map_or(Call::Read, |(lease, _)| {
+            Call::Replace(Stored {
+                revision: lease.revision,
+                value: lease.value.ended(),
+            })
+        }))
+    }
+
+    /// Takes the outcome of a call that [`Keeper::fence_call`] returned.
+    pub fn on_fence(
+        &mut self,
+        now: Moment,
+        machine: &MachineName,
+        call: &Call<Lease>,
+        outcome: Outcome<Lease>,
+    ) {
+        let lease_span = with_drift(self.timing.lease);
+        let heard = self.heard_lease(machine);
+        let takeover = self.takeovers.entry(machine.clone()).or_insert(Takeover {
+            lease: None,
+            fenced: None,
+            absent: false,
+            not_before: now,
+        });
+        match (call, outcome) {
+            (Call::Replace(wanted), Outcome::Done(_)) => {
+                // No renewal followed the one that was seen, so the wait counts from there.
+                let known = [takeover.lease.clone(), heard];
+                let seen = known
+                    .into_iter()
+                    .flatten()
+                    .find(|(lease, _)| lease.revision == wanted.revision)
+                    .map_or(now, |(_, at)| at);
+                takeover.fenced = Some((wanted.value.epoch, seen + lease_span));
+            }
+            (Call::Create(made), Outcome::Done(_)) => {
+                takeover.fenced = Some((made.epoch, now + lease_span));
+            }
+            (_, Outcome::Done(found) | Outcome::Conflict(Some(found))) => {
+                takeover.absent = false;
+                if found.value.fenced {
+                    takeover.fenced = Some((found.value.epoch, now + lease_span));
+                } else if !matches!(&takeover.lease, Some((known, _)) if *known == found) {
+                    takeover.not_before = now + self.timing.renewal + MARGIN;
+                    takeover.lease = Some((found, now));
+                }
+            }
+            (_, Outcome::Absent) => {
+                takeover.lease = None;
+                takeover.absent = true;
+            }
+            (_, Outcome::Conflict(None) | Outcome::Unknown | Outcome::Refused) => {
+                takeover.lease = None;
+                takeover.not_before = now + self.timing.renewal / 4;
+            }
+        }
+    }
+
+    fn heard_lease(&self, machine: &MachineName) -> Option<(Stored<Lease>, Moment)> {
+        let peer = self.peers.get(machine)?;
+        Some((peer.lease.clone()?, peer.lease_seen))
+    }
+
+    /// Gives the keys of machines whose fenced lease has run out to those that are live.
+    pub(super) fn take_over(&self, now: Moment, next: &mut Assignment) {
+        if !self.can_take_over(now) {
+            return;
+        }
+        for machine in self.silent_holders(now) {
+            let fenced = self.takeovers.get(&machine).and_then(|t| t.fenced);
+            let holder = next.holders.get(&machine).map(|h| h.epoch);
+            let safe = fenced.is_some_and(|(epoch, at)| now >= at && holder <= Some(epoch));
+            if safe {
+                self.take_keys_of(&machine, next);
+            }
+        }
+    }
+
+    fn take_keys_of(&self, machine: &MachineName, next: &mut Assignment) {
+        let mut takers = self.takers();
+        takers.push(Taker {
+            machine: self.machine.clone(),
+            busy: 0.0,
+        });
+        let spans: Vec<Span> = next.owned(machine).map(|r| r.span).collect();
+        for (span, taker) in divide(&spans, &KeyLoad::default(), &takers) {
+            let piece = Piece {
+                span,
+                handover: String::new(),
+            };
+            next.transfer(machine, &piece, &taker);
+        }
+        next.dismiss(machine);
+    }
+
+    /// Drops what was learnt of machines that are connected again or own nothing.
+    pub fn tidy(&mut self, now: Moment) {
+        let silent = self.silent_holders(now);
+        let holders = self.view.as_ref().map(|v| &v.value.holders);
+        self.takeovers.retain(|m, t| {
+            let epoch = holders.and_then(|h| h.get(m)).map(|h| h.epoch);
+            let outdated = t.fenced.is_some_and(|(fenced, _)| epoch > Some(fenced));
+            silent.contains(m) && !outdated
+        });
+        self.start_leaving(now);
+    }
+}
