Tell a link that has just opened what was announced meanwhile

A link takes part in announcements only once the other side has said its name; what was announced between the first word and that (a back end that became ready, a first assignment) was never told again. Shown by a process that says late who it is: a_process_that_says_late_… failed before, for the back end and then for the assignment. Change: on opening, the last announcement and the revision of the own assignment are sent.

--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -387,6 +387,11 @@
             Frame::Hello(member) => {
                 node.on_news(Frame::Hello(member), &sender);
                 if peer.connect(&sender) {
+                    // What was announced since the first word went to open connections only.
+                    send_frame(&sender, &Frame::Hello(Box::new(node.last_announced())));
+                    if let Some(notice) = node.assignment_notice() {
+                        send_frame(&sender, &notice);
+                    }
                     send_frame(&sender, &Frame::AskAssignments);
                 }
                 node.on_link_change();
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -266,6 +266,13 @@
         }
     }
 
+    /// What this process last told all others of itself.
+    #[must_use]
+    pub fn last_announced(&self) -> Member {
+        let last = self.last_hello.borrow().clone();
+        last.unwrap_or_else(|| self.member())
+    }
+
     /// Records whether the store has answered.
     pub fn on_store_result(&self, works: bool) {
         if self.store_works.replace(works) != works {
@@ -529,6 +536,20 @@
         self.broadcast(&frame);
     }
 
+    /// Tells which revision of its service's assignment this process knows; one that knows less
+    /// asks for it.
+    #[must_use]
+    pub fn assignment_notice(&self) -> Option<Frame> {
+        let service = self.service();
+        let view = self.view(&service)?;
+        Some(Frame::AssignmentChange {
+            service,
+            base: view.revision,
+            revision: view.revision,
+            change: Box::new(view.value.change_to(&view.value)),
+        })
+    }
+
     // ---- retries ----
 
     /// Works on the retry budget of a service.
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -110,6 +110,21 @@
         Self::start_beside(net, machines, store)
     }
 
+    /// Starts machines beside a process that listens at the returned address already.
+    pub(crate) fn start_beside_slow(
+        net: u8,
+        machines: usize,
+        listen: impl FnOnce(SocketAddr),
+    ) -> Self {
+        let store = Store::start(address(net, 99, 7_000));
+        let slow = address(net, 50, 7_005);
+        listen(slow);
+        let entry = json!({"machine": "slow", "address": slow});
+        store.write("plantaingauge-members", "slow", entry);
+        store.configure(1, &[]);
+        Self::start_beside(net, machines, store)
+    }
+
     fn start_beside(net: u8, machines: usize, store: Store) -> Self {
         let mut day = Self {
             net,
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -3,6 +3,7 @@
 mod back_end;
 mod deployment;
 mod http;
+mod late_hello;
 mod store;
 
 use std::collections::HashSet;
@@ -131,6 +132,21 @@
     }
 }
 
+#[test]
+fn a_process_that_says_late_who_it_is_learns_of_back_ends_that_came_meanwhile() {
+    let mut told = None;
+    let day = Deployment::start_beside_slow(15, 2, |address| {
+        told = Some(late_hello::listen(address, Duration::from_secs(4)));
+    });
+    day.await_served(SETTLE);
+    let told = told.expect("it listens");
+    let mut words = HashSet::new();
+    while words.len() < 3 {
+        let word = told.recv_timeout(SETTLE);
+        words.insert(word.expect("both machines tell of their back end, one of its keys"));
+    }
+}
+
 #[test]
 fn a_process_that_starts_again_goes_on_with_its_keys() {
     let mut day = Deployment::start(6, 2);
