Keep the share of failures in one type; drop code that nothing calls

The moving average of failures stood twice, for the local back end and for peers, with its gain in a third place; FailureShare serves both. Peer::retire with its flag, Node::store_works and Keeper::request_refresh had no caller. Behaviour is unchanged: clippy and the tests of node and shards pass.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -389,7 +389,7 @@
                     load: load.into(),
                     age,
                     unanswered: u32::try_from(peer.unanswered()).unwrap_or(u32::MAX),
-                    failures: peer.failures(),
+                    failures: peer.failures().get(),
                     cold: back_end.cold,
                 })
             });
@@ -588,8 +588,8 @@
 
     fn count_result(&self, place: &Place, failed: bool) {
         match place {
-            Place::Here => self.node.count_own_result(failed),
-            Place::There(peer) => peer.count_result(failed),
+            Place::Here => self.node.own_failures.record(failed),
+            Place::There(peer) => peer.failures().record(failed),
         }
     }
 
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -20,6 +20,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two looks at the load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Factor by which past failures of a peer shrink with each look.
+const FAILURE_DECAY: f64 = 0.97;
 /// Factor by which the counts of requests by key shrink with each look.
 const LOAD_DECAY: f32 = 0.85;
 
@@ -80,7 +82,7 @@
         if now.since(looked) >= LOAD_INTERVAL {
             looked = now;
             for peer in node.peers() {
-                peer.forgive(0.97);
+                peer.failures().decay(FAILURE_DECAY);
             }
             driver.look_at_load(now);
             driver.look_for_back_end(now);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dispatch;
 pub mod draws;
 pub mod entry;
+pub mod failures;
 pub mod frame;
 pub mod gate;
 pub mod keys;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -15,6 +15,7 @@
 use world::moment::Moment;
 use world::name::MachineName;
 
+use crate::failures::FailureShare;
 use crate::frame::{self, Frame, LoadReport, Loss, Member, Outcome};
 use crate::node::Node;
 
@@ -58,13 +59,9 @@
     heard: Cell<Moment>,
     lease_seen: Cell<Moment>,
     load: Cell<Option<(LoadReport, Moment)>>,
-    failures: Cell<f64>,
-    retired: Cell<bool>,
+    failures: FailureShare,
 }
 
-/// How fast the share of failed requests follows, per request.
-pub(crate) const FAILURE_GAIN: f64 = 0.15;
-
 impl Peer {
     /// Makes a peer that has not been reached yet.
     #[must_use]
@@ -81,8 +78,7 @@
             heard: Cell::new(now),
             lease_seen: Cell::new(now),
             load: Cell::new(None),
-            failures: Cell::new(0.0),
-            retired: Cell::new(false),
+            failures: FailureShare::default(),
         }
     }
 
@@ -146,22 +142,10 @@
         self.pending.borrow().len()
     }
 
-    /// Share of recent requests that failed there.
+    /// How often requests fail there.
     #[must_use]
-    pub fn failures(&self) -> f64 {
-        self.failures.get()
-    }
-
-    /// Counts a request that failed or did not fail there.
-    pub fn count_result(&self, failed: bool) {
-        let sample = if failed { 1.0 } else { 0.0 };
-        let old = self.failures.get();
-        self.failures.set(old + FAILURE_GAIN * (sample - old));
-    }
-
-    /// Lets failures of the past count less.
-    pub fn forgive(&self, factor: f64) {
-        self.failures.set(self.failures.get() * factor);
+    pub fn failures(&self) -> &FailureShare {
+        &self.failures
     }
 
     /// Takes over what the process says of itself; false if it is older than what is known.
@@ -172,7 +156,7 @@
                 return false;
             }
             if old.incarnation != member.incarnation {
-                self.failures.set(0.0);
+                self.failures.reset();
                 self.load.set(None);
             }
         }
@@ -185,11 +169,6 @@
         true
     }
 
-    /// Stops looking for the process.
-    pub fn retire(&self) {
-        self.retired.set(true);
-    }
-
     /// Sends a frame if the connection is open.
     pub fn send(&self, frame: &Frame) -> bool {
         match self.sender.borrow().as_ref() {
@@ -344,10 +323,10 @@
     }
 }
 
-/// Keeps a connection to the peer open until it is retired.
+/// Keeps a connection to the peer open as long as the process runs.
 pub async fn keep_connected(node: Rc<Node>, peer: Rc<Peer>) {
     let mut backoff = FIRST_BACKOFF;
-    while !peer.retired.get() {
+    loop {
         let dialed = net::connect(peer.address.get(), CONNECT_TIMEOUT, QUIET_TIME).await;
         match dialed {
             Ok(stream) => {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -20,9 +20,10 @@
 use world::name::{MachineName, ServiceName};
 
 use crate::back_end::{Connections, ExchangeFault};
+use crate::failures::FailureShare;
 use crate::frame::{BackEndState, ForwardedRequest, Frame, Member};
 use crate::gate::{BackEndCondition, Gate, LocalBackEnd};
-use crate::link::{FAILURE_GAIN, FrameSender, Peer, keep_connected, send_frame};
+use crate::link::{FrameSender, Peer, keep_connected, send_frame};
 use crate::metrics::Metrics;
 use crate::patience::Patience;
 use crate::peer_server::ServedCalls;
@@ -65,8 +66,8 @@
     pub open_requests: Cell<usize>,
     /// Position of the last heartbeat of the present back end.
     pub last_sequence: Cell<u64>,
-    /// Share of recent requests that failed at the back end on this machine.
-    pub own_failures: Cell<f64>,
+    /// How often requests fail at the back end on this machine.
+    pub own_failures: FailureShare,
     /// Woken when the keys may need attention.
     pub keys_changed: Notify,
     catalog: RefCell<Option<InForce>>,
@@ -100,7 +101,7 @@
             patience: Patience::default(),
             open_requests: Cell::new(0),
             last_sequence: Cell::new(0),
-            own_failures: Cell::new(0.0),
+            own_failures: FailureShare::default(),
             keys_changed: Notify::new(),
             catalog: RefCell::default(),
             views: RefCell::default(),
@@ -281,12 +282,6 @@
         }
     }
 
-    /// Whether the store answered the last call.
-    #[must_use]
-    pub fn store_works(&self) -> bool {
-        self.store_works.get()
-    }
-
     /// Takes over a heartbeat of the back end.
     pub fn on_back_end(&self, back_end: LocalBackEnd) {
         let before = self
@@ -324,13 +319,6 @@
         }
     }
 
-    /// Counts a request that failed or did not fail at the back end on this machine.
-    pub fn count_own_result(&self, failed: bool) {
-        let sample = if failed { 1.0 } else { 0.0 };
-        let old = self.own_failures.get();
-        self.own_failures.set(old + FAILURE_GAIN * (sample - old));
-    }
-
     /// Records a sign of life of the back end.
     pub fn on_back_end_heard(&self) {
         if let Some(b) = self.gate.back_end.borrow_mut().as_mut() {
--- a/components/shards/src/keeper/mod.rs
+++ b/components/shards/src/keeper/mod.rs
@@ -182,11 +182,6 @@
         }
     }
 
-    /// Asks for the stored assignment to be read again.
-    pub fn request_refresh(&mut self) {
-        self.refresh = true;
-    }
-
     /// Takes an assignment that another machine has read or written.
     ///
     /// Returns whether it is newer than the one known.
