Take over changed bounds at run time; give no fixed share of retries before the machines are listed

Cause, by reading: SIGHUP was only logged, and each process computed its share of the fixed number of retries at its first request with the machines it knew then. After a restart of all that is one, so that together they could have taken 0.6 of the number times the machines. Change: SettingsFile reads the file again on SIGHUP and every 2 s; Allowance::share gives none of the fixed number until the machines have been listed, and follows their count. An address that is listed anew is dialled when the machine is not connected. Tests of balance, platform, shards and node pass.

--- a/components/balance/src/retry_budget.rs
+++ b/components/balance/src/retry_budget.rs
@@ -15,29 +15,62 @@
     retries: u32,
 }
 
+/// Part of the allowed ratio that is used; the rest covers windows that lie otherwise.
+const RATIO_SHARE: f64 = 0.5;
+/// Part of the allowed number that is used; the rest covers machines that join.
+const EXTRA_SHARE: f64 = 0.6;
+
+/// How many retries are allowed in a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Retries in proportion to the requests.
+    pub ratio: f64,
+    /// Retries beside those in proportion.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+impl Allowance {
+    /// One machine's share of what all machines together are allowed.
+    ///
+    /// A machine that does not know how many there are gets none of the fixed number: after a
+    /// restart of all, each would take the whole.
+    #[must_use]
+    pub fn share(self, machines: Option<usize>) -> Self {
+        let extra = machines.map_or(0.0, |n| self.extra * EXTRA_SHARE / n.max(1) as f64);
+        Self {
+            ratio: self.ratio * RATIO_SHARE,
+            extra,
+            window: self.window,
+        }
+    }
+}
+
 /// One machine's share of the retries that a service may get.
 ///
 /// In any window the retries are at most `ratio` of the requests plus `extra`.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    ratio: f64,
-    extra: f64,
-    part: Duration,
+    allowance: Allowance,
     parts: VecDeque<Part>,
 }
 
 impl RetryBudget {
-    /// Makes a budget for the given window.
+    /// Makes a budget with the given allowance.
     #[must_use]
-    pub fn new(ratio: f64, extra: f64, window: Duration) -> Self {
+    pub fn new(allowance: Allowance) -> Self {
         Self {
-            ratio,
-            extra,
-            part: window / PARTS,
+            allowance,
             parts: VecDeque::new(),
         }
     }
 
+    /// Changes the allowance; what was counted stays counted.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Counts a request.
     pub fn on_request(&mut self, now: Moment) {
         self.current(now).requests += 1;
@@ -48,7 +81,7 @@
         self.current(now);
         let requests: u32 = self.parts.iter().map(|p| p.requests).sum();
         let retries: u32 = self.parts.iter().map(|p| p.retries).sum();
-        let allowed = self.ratio * f64::from(requests) + self.extra;
+        let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.extra;
         if f64::from(retries + 1) > allowed {
             return false;
         }
@@ -58,7 +91,8 @@
 
     /// The part that `now` lies in; parts that have left the window are dropped.
     fn current(&mut self, now: Moment) -> &mut Part {
-        let window = self.part * PARTS;
+        let window = self.allowance.window;
+        let length = window / PARTS;
         while self
             .parts
             .front()
@@ -69,7 +103,7 @@
         let fresh = self
             .parts
             .back()
-            .is_none_or(|p| now.since(p.start) >= self.part);
+            .is_none_or(|p| now.since(p.start) >= length);
         if fresh {
             self.parts.push_back(Part {
                 start: now,
--- a/components/balance/tests/retry_budget.rs
+++ b/components/balance/tests/retry_budget.rs
@@ -2,12 +2,20 @@
 
 use std::time::Duration;
 
-use balance::retry_budget::RetryBudget;
+use balance::retry_budget::{Allowance, RetryBudget};
 use proptest::prelude::*;
 use world::moment::Moment;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
+fn budget(ratio: f64, extra: f64) -> RetryBudget {
+    RetryBudget::new(Allowance {
+        ratio,
+        extra,
+        window: WINDOW,
+    })
+}
+
 proptest! {
     #[test]
     fn retries_never_exceed_the_bound_over_any_window(
@@ -18,7 +26,7 @@
         let extra = 12.0;
         let share = extra / machines as f64;
         let mut budgets: Vec<RetryBudget> =
-            (0..machines).map(|_| RetryBudget::new(ratio, share, WINDOW)).collect();
+            (0..machines).map(|_| budget(ratio, share)).collect();
         let mut now = Moment::from_millis(1_000_000);
         let mut requests = Vec::new();
         let mut retries = Vec::new();
@@ -54,10 +62,38 @@
 
 #[test]
 fn an_idle_machine_may_still_use_its_share() {
-    let mut budget = RetryBudget::new(0.1, 3.0, WINDOW);
+    let mut budget = budget(0.1, 3.0);
     let now = Moment::from_millis(50_000);
     let granted = (0..10).filter(|_| budget.take(now)).count();
     assert_eq!(granted, 3);
     let later = now + WINDOW + Duration::from_millis(1);
     assert!(budget.take(later));
 }
+
+const TOTAL: Allowance = Allowance {
+    ratio: 0.2,
+    extra: 60.0,
+    window: WINDOW,
+};
+
+#[test]
+fn machines_that_all_start_again_do_not_exceed_the_fixed_number_together() {
+    // None of them knows the others yet, and no request has been counted.
+    let now = Moment::from_millis(50_000);
+    let taken: usize = (0..60)
+        .map(|_| RetryBudget::new(TOTAL.share(None)))
+        .map(|mut b| (0..100).filter(|_| b.take(now)).count())
+        .sum();
+    assert!(taken as f64 <= TOTAL.extra, "{taken} retries");
+}
+
+#[test]
+fn a_changed_allowance_counts_what_was_taken_before() {
+    let now = Moment::from_millis(50_000);
+    let mut budget = RetryBudget::new(TOTAL.share(Some(12)));
+    assert_eq!((0..10).filter(|_| budget.take(now)).count(), 3);
+    budget.set_allowance(TOTAL.share(Some(9)));
+    assert_eq!((0..10).filter(|_| budget.take(now)).count(), 1);
+    budget.set_allowance(TOTAL.share(Some(60)));
+    assert!(!budget.take(now));
+}
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -169,6 +169,13 @@
         true
     }
 
+    /// Takes over an address that was listed, unless the connection is open.
+    pub fn on_listed(&self, address: SocketAddr) {
+        if !self.is_connected() {
+            self.address.set(address);
+        }
+    }
+
     /// Sends a frame if the connection is open.
     pub fn send(&self, frame: &Frame) -> bool {
         match self.sender.borrow().as_ref() {
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -43,6 +43,7 @@
                         }
                     }
                 }
+                node.on_members_listed();
                 let lonely = !node.peers().iter().any(|p| p.is_connected());
                 let pause = if lonely {
                     LONELY_INTERVAL
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use balance::choice::Distance;
-use balance::retry_budget::RetryBudget;
+use balance::retry_budget::{Allowance, RetryBudget};
 use catalog::Catalog;
+use platform::bounds::Bounds;
 use platform::configuration;
 use platform::settings::Settings;
 use platform::store::Direct;
@@ -79,6 +80,10 @@
     store_works: Cell<bool>,
     change: Cell<u64>,
     last_hello: RefCell<Option<Member>>,
+    /// Bounds in force; those in `settings` are the ones at the start.
+    bounds: Cell<Bounds>,
+    /// Whether all machines have been listed since the start.
+    listed: Cell<bool>,
 }
 
 impl Node {
@@ -112,6 +117,8 @@
             store_works: Cell::new(true),
             change: Cell::new(0),
             last_hello: RefCell::default(),
+            bounds: Cell::new(settings.bounds),
+            listed: Cell::new(false),
             settings,
         }
     }
@@ -368,7 +375,11 @@
 
     /// Starts to look for a process unless it is known.
     pub fn meet(self: &Rc<Self>, machine: &MachineName, address: std::net::SocketAddr) {
-        if *machine == self.settings.machine || self.peers.borrow().contains_key(machine) {
+        if *machine == self.settings.machine {
+            return;
+        }
+        if let Some(peer) = self.peer(machine) {
+            peer.on_listed(address);
             return;
         }
         log::info!(event = "peer-found", machine = machine.as_str(), address:% = address; "");
@@ -379,6 +390,12 @@
         tokio::task::spawn_local(keep_connected(Rc::clone(self), peer));
     }
 
+    /// Bounds of the deployment that are in force.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
     /// Takes in that a connection was opened or lost.
     pub fn on_link_change(&self) {
         self.keys_changed.notify_one();
@@ -546,23 +563,47 @@
         service: &ServiceName,
         work: impl FnOnce(&mut RetryBudget) -> R,
     ) -> R {
-        let bounds = &self.settings.bounds;
-        let machines = self.peers.borrow().len() + 1;
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let extra = bounds.retry_extra * EXTRA_SHARE / machines as f64;
-            RetryBudget::new(bounds.retry_ratio * RATIO_SHARE, extra, bounds.retry_window)
-        });
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(self.allowance()));
         work(budget)
     }
+
+    /// Takes over bounds that have changed.
+    pub fn on_bounds(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+        self.keeper.borrow_mut().set_hold_max(bounds.hold_max);
+        self.update_budgets();
+    }
+
+    /// Takes in that all machines have been listed.
+    pub fn on_members_listed(&self) {
+        self.listed.set(true);
+        self.update_budgets();
+    }
+
+    fn update_budgets(&self) {
+        let allowance = self.allowance();
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_allowance(allowance);
+        }
+    }
+
+    fn allowance(&self) -> Allowance {
+        let bounds = self.bounds.get();
+        let total = Allowance {
+            ratio: bounds.retry_ratio,
+            extra: bounds.retry_extra,
+            window: bounds.retry_window,
+        };
+        let known = self.peers.borrow().len() + 1;
+        total.share(self.listed.get().then_some(known))
+    }
 }
 
 /// Steps in which the used share of the capacity is told, so that small changes stay untold.
 pub(crate) const BUSY_STEPS: f64 = 8.0;
-/// Part of the allowed ratio that is used; the rest covers windows that lie otherwise.
-const RATIO_SHARE: f64 = 0.5;
-/// Part of the allowed number that is used; the rest covers machines that join.
-const EXTRA_SHARE: f64 = 0.6;
 
 fn assignment_frame(service: &ServiceName, view: &Stored<Assignment>) -> Frame {
     Frame::Assignment {
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::settings::Settings;
+use platform::settings::{Settings, SettingsFile};
 use snafu::{ResultExt, Snafu};
 use timer::{BootClock, Clock, TimerService};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 
 use crate::gate::BackEndCondition;
@@ -17,6 +17,8 @@
 
 /// Time between two looks at keys, queue and silence.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after the request to stop in which callers are still served.
 const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 /// Part of the grace period after which the process ends whatever still runs.
@@ -49,18 +51,32 @@
 ///
 /// # Errors
 /// Fails if it cannot start.
-pub async fn run(settings: Settings) -> Result<(), StartFault> {
+pub async fn run(settings: Settings, file: SettingsFile) -> Result<(), StartFault> {
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
-    let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let stop = async move {
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => return,
-                _ = hangup.recv() => log::info!(event = "reload"; ""),
+        terminate.recv().await;
+    };
+    let hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let node = Rc::new(Node::new(settings, rand::random()));
+    spawn_local(follow_settings(Rc::clone(&node), file, hangup));
+    serve_node(node, stop).await
+}
+
+/// Takes over bounds when the settings file changes, with or without a signal.
+async fn follow_settings(node: Rc<Node>, mut file: SettingsFile, mut hangup: Signal) {
+    loop {
+        let _ = tokio::time::timeout(SETTINGS_INTERVAL, hangup.recv()).await;
+        match file.read_changed() {
+            Ok(None) => {}
+            Ok(Some(settings)) => {
+                log::info!(event = "reload", bounds:? = settings.bounds; "");
+                node.on_bounds(settings.bounds);
+            }
+            Err(error) => {
+                log::error!(event = "reload-refused", error:% = error; "");
             }
         }
-    };
-    serve(settings, stop).await
+    }
 }
 
 /// Runs the process until `stop` ends, on the current local task set.
@@ -68,13 +84,17 @@
 /// # Errors
 /// Fails if it cannot start.
 pub async fn serve(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), StartFault> {
+    serve_node(Rc::new(Node::new(settings, rand::random())), stop).await
+}
+
+async fn serve_node(node: Rc<Node>, stop: impl Future<Output = ()>) -> Result<(), StartFault> {
+    let settings = &node.settings;
     let callers = open(settings.callers)?;
     let readiness = open(settings.readiness)?;
     let heartbeats = open(settings.heartbeats)?;
     let peers = open(settings.peers)?;
     let metrics = open(settings.metrics)?;
     log::info!(event = "start", machine = settings.machine.as_str(), zone = settings.zone.as_str(), service = settings.service.as_str(); "");
-    let node = Rc::new(Node::new(settings, rand::random()));
     let store = Rc::new(relay::client(&node));
     let timer = TimerService::new(BootClock);
     spawn_local(log_queue::run());
@@ -100,7 +120,7 @@
     let started = BootClock.now();
     log::info!(event = "stop-requested"; "");
     node.stop();
-    let grace = node.settings.bounds.grace.mul_f64(GRACE_PART);
+    let grace = node.bounds().grace.mul_f64(GRACE_PART);
     loop {
         tokio::time::sleep(TICK / 2).await;
         let spent = BootClock.now().since(started);
--- a/components/shards/src/keeper/mod.rs
+++ b/components/shards/src/keeper/mod.rs
@@ -15,6 +15,7 @@
 mod types;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use world::moment::Moment;
 use world::name::MachineName;
@@ -142,6 +143,11 @@
         }
     }
 
+    /// Changes the longest grant that a back end accepts.
+    pub fn set_hold_max(&mut self, hold_max: Duration) {
+        self.timing.hold_max = hold_max;
+    }
+
     /// Records that the process is about to stop: the last grants last as long as they may.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/bin/plantaingauge-node/main.rs
+++ b/src/bin/plantaingauge-node/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use platform::settings::Settings;
+use platform::settings::{Settings, SettingsFault, SettingsFile};
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -31,8 +31,8 @@
 fn main() -> ExitCode {
     let options = options().run();
     logging::start(options.log_level);
-    let settings = match Settings::from_environment() {
-        Ok(settings) => settings,
+    let (settings, file) = match read_settings() {
+        Ok(read) => read,
         Err(error) => {
             eprintln!("plantaingauge-node: {error}");
             return ExitCode::from(BAD_SETTINGS);
@@ -47,7 +47,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match LocalSet::new().block_on(&runtime, node::run::run(settings)) {
+    match LocalSet::new().block_on(&runtime, node::run::run(settings, file)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("plantaingauge-node: {error}");
@@ -55,3 +55,9 @@
         }
     }
 }
+
+fn read_settings() -> Result<(Settings, SettingsFile), SettingsFault> {
+    let mut file = SettingsFile::from_environment()?;
+    let settings = file.read()?;
+    Ok((settings, file))
+}
