Soak the real processes under random faults injected from outside

Change: package soak (plantaingauge-soak): processes of their own, loopback proxies on the links between processes, to the store, to the back end and of its heartbeats (delay, silence one way or both, reset), signals (stop, pause, kill, reload), back ends that crash, a store that is away, slow, loses answers or its history, changes of the configuration; a ledger checks what callers and back ends see. The stand-ins of the node's tests are a crate now, used by both; back ends can crash, the store misbehave. PLANTAINGAUGE_PEER_ADDRESS tells others the address of a proxy.

--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -68,7 +68,7 @@
 async fn register(node: &Rc<Node>, store: &Rc<StoreClient>) {
     let entry = Entry {
         machine: node.settings.machine.clone(),
-        address: node.settings.peers,
+        address: node.settings.told_peers,
     };
     let name = entry.machine.as_str().to_owned();
     let mut call = Call::Create(entry.clone());
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -222,7 +222,7 @@
             service: back_end
                 .as_ref()
                 .map_or_else(|| self.settings.service.clone(), |b| b.service.clone()),
-            address: self.settings.peers,
+            address: self.settings.told_peers,
             incarnation: self.incarnation,
             change: self.change.get(),
             back_end: ready.map(|b| BackEndState {
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -2,6 +2,7 @@
 //! lists.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -9,13 +10,12 @@
 use http1::answer::Answer;
 use platform::settings::Settings;
 use serde_json::json;
+use stand_ins::back_end::{BackEnd, Place, Unobserved};
+use stand_ins::http;
+use stand_ins::store::Store;
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
-use crate::back_end::BackEnd;
-use crate::http;
-use crate::store::Store;
-
 /// Path of a keyed request that may run more than once.
 pub(crate) const LISTING: &str = "/list/today";
 /// Path of a request that must run once at most.
@@ -138,12 +138,15 @@
             day.processes.push(None);
             day.start_process(machine);
             let service = day.service(machine);
-            day.back_ends.push(BackEnd::start(
-                format!("i-{machine}"),
+            let place = Place {
+                id: format!("i-{machine}"),
                 service,
-                address(net, machine, 7_001),
-                address(net, machine, 7_002),
-            ));
+                address: address(net, machine, 7_001),
+                told_address: address(net, machine, 7_001),
+                heartbeats: address(net, machine, 7_002),
+            };
+            day.back_ends
+                .push(BackEnd::start(place, 1, Arc::new(Unobserved)));
         }
         day
     }
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -1,10 +1,7 @@
 //! The whole path: processes, back ends and callers against a stand-in of the platform's store.
 
-mod back_end;
 mod deployment;
-mod http;
 mod late_hello;
-mod store;
 
 use std::collections::HashSet;
 use std::time::Duration;
--- /dev/null
+++ b/components/stand-ins/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins of what surrounds a process on the platform: the object store, back ends and callers.
+//!
+//! They speak the platform's protocol over blocking sockets, a thread a connection.
+
+pub mod back_end;
+pub mod http;
+pub mod store;
--- a/components/node/tests/whole_path/store.rs
+++ b/components/stand-ins/src/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the platform's store: objects with revisions, conditional writes and watches.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -11,10 +11,28 @@
 
 use crate::http;
 
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// It does not.
+    #[default]
+    None,
+    /// It refuses every call.
+    Away,
+    /// It answers late.
+    Slow(Duration),
+    /// It does what every second write asks for, and does not answer.
+    LostAnswers,
+}
+
 #[derive(Default)]
 struct State {
     revision: u64,
-    away: bool,
+    trouble: Trouble,
+    /// Writes that were done.
+    writes: u64,
+    /// Revision up to which changes are forgotten.
+    compacted: u64,
     /// Specification and revision by kind and name.
     objects: BTreeMap<(String, String), (Value, u64)>,
     /// Revision, kind and object of each change.
@@ -23,10 +41,10 @@
 
 /// The store.
 #[derive(Clone)]
-pub(crate) struct Store {
+pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
     /// Where it listens.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
 }
 
 fn object(name: &str, specification: &Value, revision: u64) -> Value {
@@ -46,14 +64,16 @@
 
 impl Store {
     /// Starts the store.
-    pub(crate) fn start(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).expect("a free address");
+    #[must_use]
+    pub fn start(address: SocketAddr) -> Self {
         let store = Self {
             state: Arc::default(),
             address,
         };
         let served = store.clone();
-        http::serve(listener, Arc::new(move |request| served.handle(request)));
+        let handler: http::Handler = Arc::new(move |request| served.handle(request));
+        // The store listens until the process ends.
+        let _ = http::serve(address, handler);
         store
     }
 
@@ -62,19 +82,31 @@
     }
 
     /// Lets the store answer, or refuse every call.
-    pub(crate) fn set_away(&self, away: bool) {
-        self.lock().away = away;
+    pub fn set_away(&self, away: bool) {
+        self.set_trouble(if away { Trouble::Away } else { Trouble::None });
+    }
+
+    /// Changes how the store misbehaves.
+    pub fn set_trouble(&self, trouble: Trouble) {
+        self.lock().trouble = trouble;
         self.state.1.notify_all();
     }
 
+    /// Forgets all past changes.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.compacted = state.revision;
+        state.history.clear();
+    }
+
     /// Writes an object without a condition.
-    pub(crate) fn write(&self, kind: &str, name: &str, specification: Value) {
+    pub fn write(&self, kind: &str, name: &str, specification: Value) {
         self.lock().write(kind, name, specification);
         self.state.1.notify_all();
     }
 
     /// Writes a configuration with the usual routes and `added` ones.
-    pub(crate) fn configure(&self, version: u64, added: &[&str]) {
+    pub fn configure(&self, version: u64, added: &[&str]) {
         let mut rows = vec![
             json!([
                 "list",
@@ -101,7 +133,7 @@
         ];
         for prefix in added {
             rows.push(json!([
-                "added",
+                prefix,
                 "h.example",
                 prefix,
                 "safe",
@@ -130,8 +162,11 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Answer> {
-        if self.lock().away {
-            return Some(Answer::new(503));
+        let trouble = self.lock().trouble;
+        match trouble {
+            Trouble::Away => return Some(Answer::new(503)),
+            Trouble::Slow(delay) => std::thread::sleep(delay),
+            Trouble::None | Trouble::LostAnswers => {}
         }
         let path = request.path().strip_prefix("/plantaingauge/objects/")?;
         let target = std::str::from_utf8(&request.target).ok()?;
@@ -154,6 +189,13 @@
             _ => state.put(kind, &serde_json::from_slice(&request.body).ok()?),
         };
         self.state.1.notify_all();
+        if request.method.as_ref() != b"GET" {
+            state.writes += 1;
+            let lost = state.trouble == Trouble::LostAnswers && state.writes.is_multiple_of(2);
+            if lost {
+                return None;
+            }
+        }
         Some(reply)
     }
 
@@ -167,8 +209,11 @@
                 .filter(|(revision, k, _)| *revision > since && k == kind)
                 .map(|(_, _, object)| json!({"removed": false, "object": object}))
                 .collect();
+            if since < state.compacted {
+                return Answer::new(410);
+            }
             let left = end.saturating_duration_since(Instant::now());
-            if state.away {
+            if state.trouble == Trouble::Away {
                 return Answer::new(503);
             }
             if !events.is_empty() || left.is_zero() {
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,87 @@
+//! Soaks the real processes with one seed after the other.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use soak::fleet::{Site, program_beside};
+use soak::run::{self, Options, Verdict};
+
+/// Soak plantaingauge-node: real processes under random faults.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// First seed
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Number of seeds
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// Number of machines
+    #[bpaf(argument("NUMBER"), fallback(5), display_fallback)]
+    machines: usize,
+    /// Seconds for which faults are injected
+    #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
+    seconds: u64,
+    /// Program to soak; the one built beside this one if left out
+    #[bpaf(argument("FILE"))]
+    program: Option<PathBuf>,
+    /// Directory for settings and logs; a new temporary one if left out
+    #[bpaf(argument("DIRECTORY"))]
+    directory: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    match soak_all(&arguments) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("plantaingauge-soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn soak_all(arguments: &Arguments) -> Result<bool, Box<dyn std::error::Error>> {
+    let own = std::env::current_exe()?;
+    let program = arguments.program.clone();
+    let program = program.unwrap_or_else(|| program_beside(&own));
+    let base = match &arguments.directory {
+        Some(directory) => directory.clone(),
+        None => tempfile::Builder::new().prefix("soak").tempdir()?.keep(),
+    };
+    println!("settings and logs: {}", base.display());
+    let mut kept = true;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let directory = run::directory(&base, seed);
+        std::fs::create_dir_all(&directory)?;
+        let options = Options {
+            seed,
+            machines: arguments.machines,
+            length: Duration::from_secs(arguments.seconds),
+            site: Site::new(directory, program.clone(), seed),
+        };
+        let verdict = run::run(&options)?;
+        print_verdict(seed, &verdict);
+        kept &= verdict.broken.is_empty();
+    }
+    Ok(kept)
+}
+
+fn print_verdict(seed: u64, verdict: &Verdict) {
+    let counts = verdict.counts;
+    println!(
+        "seed={seed} broken={} faults={} ran={} refused={} unknown={} recovery_ms={}",
+        verdict.broken.len(),
+        verdict.faults,
+        counts.ran,
+        counts.refused,
+        counts.unknown,
+        verdict.recovery.as_millis()
+    );
+    for breach in &verdict.broken {
+        println!("  {breach}");
+    }
+}
--- a/src/bin/plantaingauge-node/main.rs
+++ b/src/bin/plantaingauge-node/main.rs
@@ -26,18 +26,24 @@
         display_fallback
     )]
     log_level: log::LevelFilter,
+    /// Address that other processes are told to reach this one at, if a proxy stands in front of it
+    #[bpaf(env("PLANTAINGAUGE_PEER_ADDRESS"), argument("ADDRESS"))]
+    peer_address: Option<std::net::SocketAddr>,
 }
 
 fn main() -> ExitCode {
     let options = options().run();
     logging::start(options.log_level);
-    let (settings, file) = match read_settings() {
+    let (mut settings, file) = match read_settings() {
         Ok(read) => read,
         Err(error) => {
             eprintln!("plantaingauge-node: {error}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
+    if let Some(address) = options.peer_address {
+        settings.told_peers = address;
+    }
     // Requests and control share one thread: the machines have one core, and each thread costs
     // memory.
     let runtime = match Builder::new_current_thread().enable_all().build() {
