Measure how long frames queue between regions; send nothing over a full link

Requests wait in the links until their callers have left, and run then. Ruled out: slots (the back ends had room), memory, processor time (0.026 cores).

--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -56,6 +56,8 @@
 pub struct Candidate {
     /// How far its machine is away.
     pub distance: Distance,
+    /// Time that frames queue on the way there and back.
+    pub delay: Duration,
     /// Load as last reported.
     pub load: Load,
     /// Time since that report.
@@ -109,7 +111,7 @@
         let wait = service * ((busy + 1.0 - slots) / slots).max(0.0);
         // Back ends slow down when they are nearly full.
         let crowding = service * 0.3 * (busy / slots).min(1.5).powi(3);
-        let travel = self.distance.round_trip() + self.distance.volume_price();
+        let travel = self.distance.round_trip() + self.delay + self.distance.volume_price();
         travel.as_secs_f64() + service + wait + crowding + self.failures * FAILURE_COST
     }
 }
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -11,6 +11,7 @@
 fn candidate(distance: Distance) -> Candidate {
     Candidate {
         distance,
+        delay: Duration::ZERO,
         load: Load {
             running: 4,
             waiting: 0,
@@ -102,3 +103,13 @@
     }
     assert!(counts.iter().all(|n| *n >= 50), "{counts:?}");
 }
+
+#[test]
+fn waits_near_rather_than_cross_a_full_link() {
+    let mut near = candidate(Distance::Zone);
+    near.load.running = 18;
+    near.load.waiting = 60;
+    let mut far = candidate(Distance::Remote);
+    far.delay = Duration::from_millis(900);
+    assert_eq!(choose(&[near, far]), Some(0));
+}
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -13,7 +13,7 @@
 use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use world::moment::Moment;
-use world::name::{MachineName, ServiceName};
+use world::name::{MachineName, RegionName, ServiceName};
 use xxhash_rust::xxh3;
 
 use crate::draws::EvenDraws;
@@ -56,6 +56,8 @@
 const RELINK_TIME_IDEMPOTENT: Duration = Duration::from_millis(120);
 /// Part of the latency target that may pass at a back end while others may have room.
 const FIRST_TARGET_PART: f64 = 0.75;
+/// Part of the time to the target for which frames may queue on the way to a back end.
+const DELAY_PART: f64 = 0.5;
 /// A back end that a request can go to.
 #[derive(Clone)]
 enum Place {
@@ -229,6 +231,7 @@
         fields: pack_fields(&fields),
         body: request.body,
         request_id: incoming.id,
+        sent_ms: 0,
         patience_ms: 0,
         late: false,
         target_ms: 0,
@@ -348,6 +351,11 @@
     fn places(&self, patient: bool) -> Vec<(MachineName, Place, Candidate)> {
         let now = BootClock.now();
         let mut places = Vec::new();
+        let delays = self.node.link_delays();
+        let delay_to = |region: &RegionName| {
+            let known = delays.iter().find(|(r, _)| r == region);
+            known.map_or(Duration::ZERO, |(_, delay)| *delay)
+        };
         let usable = |m: &MachineName| {
             !self.tried.contains(m) && (patient || !self.refused.iter().any(|(r, _)| r == m))
         };
@@ -357,6 +365,7 @@
         {
             let candidate = Candidate {
                 distance: Distance::Local,
+                delay: Duration::ZERO,
                 load: self.node.gate.load().into(),
                 age: Duration::ZERO,
                 unanswered: 0,
@@ -384,8 +393,14 @@
                     Some((load, at)) => (load, now.since(at)),
                     None => (idle, Duration::from_secs(60)),
                 };
+                let distance = self.node.distance(m);
+                let delay = delay_to(&m.region);
+                if self.is_delayed(patient, distance, delay) {
+                    return None;
+                }
                 Some(Candidate {
-                    distance: self.node.distance(m),
+                    distance,
+                    delay,
                     load: load.into(),
                     age,
                     unanswered: u32::try_from(peer.unanswered()).unwrap_or(u32::MAX),
@@ -400,15 +415,24 @@
         places
     }
 
-    /// Time within which the answer should be ready at a machine that far away.
+    /// Whether the way there is too full for an answer in time.
+    fn is_delayed(&self, patient: bool, distance: Distance, delay: Duration) -> bool {
+        delay
+            > self
+                .target(patient, distance, Duration::ZERO)
+                .mul_f64(DELAY_PART)
+    }
+
+    /// Time within which the answer should be ready at a machine that far away, if frames queue on
+    /// the way for `delay`.
     ///
     /// A longer queue would not serve more requests, only all of them late.
-    fn target(&self, patient: bool, distance: Distance) -> Duration {
+    fn target(&self, patient: bool, distance: Distance, delay: Duration) -> Duration {
         if self.template.priority == MOST_URGENT {
-            return self.left().mul_f64(URGENT_PART);
+            return self.left().mul_f64(URGENT_PART).saturating_sub(delay);
         }
         if self.returned {
-            return self.left().mul_f64(RETURNED_PART);
+            return self.left().mul_f64(RETURNED_PART).saturating_sub(delay);
         }
         let spent = self
             .route
@@ -418,25 +442,32 @@
         let left = self
             .route
             .latency_target
-            .saturating_sub(spent + CALLER_TRAVEL + distance.round_trip());
+            .saturating_sub(spent + CALLER_TRAVEL + distance.round_trip() + delay);
         let part = if patient { 1.0 } else { FIRST_TARGET_PART };
         left.mul_f64(part)
     }
 
-    fn distance(&self, place: &Place) -> Distance {
-        match place {
-            Place::Here => Distance::Local,
-            Place::There(peer) => peer
-                .with_member(|m| self.node.distance(m))
-                .unwrap_or(Distance::Remote),
-        }
+    /// How far a place is away, and how long frames queue on the way.
+    fn way(&self, place: &Place) -> (Distance, Duration) {
+        let Place::There(peer) = place else {
+            return (Distance::Local, Duration::ZERO);
+        };
+        let distance = peer.with_member(|m| self.node.distance(m));
+        let delay = self.node.delay_to(peer);
+        (distance.unwrap_or(Distance::Remote), delay)
     }
 
     async fn send(&self, place: &Place, patient: bool) -> Outcome {
         let mut request = self.template.clone();
         request.patience_ms = millis(self.left());
         request.late = self.returned;
-        request.target_ms = millis(self.target(patient, self.distance(place)));
+        let (distance, delay) = self.way(place);
+        if self.is_delayed(patient, distance, delay) {
+            let reason = Reason::Delayed;
+            let retry_ms = millis(delay);
+            return Outcome::NotRun { reason, retry_ms };
+        }
+        request.target_ms = millis(self.target(patient, distance, delay));
         match place {
             Place::Here => gate::submit(self.node, Rc::new(request)).await,
             Place::There(peer) => {
@@ -452,6 +483,7 @@
         let id = request.id;
         loop {
             request.patience_ms = millis(self.left());
+            request.sent_ms = BootClock.now().as_millis();
             let frame = Frame::Request(Box::new(request.clone()));
             let outcome = peer.request(id, &frame).await;
             if !matches!(outcome, Outcome::Lost(Loss::LinkLost)) {
@@ -534,11 +566,11 @@
     ) -> Option<End> {
         log::info!(event = "not-run", id = self.id_text(), machine = machine.as_str(), reason:? = reason, retry_ms; "");
         match reason {
-            Reason::Full if !patient => {
+            Reason::Full | Reason::Delayed if !patient => {
                 self.refused.push((machine.clone(), retry_ms));
                 None
             }
-            Reason::Full | Reason::Expired => {
+            Reason::Full | Reason::Delayed | Reason::Expired => {
                 self.refused.push((machine.clone(), retry_ms));
                 Some(self.give_up())
             }
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -41,9 +41,15 @@
         id: u64,
     },
     /// Asks for a sign of life.
-    Ping,
+    Ping {
+        /// The sender's number of the probe, 0 for none.
+        probe: u64,
+    },
     /// The sign of life.
-    Pong,
+    Pong {
+        /// The number of the probe.
+        probe: u64,
+    },
     /// The operator's configuration.
     Catalog {
         /// Revision of the stored object.
@@ -162,6 +168,8 @@
     pub body: Bytes,
     /// The caller's id of the attempt.
     pub request_id: Bytes,
+    /// The sender's clock when it sent the request, in milliseconds.
+    pub sent_ms: u64,
     /// Time that is left, in milliseconds.
     pub patience_ms: u32,
     /// Whether it has missed its latency target already.
@@ -180,6 +188,15 @@
     pub caller: ServiceName,
 }
 
+impl ForwardedRequest {
+    /// Takes time that has passed on the way out of what is left.
+    pub fn spend(&mut self, late: Duration) {
+        let late = u32::try_from(late.as_millis()).unwrap_or(u32::MAX);
+        self.patience_ms = self.patience_ms.saturating_sub(late);
+        self.target_ms = self.target_ms.saturating_sub(late);
+    }
+}
+
 /// What became of a request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Outcome {
@@ -212,6 +229,8 @@
 pub enum Reason {
     /// There is no room in time.
     Full,
+    /// The way to the back end is too full.
+    Delayed,
     /// It could no longer end in time.
     Expired,
     /// There is no back end, or it leaves.
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -286,6 +286,9 @@
     if node.is_closing() || gate.ready_for(&request.service).is_none() {
         return not_run(Reason::NoBackEnd, usual);
     }
+    if request.patience_ms == 0 {
+        return not_run(Reason::Expired, usual);
+    }
     if let Some(key) = node.shard_key(&request) {
         if !await_key(node, key, now + patience(&request).mul_f64(HANDOVER_PART)).await {
             return not_run(Reason::NotHolder, usual);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod node;
 pub mod patience;
 pub mod peer_server;
+pub mod probe;
 pub mod ready;
 pub mod relay;
 pub mod run;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -369,6 +369,7 @@
         match frame {
             Frame::Answer { id, outcome, load } => peer.on_answer(id, outcome, load),
             Frame::StoreAnswer { id, result } => peer.on_store_answer(id, result),
+            Frame::Pong { probe } => node.on_pong(peer, probe),
             Frame::Hello(member) if member.machine != peer.machine => stranger.notify_one(),
             Frame::Hello(member) => {
                 node.on_news(Frame::Hello(member), &sender);
@@ -392,7 +393,7 @@
             return false;
         }
         () = write_frames(write, frames) => {}
-        () = watch_silence(peer) => {
+        () = watch_silence(node, peer) => {
             log::warn!(event = "link-silent", machine = peer.machine.as_str(); "");
         }
     }
@@ -400,7 +401,9 @@
 }
 
 /// Ends when a process that owes an answer gives no sign of life.
-async fn watch_silence(peer: &Rc<Peer>) {
+///
+/// One behind a full link gets as much more time as frames queue on the way to its region.
+async fn watch_silence(node: &Node, peer: &Rc<Peer>) {
     let mut asked: Option<Moment> = None;
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
@@ -409,10 +412,10 @@
             asked = None;
         }
         match asked {
-            Some(at) if now.since(at) > PONG_TIMEOUT => return,
+            Some(at) if now.since(at) > PONG_TIMEOUT + node.delay_to(peer) => return,
             Some(_) => {}
             None if peer.unanswered() > 0 && now.since(peer.heard.get()) > PING_AFTER => {
-                peer.send(&Frame::Ping);
+                peer.send(&Frame::Ping { probe: 0 });
                 asked = Some(now);
             }
             None => {}
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -1,11 +1,12 @@
 //! State that the parts of the process share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use balance::choice::Distance;
+use balance::link_delay::LinkDelay;
 use balance::retry_budget::{Allowance, RetryBudget};
 use catalog::Catalog;
 use platform::bounds::Bounds;
@@ -15,10 +16,11 @@
 use serde_json::Value;
 use shards::assignment::Assignment;
 use shards::keeper::{Keeper, Stored, Timing};
+use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use tokio::sync::Notify;
 use world::moment::Moment;
-use world::name::{MachineName, ServiceName};
+use world::name::{MachineName, RegionName, ServiceName};
 
 use crate::back_end::{Connections, ExchangeFault};
 use crate::failures::FailureShare;
@@ -80,6 +82,8 @@
     store_works: Cell<bool>,
     change: Cell<u64>,
     last_hello: RefCell<Option<Member>>,
+    /// Delay of the links to each other region.
+    delays: RefCell<BTreeMap<RegionName, LinkDelay>>,
     /// Bounds in force; those in `settings` are the ones at the start.
     bounds: Cell<Bounds>,
     /// Whether all machines have been listed since the start.
@@ -117,6 +121,7 @@
             store_works: Cell::new(true),
             change: Cell::new(0),
             last_hello: RefCell::default(),
+            delays: RefCell::default(),
             bounds: Cell::new(settings.bounds),
             listed: Cell::new(false),
             settings,
@@ -452,10 +457,10 @@
                     send_frame(sender, &assignment_frame(service, view));
                 }
             }
-            Frame::Ping => {
-                send_frame(sender, &Frame::Pong);
+            Frame::Ping { probe } => {
+                send_frame(sender, &Frame::Pong { probe });
             }
-            Frame::Pong => {}
+            Frame::Pong { .. } => {}
             Frame::Request(_)
             | Frame::Answer { .. }
             | Frame::Cancel { .. }
@@ -479,6 +484,48 @@
         }
     }
 
+    /// Regions of the deployment but the own one.
+    #[must_use]
+    pub fn other_regions(&self) -> BTreeSet<RegionName> {
+        let regions = self.settings.zones.values().cloned();
+        regions.filter(|r| *r != self.settings.region).collect()
+    }
+
+    /// Number of a probe of the links to a region; nothing if an earlier one is awaited.
+    pub fn start_probe(&self, region: &RegionName, now: Moment) -> Option<u64> {
+        let mut delays = self.delays.borrow_mut();
+        delays.entry(region.clone()).or_default().start_probe(now)
+    }
+
+    /// Takes in the answer to a probe.
+    pub fn on_pong(&self, peer: &Peer, probe: u64) {
+        let region = peer.with_member(|m| m.region.clone());
+        let mut delays = self.delays.borrow_mut();
+        if let Some(delay) = region.and_then(|r| delays.get_mut(&r)) {
+            delay.on_answer(probe, BootClock.now());
+        }
+    }
+
+    /// Time that frames queue on the way to a process and back.
+    #[must_use]
+    pub fn delay_to(&self, peer: &Peer) -> Duration {
+        let region = peer.with_member(|m| m.region.clone());
+        let delays = self.delays.borrow();
+        let known = region.and_then(|r| delays.get(&r).map(|d| d.delay(BootClock.now())));
+        known.unwrap_or_default()
+    }
+
+    /// Time that frames queue on the links to each other region and back.
+    #[must_use]
+    pub fn link_delays(&self) -> SmallVec<[(RegionName, Duration); 4]> {
+        let now = BootClock.now();
+        let delays = self.delays.borrow();
+        delays
+            .iter()
+            .map(|(region, delay)| (region.clone(), delay.delay(now)))
+            .collect()
+    }
+
     /// How far a machine is away.
     #[must_use]
     pub fn distance(&self, member: &Member) -> Distance {
