Fence a silent holder only once its renewal is overdue; ask only for later assignments

Cause: a holder was fenced 1.2 s after one machine had lost its connection to it, with the lease as last heard, which is renewed every 2 s. Where links between regions fail, healthy holders lost their keys for 8 s. And each link that opened brought the whole assignment along. Change: the fence is written only when the lease is older than a renewal and the suspicion together; a holder that is merely out of reach has renewed by then, and the conditional write fails. The wait for the lease counts from when it was last heard of, as before, so a lost machine's keys come free as early. AskAssignments tells the revisions that are known.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -607,7 +607,7 @@
         let since = *self.bounced.get_or_insert_with(|| BootClock.now());
         if !self.asked && BootClock.now().since(since) > NEWS_TIME {
             self.asked = true;
-            peer.send(&Frame::AskAssignments);
+            peer.send(&self.node.assignment_question());
         }
     }
 
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -79,8 +79,11 @@
         /// The change.
         change: Box<Change>,
     },
-    /// Asks for the assignments that the receiver knows.
-    AskAssignments,
+    /// Asks for the assignments that the receiver knows and the sender does not.
+    AskAssignments {
+        /// Revisions that the sender knows.
+        known: Vec<(ServiceName, u64)>,
+    },
     /// A call to the store to make in the sender's place.
     StoreCall {
         /// The sender's number of the call.
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -449,12 +449,17 @@
                 }
                 None if self.view(&service).is_some_and(|v| v.revision >= revision) => {}
                 None => {
-                    send_frame(sender, &Frame::AskAssignments);
+                    send_frame(sender, &self.assignment_question());
                 }
             },
-            Frame::AskAssignments => {
+            Frame::AskAssignments { known } => {
                 for (service, view) in self.views.borrow().iter() {
-                    send_frame(sender, &assignment_frame(service, view));
+                    let newer = |(s, revision): &(ServiceName, u64)| {
+                        s == service && *revision >= view.revision
+                    };
+                    if !known.iter().any(newer) {
+                        send_frame(sender, &assignment_frame(service, view));
+                    }
                 }
             }
             Frame::Ping { probe } => {
@@ -588,6 +593,16 @@
         self.broadcast(&frame);
     }
 
+    /// Asks for the assignments that this process does not know.
+    #[must_use]
+    pub fn assignment_question(&self) -> Frame {
+        let views = self.views.borrow();
+        let known = views.iter().map(|(s, v)| (s.clone(), v.revision));
+        Frame::AskAssignments {
+            known: known.collect(),
+        }
+    }
+
     /// Tells which revision of its service's assignment this process knows; one that knows less
     /// asks for it.
     #[must_use]
--- a/components/shards/src/keeper/takeover.rs
+++ b/components/shards/src/keeper/takeover.rs
@@ -1,12 +1,13 @@
 //! Keys of silent machines.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use world::moment::Moment;
 use world::name::MachineName;
 
 use super::table::RANK_DELAY;
-use super::types::{Call, MARGIN, Outcome, Stored, with_drift};
+use super::types::{Call, Outcome, Stored, with_drift};
 use super::{Keeper, Takeover};
 use crate::assignment::Assignment;
 use crate::lease::Lease;
@@ -69,15 +70,26 @@
                 }));
             }
         }
-        let heard = self.heard_lease(machine).filter(|_| takeover.is_none());
-        Some(heard.map_or(Call::Read, |(lease, _)| {
-            Call::Replace(Stored {
-                revision: lease.revision,
-                value: lease.value.ended(),
-            })
+        let Some((lease, seen)) = self.heard_lease(machine).filter(|_| takeover.is_none()) else {
+            return Some(Call::Read);
+        };
+        if now.since(seen) < self.overdue_after() {
+            return None;
+        }
+        Some(Call::Replace(Stored {
+            revision: lease.revision,
+            value: lease.value.ended(),
         }))
     }
 
+    /// Age of a lease at which its holder should have renewed it.
+    ///
+    /// A holder that is only out of reach has renewed its lease by then, and the conditional write
+    /// that fences it fails.
+    fn overdue_after(&self) -> Duration {
+        self.timing.renewal + self.timing.suspicion
+    }
+
     /// Takes the outcome of a call that [`Keeper::fence_call`] returned.
     pub fn on_fence(
         &mut self,
@@ -87,6 +99,7 @@
         outcome: Outcome<Lease>,
     ) {
         let lease_span = with_drift(self.timing.lease);
+        let overdue_after = self.overdue_after();
         let heard = self.heard_lease(machine);
         let takeover = self.takeovers.entry(machine.clone()).or_insert(Takeover {
             lease: None,
@@ -113,7 +126,7 @@
                 if found.value.fenced {
                     takeover.fenced = Some((found.value.epoch, now + lease_span));
                 } else if !matches!(&takeover.lease, Some((known, _)) if *known == found) {
-                    takeover.not_before = now + self.timing.renewal + MARGIN;
+                    takeover.not_before = now + overdue_after;
                     takeover.lease = Some((found, now));
                 }
             }
