Ask one process for what stays missing, instead of all at the first sign

Cause: a process that heard of a later configuration or of a change that did not follow the assignment it knew asked every process that told it so for the whole. After a restart of all, 59 processes sent each other the configuration and an assignment of more than a thousand ranges; each edit of the configuration did the same, though every process watches the store for it.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -117,6 +117,12 @@
             .find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Services whose keys are held by one back end each.
+    pub fn keyed_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let keyed = self.services.iter().filter(|(_, s)| s.keyed);
+        keyed.map(|(name, _)| name)
+    }
+
     /// Whether the service's keys are held by one back end each.
     #[must_use]
     pub fn is_keyed(&self, service: &ServiceName) -> bool {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod back_end;
 pub mod catalog_watch;
+pub mod catch_up;
 pub mod dispatch;
 pub mod draws;
+pub mod early_changes;
 pub mod entry;
 pub mod failures;
 pub mod frame;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -379,7 +379,6 @@
                     if let Some(notice) = node.assignment_notice() {
                         send_frame(&sender, &notice);
                     }
-                    send_frame(&sender, &node.assignment_question());
                 }
                 node.on_link_change();
             }
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -14,7 +14,7 @@
 use platform::settings::Settings;
 use platform::store::Direct;
 use serde_json::Value;
-use shards::assignment::Assignment;
+use shards::assignment::{Assignment, Change};
 use shards::keeper::{Keeper, Stored, Timing};
 use smallvec::SmallVec;
 use timer::{BootClock, Clock};
@@ -23,6 +23,7 @@
 use world::name::{MachineName, RegionName, ServiceName};
 
 use crate::back_end::{Connections, ExchangeFault};
+use crate::early_changes::EarlyChanges;
 use crate::failures::FailureShare;
 use crate::frame::{BackEndState, ForwardedRequest, Frame, Member};
 use crate::gate::{BackEndCondition, Gate, LocalBackEnd};
@@ -82,6 +83,8 @@
     store_works: Cell<bool>,
     change: Cell<u64>,
     last_hello: RefCell<Option<Member>>,
+    /// Changes of assignments that came before those that they follow.
+    early: RefCell<EarlyChanges>,
     /// Delay of the links to each other region.
     delays: RefCell<BTreeMap<RegionName, LinkDelay>>,
     /// Bounds in force; those in `settings` are the ones at the start.
@@ -121,6 +124,7 @@
             store_works: Cell::new(true),
             change: Cell::new(0),
             last_hello: RefCell::default(),
+            early: RefCell::default(),
             delays: RefCell::default(),
             bounds: Cell::new(settings.bounds),
             listed: Cell::new(false),
@@ -409,7 +413,7 @@
     /// Takes in news of another process; `sender` leads back to it.
     pub fn on_news(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
         match frame {
-            Frame::Hello(member) => self.on_hello(*member, sender),
+            Frame::Hello(member) => self.on_hello(*member),
             Frame::Catalog { revision, document } => match serde_json::from_slice(&document) {
                 Ok(document) => {
                     self.on_configuration(revision, document, "peer");
@@ -442,16 +446,7 @@
                 base,
                 revision,
                 change,
-            } => match self.view(&service).filter(|v| v.revision == base) {
-                Some(view) => {
-                    let value = view.value.with_change(&change);
-                    self.on_assignment(&service, Stored { revision, value });
-                }
-                None if self.view(&service).is_some_and(|v| v.revision >= revision) => {}
-                None => {
-                    send_frame(sender, &self.assignment_question());
-                }
-            },
+            } => self.on_assignment_change(&service, base, revision, *change),
             Frame::AskAssignments { known } => {
                 for (service, view) in self.views.borrow().iter() {
                     let newer = |(s, revision): &(ServiceName, u64)| {
@@ -476,17 +471,13 @@
         }
     }
 
-    fn on_hello(self: &Rc<Self>, member: Member, sender: &FrameSender) {
-        let behind = self.in_force().map_or(0, |c| c.revision) < member.catalog;
+    fn on_hello(self: &Rc<Self>, member: Member) {
         self.meet(&member.machine, member.address);
         if let Some(peer) = self.peer(&member.machine)
             && peer.update(member)
         {
             self.keys_changed.notify_one();
         }
-        if behind {
-            send_frame(sender, &Frame::AskCatalog);
-        }
     }
 
     /// Regions of the deployment but the own one.
@@ -551,6 +542,49 @@
         self.views.borrow().get(service).cloned()
     }
 
+    /// Applies a change to the assignment that it was made to; one that comes before others that
+    /// it follows is kept for later.
+    fn on_assignment_change(
+        &self,
+        service: &ServiceName,
+        base: u64,
+        revision: u64,
+        change: Change,
+    ) {
+        let known = self.view(service).map_or(0, |v| v.revision);
+        if known >= revision {
+            return;
+        }
+        self.early
+            .borrow_mut()
+            .insert(service, base, revision, change);
+        while let Some(view) = self.view(service) {
+            let next = self.early.borrow_mut().take(service, view.revision);
+            let Some((revision, change)) = next else {
+                return;
+            };
+            let value = view.value.with_change(&change);
+            if !self.on_assignment(service, Stored { revision, value }) {
+                return;
+            }
+        }
+    }
+
+    /// Services of whose assignment another process knows a later revision, or which are divided by
+    /// key and whose assignment is not known.
+    #[must_use]
+    pub fn outdated_assignments(&self) -> BTreeSet<ServiceName> {
+        let early = self.early.borrow();
+        let known = |service: &ServiceName| self.view(service).map_or(0, |v| v.revision);
+        let behind = early.latest().filter(|(s, revision)| known(s) < *revision);
+        let mut outdated: BTreeSet<ServiceName> = behind.map(|(s, _)| s.clone()).collect();
+        if let Some(in_force) = self.in_force() {
+            let unknown = in_force.catalog.keyed_services().filter(|s| known(s) == 0);
+            outdated.extend(unknown.cloned());
+        }
+        outdated
+    }
+
     /// Takes over an assignment if it is newer than the one known.
     pub fn on_assignment(&self, service: &ServiceName, view: Stored<Assignment>) -> bool {
         if !view.value.is_sound() {
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -13,7 +13,9 @@
 
 use crate::gate::BackEndCondition;
 use crate::node::Node;
-use crate::{catalog_watch, entry, keys, log_queue, members, peer_server, probe, ready, relay};
+use crate::{
+    catalog_watch, catch_up, entry, keys, log_queue, members, peer_server, probe, ready, relay,
+};
 
 /// Time between two looks at keys, queue and silence.
 const TICK: Duration = Duration::from_millis(100);
@@ -106,6 +108,7 @@
         timer.subscribe(TICK),
     ));
     spawn_local(probe::run(Rc::clone(&node)));
+    spawn_local(catch_up::run(Rc::clone(&node)));
     spawn_local(peer_server::serve(Rc::clone(&node), peers));
     spawn_local(entry::serve(Rc::clone(&node), callers));
     for listener in [readiness, heartbeats, metrics] {
