Store assignments in rows; one fence for the ranges of a boot; move whole ranges first

Cause: on the grown co-operative the assignment grew to more than a thousand ranges, 110 bytes of JSON each, and every change of it is a write of the whole, at times 15 a second, from machines in both regions, each of which may fail and bring the whole back. Moves cut the densest 16 keys out of larger ranges again and again, and each range got a fence of its own when a back end started again, so that neighbours never joined.

--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -103,7 +103,7 @@
         let assignment = json!({
             "fence": 1,
             "holders": {"ghost": {"epoch": 1, "life": {"id": "g", "born": 0}}},
-            "ranges": [{"span": {"from": 0, "to": 65_535}, "machine": "ghost", "fence": 1}]
+            "ranges": [[0, 65_535, 1, ""]]
         });
         store.write("plantaingauge-assignments", "lists", assignment);
         store.configure(1, &[]);
--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -6,6 +6,7 @@
 use world::name::MachineName;
 
 use crate::life::Life;
+use crate::packed::Packed;
 use crate::release::Piece;
 use crate::span::{ALL, Span};
 
@@ -14,6 +15,7 @@
 /// `ranges` are ordered, do not overlap and cover every key. Each machine that owns a range has an
 /// entry in `holders`. `fence` is at least the fence of every range, also of past ones.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Packed", try_from = "Packed")]
 pub struct Assignment {
     /// Highest fence given so far.
     pub fence: u64,
@@ -181,9 +183,14 @@
         if same_life {
             return;
         }
+        self.renew_fence(machine);
+    }
+
+    /// Gives the ranges of a machine one new fence, so that neighbours can be joined.
+    pub fn renew_fence(&mut self, machine: &MachineName) {
+        self.fence += 1;
         for r in &mut self.ranges {
             if r.machine == *machine {
-                self.fence += 1;
                 r.fence = self.fence;
                 r.handover = String::new();
             }
@@ -196,6 +203,7 @@
             return false;
         }
         let mut changed = false;
+        let fence = self.fence + 1;
         let mut ranges = Vec::with_capacity(self.ranges.len() + 2);
         for r in std::mem::take(&mut self.ranges) {
             let part = r.span.overlap(piece.span).filter(|_| r.machine == *from);
@@ -204,12 +212,12 @@
                 continue;
             };
             changed = true;
-            self.fence += 1;
+            self.fence = fence;
             ranges.extend(r.span.without(part).map(|span| Range { span, ..r.clone() }));
             ranges.push(Range {
                 span: part,
                 machine: to.clone(),
-                fence: self.fence,
+                fence,
                 handover: piece.handover.clone(),
             });
         }
--- a/components/shards/src/keeper/grants.rs
+++ b/components/shards/src/keeper/grants.rs
@@ -6,7 +6,7 @@
 
 use super::Keeper;
 use super::types::{less_drift, with_drift};
-use crate::check_in::{CheckIn, Grant, Reply};
+use crate::check_in::{CheckIn, Grant, Held, Reply};
 use crate::life::Life;
 use crate::span::subtract;
 
@@ -29,7 +29,7 @@
             release.on_report(&report.held, &report.freed);
         }
         self.start_leaving(now);
-        self.reply(now)
+        self.reply(now, &report.held)
     }
 
     /// Takes the boot as the present one; false if it is an earlier one.
@@ -91,7 +91,7 @@
         enrolled && !self.dead && !lease.value.fenced && now < self.valid_until
     }
 
-    fn reply(&mut self, now: Moment) -> Option<Reply> {
+    fn reply(&mut self, now: Moment, held: &[Held]) -> Option<Reply> {
         if !self.may_grant(now) {
             return None;
         }
@@ -105,7 +105,7 @@
         if hold < MIN_HOLD {
             return None;
         }
-        let grants = self.grants();
+        let grants = self.grants(held);
         let until = now + with_drift(hold);
         self.granted_until = self.granted_until.max(until);
         self.granted = grants.iter().map(|g| g.span).collect();
@@ -116,7 +116,8 @@
         Some(Reply { grants, hold })
     }
 
-    fn grants(&self) -> Vec<Grant> {
+    /// What the back end is to hold; a record is left out once it holds the keys.
+    fn grants(&self, held: &[Held]) -> Vec<Grant> {
         let Some(view) = &self.view else {
             return Vec::new();
         };
@@ -126,10 +127,19 @@
             for (release, _) in &self.releases {
                 spans = subtract(&spans, release.span());
             }
-            grants.extend(spans.into_iter().map(|span| Grant {
-                span,
-                fence: r.fence,
-                handover: r.handover.clone(),
+            grants.extend(spans.into_iter().map(|span| {
+                Grant {
+                    span,
+                    fence: r.fence,
+                    handover: if held
+                        .iter()
+                        .any(|h| h.fence == r.fence && h.span.covers(span))
+                    {
+                        String::new()
+                    } else {
+                        r.handover.clone()
+                    },
+                }
             }));
         }
         grants
--- a/components/shards/src/keeper/table.rs
+++ b/components/shards/src/keeper/table.rs
@@ -12,6 +12,11 @@
 use crate::placement::{Taker, divide};
 use crate::release::Piece;
 
+/// Ranges of one machine above which they are joined; an answer to a back end holds about 180.
+const MAX_OWN_RANGES: usize = 100;
+/// Number of ranges by which joining must shorten the list.
+const LEAST_JOINED: usize = 20;
+
 /// Time that each lower-ranked machine waits longer before it acts for a silent one.
 pub(super) const RANK_DELAY: Duration = Duration::from_millis(700);
 
@@ -29,6 +34,7 @@
         self.enroll(now, &mut next);
         self.transfer_released(now, &mut next);
         self.take_over(now, &mut next);
+        self.join_ranges(now, &mut next);
         if next == view.value {
             return None;
         }
@@ -69,6 +75,20 @@
         unfenced && now < self.valid_until
     }
 
+    /// Joins this machine's ranges when they are too many for an answer to its back end.
+    fn join_ranges(&self, now: Moment, next: &mut Assignment) {
+        let many = next.owned(&self.machine).count() > MAX_OWN_RANGES;
+        if !many || !self.is_live(now) || !self.releases.is_empty() || !self.is_enrolled(next) {
+            return;
+        }
+        let mut joined = next.clone();
+        joined.renew_fence(&self.machine);
+        joined.merge_neighbours();
+        if joined.ranges.len() + LEAST_JOINED <= next.ranges.len() {
+            *next = joined;
+        }
+    }
+
     fn own_holder(&self) -> Option<Holder> {
         Some(Holder {
             epoch: self.lease.as_ref()?.value.epoch,
--- a/components/shards/src/lib.rs
+++ b/components/shards/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod keeper;
 pub mod lease;
 pub mod life;
+pub mod packed;
 pub mod placement;
 pub mod release;
 pub mod span;
--- a/components/shards/src/placement.rs
+++ b/components/shards/src/placement.rs
@@ -59,10 +59,16 @@
     }
 
     /// The smallest run of keys whose load is about `load`, if there is one.
+    ///
+    /// Whole spans are preferred, so that moves do not cut the keys into ever smaller pieces.
     #[must_use]
     pub fn densest(&self, spans: &[Span], load: f64) -> Option<Span> {
         let least = load * LEAST_SHARE;
         let most = load * MOST_SHARE;
+        let fits = |s: &&Span| (least..=most).contains(&self.of(**s));
+        if let Some(whole) = spans.iter().filter(fits).min_by_key(|s| s.len()) {
+            return Some(*whole);
+        }
         let windows = spans.iter().filter_map(|s| {
             let parts: Vec<Span> = bucket_parts(*s).collect();
             self.densest_of(&parts, least, most)
--- a/components/shards/src/span.rs
+++ b/components/shards/src/span.rs
@@ -44,6 +44,12 @@
         (self.from..=self.to).contains(&key)
     }
 
+    /// Whether every key of `other` belongs to the span.
+    #[must_use]
+    pub fn covers(self, other: Self) -> bool {
+        self.from <= other.from && other.to <= self.to
+    }
+
     /// The keys that both spans have.
     #[must_use]
     pub fn overlap(self, other: Self) -> Option<Self> {
--- /dev/null
+++ b/components/shards/tests/packed.rs
@@ -0,0 +1,97 @@
+//! The stored form of assignments.
+
+use std::collections::BTreeMap;
+
+use serde_json::json;
+use shards::assignment::{Assignment, Holder};
+use shards::life::Life;
+use shards::release::Piece;
+use shards::span::Span;
+use world::name::MachineName;
+
+fn machine(n: usize) -> MachineName {
+    MachineName::new(&format!("sidecar-olsztyn-b-{n:02}"))
+}
+
+fn assignment(machines: usize) -> Assignment {
+    let holders: BTreeMap<_, _> = (0..machines)
+        .map(|n| {
+            let life = Life {
+                id: format!("i-{n:010x}"),
+                born: 1_764_806_400_000,
+            };
+            (machine(n), Holder { epoch: 7, life })
+        })
+        .collect();
+    Assignment::new(holders).expect("some holders")
+}
+
+/// Moves hot pieces about, as load does.
+fn cut(assignment: &mut Assignment, pieces: u16) {
+    for n in 0..pieces {
+        let from = n.wrapping_mul(7_919) & 0xfff0;
+        let piece = Piece {
+            span: Span::new(from, from + 15).expect("in order"),
+            handover: format!("{n:016x}"),
+        };
+        let owner = assignment.range(from).expect("all keys").machine.clone();
+        let to = machine(usize::from(n) % assignment.holders.len());
+        assignment.transfer(&owner, &piece, &to);
+    }
+}
+
+#[test]
+fn what_is_stored_is_read_again() {
+    let mut before = assignment(29);
+    cut(&mut before, 600);
+    let text = serde_json::to_string(&before).expect("it can be stored");
+    let after: Assignment = serde_json::from_str(&text).expect("it can be read");
+    assert!(after.is_sound());
+    assert_eq!(before, after);
+}
+
+#[test]
+fn a_range_takes_less_than_fifty_bytes() {
+    let mut assignment = assignment(29);
+    cut(&mut assignment, 600);
+    let count = assignment.ranges.len();
+    assert!(count > 500);
+    let text = serde_json::to_string(&assignment).expect("it can be stored");
+    assert!(
+        text.len() < count * 50,
+        "{} bytes, {count} ranges",
+        text.len()
+    );
+}
+
+#[test]
+fn errors_on_rows_that_are_no_assignment() {
+    let holder = json!({"epoch": 1, "life": {"id": "i", "born": 1}});
+    for rows in [
+        json!([[1, 65_535, 1, ""]]),
+        json!([[0, 9, 1, ""], [0, 9, 1, ""]]),
+        json!([[0, 65_535, 1, ""], [0, 65_535, 1, ""]]),
+    ] {
+        let text = json!({"fence": 1, "holders": {"m": holder}, "ranges": rows}).to_string();
+        assert!(serde_json::from_str::<Assignment>(&text).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn ranges_of_a_back_end_that_starts_again_are_joined() {
+    let mut assignment = assignment(2);
+    cut(&mut assignment, 600);
+    let own = machine(0);
+    let before = assignment.owned(&own).count();
+    let next = Holder {
+        epoch: 8,
+        life: Life {
+            id: "i-0".to_owned(),
+            born: 1_764_806_500_000,
+        },
+    };
+    assignment.enroll(&own, next);
+    assignment.merge_neighbours();
+    assert!(assignment.is_sound());
+    assert!(assignment.owned(&own).count() < before);
+}
