Let the answer to a first heartbeat wait for something to grant

Change: a heartbeat that comes before the configuration counts; the answer to one of a back end that holds nothing waits up to 600 ms for a grant (the back end takes answers within a second).

--- a/components/node/src/ready.rs
+++ b/components/node/src/ready.rs
@@ -9,10 +9,13 @@
 use http1::request::{Bounds, Reader, Request};
 use platform::heartbeat::{Heartbeat, encode_reply};
 use platform::surface::Surface;
+use shards::check_in::{CheckIn, Reply};
 use timer::{BootClock, Clock};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use world::moment::Moment;
+
 use crate::gate::{BackEndCondition, LocalBackEnd};
 use crate::node::Node;
 
@@ -21,6 +24,11 @@
     head_bytes: 16_384,
     body_bytes: 4 << 20,
 };
+/// Time for which the answer to a heartbeat waits for something to grant; the back end takes it
+/// within a second.
+const GRANT_WAIT: Duration = Duration::from_millis(600);
+/// Pause between two looks at whether there is something to grant.
+const GRANT_PAUSE: Duration = Duration::from_millis(20);
 /// Time after which an idle connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(60);
 
@@ -58,7 +66,7 @@
                 return;
             }
         };
-        let answer = handle(&node, &request);
+        let answer = handle(&node, &request).await;
         if send(&mut stream, &answer, request.close).await.is_err() || request.close {
             return;
         }
@@ -71,10 +79,10 @@
     stream.write_all(&out).await
 }
 
-fn handle(node: &Rc<Node>, request: &Request) -> Answer {
+async fn handle(node: &Rc<Node>, request: &Request) -> Answer {
     match Surface::from_call(&request.method, request.path()) {
         Surface::Readiness => readiness(node),
-        Surface::Heartbeat(id) => heartbeat(node, id, &request.body),
+        Surface::Heartbeat(id) => heartbeat(node, id, &request.body).await,
         Surface::Deregister(id) => deregister(node, id),
         Surface::Other if request.path() == "/metrics" => metrics(node),
         Surface::Other => Answer::new(404),
@@ -92,7 +100,7 @@
     answer
 }
 
-fn heartbeat(node: &Rc<Node>, id: &str, body: &[u8]) -> Answer {
+async fn heartbeat(node: &Rc<Node>, id: &str, body: &[u8]) -> Answer {
     let beat = match Heartbeat::from_json(id, body) {
         Ok(beat) => beat,
         Err(error) => {
@@ -124,22 +132,53 @@
     } else {
         BackEndCondition::Ready
     };
-    let reply = if node.is_keyed() {
+    // Without a configuration it is not known yet whether the back end holds keys.
+    let may_hold = node.is_keyed() || node.in_force().is_none();
+    let reply = if may_hold {
         node.keeper.borrow_mut().on_check_in(now, &beat.keys)
     } else {
         None
     };
     node.on_back_end(LocalBackEnd {
         service: beat.service,
-        life: beat.keys.life,
+        life: beat.keys.life.clone(),
         slots: beat.slots,
         cold_until: now + beat.cold,
         heard: now,
         state,
     });
+    let waits = may_hold && state == BackEndCondition::Ready;
+    let reply = match reply {
+        Some(reply) if !reply.grants.is_empty() || !beat.keys.held.is_empty() => Some(reply),
+        reply if waits => await_grants(node, now, &beat.keys).await.or(reply),
+        reply => reply,
+    };
     json(encode_reply(reply.as_ref()))
 }
 
+/// Waits a little for something to grant, so that a back end which has just started does not wait
+/// for its next heartbeat.
+async fn await_grants(node: &Rc<Node>, received: Moment, report: &CheckIn) -> Option<Reply> {
+    while BootClock.now().since(received) < GRANT_WAIT && !node.is_stopping() {
+        tokio::time::sleep(GRANT_PAUSE).await;
+        let late = || {
+            let now = BootClock.now();
+            let mut keeper = node.keeper.borrow_mut();
+            keeper.on_late_answer(received, now, report)
+        };
+        match node.in_force() {
+            Some(_) if !node.is_keyed() => return None,
+            Some(_) => {
+                if let Some(reply) = late() {
+                    return Some(reply);
+                }
+            }
+            None => {}
+        }
+    }
+    None
+}
+
 fn deregister(node: &Node, id: &str) -> Answer {
     let known = node
         .gate
--- a/components/shards/src/keeper/grants.rs
+++ b/components/shards/src/keeper/grants.rs
@@ -29,7 +29,19 @@
             release.on_report(&report.held, &report.freed);
         }
         self.start_leaving(now);
-        self.reply(now, &report.held)
+        self.reply(now, now, &report.held)
+    }
+
+    /// Answers a report that was received at `received` and could not be granted anything then.
+    pub fn on_late_answer(
+        &mut self,
+        received: Moment,
+        now: Moment,
+        report: &CheckIn,
+    ) -> Option<Reply> {
+        let latest = self.life.as_ref() == Some(&report.life) && self.sequence == report.sequence;
+        let reply = latest.then(|| self.reply(received, now, &report.held))?;
+        reply.filter(|r| !r.grants.is_empty())
     }
 
     /// Takes the boot as the present one; false if it is an earlier one.
@@ -91,7 +103,8 @@
         enrolled && !self.dead && !lease.value.fenced && now < self.valid_until
     }
 
-    fn reply(&mut self, now: Moment, held: &[Held]) -> Option<Reply> {
+    /// The back end counts a grant from when it sent its report, which was before `received`.
+    fn reply(&mut self, received: Moment, now: Moment, held: &[Held]) -> Option<Reply> {
         if !self.may_grant(now) {
             return None;
         }
@@ -112,7 +125,7 @@
         for (release, _) in &mut self.releases {
             release.tell();
         }
-        self.held_until = now + hold;
+        self.held_until = received + hold;
         Some(Reply { grants, hold })
     }
 
