--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -36,6 +36,8 @@
 const RETRY_PART: f64 = 0.2;
 /// Pause before a request without a usable back end is looked at again.
 const REROUTE_PAUSE: Duration = Duration::from_millis(25);
+/// Pause before a machine that does not hold a key is asked again though it still owns it.
+const SAME_OWNER_PAUSE: Duration = Duration::from_millis(200);
 /// Part of a caller's patience for which a request waits for a usable back end.
 const REROUTE_PART: f64 = 0.25;
 /// The same while its key changes hands.
@@ -588,7 +590,7 @@
                 if let Place::There(peer) = place {
                     self.ask_assignments(peer);
                 }
-                tokio::time::sleep(REROUTE_PAUSE).await;
+                self.await_assignment().await;
                 self.check_patience()
             }
             Reason::NoBackEnd | Reason::Unreachable => {
@@ -596,12 +598,23 @@
                     self.refused.push((machine.clone(), retry_ms));
                     return None;
                 }
-                tokio::time::sleep(REROUTE_PAUSE).await;
+                self.await_assignment().await;
                 self.check_patience()
             }
         }
     }
 
+    /// Waits until the assignment changes, or for as long as it is worth asking the same machine
+    /// again without a change.
+    async fn await_assignment(&self) {
+        let revision = || self.node.view(&self.service).map(|v| v.revision);
+        let known = revision();
+        let until = BootClock.now() + SAME_OWNER_PAUSE;
+        while BootClock.now() < until && revision() == known {
+            tokio::time::sleep(REROUTE_PAUSE).await;
+        }
+    }
+
     /// Asks once for the assignment if news of it should have come by now.
     fn ask_assignments(&mut self, peer: &Peer) {
         let since = *self.bounced.get_or_insert_with(|| BootClock.now());
