--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -1,7 +1,8 @@
 //! A small deployment on loopback: every third machine offers orders, the others hold the keys of
 //! lists.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
@@ -244,6 +245,29 @@
         send(address(self.net, machine, 7_003), id, method, path, key)
     }
 
+    /// Sends an order and leaves without its answer after a while.
+    pub(crate) fn order_and_leave(&self, machine: usize, after: Duration) {
+        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let at = address(self.net, machine, 7_003);
+        let mut stream = TcpStream::connect(at).expect("it listens");
+        let text = encode(id, "POST", ORDER, None);
+        stream.write_all(text.as_bytes()).expect("it reads");
+        std::thread::sleep(after);
+    }
+
+    /// Sends bytes where other processes connect, and waits until the connection is closed.
+    pub(crate) fn send_to_peer_port(&self, machine: usize, bytes: &[u8]) {
+        let at = address(self.net, machine, 7_005);
+        let mut stream = TcpStream::connect(at).expect("it listens");
+        stream.write_all(bytes).expect("it reads");
+        stream.shutdown(Shutdown::Write).expect("it is open");
+        stream
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .expect("a valid time");
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).expect("it is closed");
+    }
+
     /// Sends a request without waiting for its answer.
     pub(crate) fn request_in_background(
         &self,
@@ -339,12 +363,16 @@
     }
 }
 
-fn send(at: SocketAddr, id: u64, method: &str, path: &str, key: Option<u16>) -> Reply {
+fn encode(id: u64, method: &str, path: &str, key: Option<u16>) -> String {
     let key = key.map_or(String::new(), |k| format!("Shard-Key: {k}\r\n"));
-    let text = format!(
+    format!(
         "{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r{id}\r\n\
          Deadline-Ms: {PATIENCE_MS}\r\n{key}Content-Length: 0\r\n\r\n"
-    );
+    )
+}
+
+fn send(at: SocketAddr, id: u64, method: &str, path: &str, key: Option<u16>) -> Reply {
+    let text = encode(id, method, path, key);
     let answer = http::call(at, &text, Duration::from_millis(PATIENCE_MS + 1_000)).ok();
     Reply {
         status: answer.as_ref().map_or(0, |a| a.status),
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -170,6 +170,36 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
+#[test]
+fn a_request_that_waits_does_not_run_once_its_caller_has_left() {
+    let day = Deployment::start(16, 2);
+    day.await_served(SETTLE);
+    let slow: Vec<_> = (0..8)
+        .map(|_| day.request_in_background(0, "POST", "/orders/slow/"))
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    day.order_and_leave(1, Duration::from_millis(300));
+    for reply in slow {
+        assert_eq!(reply.join().expect("no panic").status, 200);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(day.runs_of_orders(), 8, "the caller of the ninth had left");
+}
+
+#[test]
+fn bytes_that_are_no_frames_end_only_their_connection() {
+    let day = Deployment::start(17, 2);
+    day.await_served(SETTLE);
+    let whole = [[0, 0, 0, 9].as_slice(), &[0xff; 9]].concat();
+    let too_long = [0xff; 64].to_vec();
+    let cut_short = vec![0, 0, 1, 0, 1, 2];
+    for bytes in [whole, too_long, cut_short] {
+        day.send_to_peer_port(0, &bytes);
+    }
+    assert_eq!(day.request(0, "POST", ORDER, None).status, 200);
+    assert_eq!(day.request(1, "POST", ORDER, None).status, 200);
+}
+
 #[test]
 fn a_back_end_that_leaves_gets_no_request_once_that_is_confirmed() {
     let day = Deployment::start(11, 4);
