Heed a back end that leaves for good before its process has heard of it; soak lost answers and slow orders

Change: id and time of day of the last Deregister are kept; boots until then have left. The test a_process_that_starts_again_heeds_... failed before.

--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 use shards::assignment::{Assignment, Change};
 use shards::keeper::{Keeper, Stored, Timing};
+use shards::life::Life;
 use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use tokio::sync::Notify;
@@ -83,6 +84,9 @@
     store_works: Cell<bool>,
     change: Cell<u64>,
     last_hello: RefCell<Option<Member>>,
+    /// Id of the back end that said last that it leaves for good, and the time of day in Unix
+    /// milliseconds: every boot of it until then has left, also one that is heard of later.
+    departed: RefCell<Option<(String, u64)>>,
     /// Changes of assignments that came before those that they follow.
     early: RefCell<EarlyChanges>,
     /// Delay of the links to each other region.
@@ -124,6 +128,7 @@
             store_works: Cell::new(true),
             change: Cell::new(0),
             last_hello: RefCell::default(),
+            departed: RefCell::default(),
             early: RefCell::default(),
             delays: RefCell::default(),
             bounds: Cell::new(settings.bounds),
@@ -335,6 +340,20 @@
         }
     }
 
+    /// Records that a back end leaves for good, at a time of day in Unix milliseconds.
+    pub fn on_deregistered(&self, id: &str, unix_ms: u64) {
+        *self.departed.borrow_mut() = Some((id.to_owned(), unix_ms));
+    }
+
+    /// Whether a boot of a back end has said that it leaves for good.
+    #[must_use]
+    pub fn has_left(&self, life: &Life) -> bool {
+        let departed = self.departed.borrow();
+        departed
+            .as_ref()
+            .is_some_and(|(id, at)| *id == life.id && life.born <= *at)
+    }
+
     /// Records a sign of life of the back end.
     pub fn on_back_end_heard(&self) {
         if let Some(b) = self.gate.back_end.borrow_mut().as_mut() {
--- a/components/node/src/ready.rs
+++ b/components/node/src/ready.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::BytesMut;
 use http1::answer::{Answer, encode};
@@ -124,9 +124,10 @@
         return json(encode_reply(None));
     }
     node.last_sequence.set(beat.keys.sequence);
-    let left_already = known
-        .as_ref()
-        .is_some_and(|k| k.life == *life && k.state == BackEndCondition::Leaving);
+    let left_already = node.has_left(life)
+        || known
+            .as_ref()
+            .is_some_and(|k| k.life == *life && k.state == BackEndCondition::Leaving);
     let state = if beat.keys.draining || left_already {
         BackEndCondition::Leaving
     } else {
@@ -179,6 +180,12 @@
     None
 }
 
+/// The time of day, which boots of back ends are numbered by.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn deregister(node: &Node, id: &str) -> Answer {
     let known = node
         .gate
@@ -186,6 +193,7 @@
         .borrow()
         .as_ref()
         .is_some_and(|b| b.life.id == id);
+    node.on_deregistered(id, unix_ms());
     if known {
         node.keeper.borrow_mut().on_deregistered(id);
         node.set_condition(BackEndCondition::Leaving);
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -24,6 +24,8 @@
 
 /// Time that callers state as their patience.
 const PATIENCE_MS: u64 = 4_000;
+/// Time in which a process starts.
+const PATIENCE: Duration = Duration::from_secs(5);
 /// Pause between two tries of a caller that waits for an outcome.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -223,6 +225,20 @@
         self.start_process(machine);
     }
 
+    /// Starts a machine's process anew and lets its back end say that it leaves for good before it
+    /// sends the next heartbeat.
+    pub(crate) fn restart_and_deregister(&mut self, machine: usize) {
+        self.back_ends[machine].set_silent(true);
+        self.kill_process(machine);
+        self.start_process(machine);
+        let end = Instant::now() + PATIENCE;
+        while self.back_ends[machine].deregister().is_err() {
+            assert!(Instant::now() < end, "machine {machine} does not start");
+            std::thread::sleep(PAUSE);
+        }
+        self.back_ends[machine].set_silent(false);
+    }
+
     /// Lets a machine's back end announce that it leaves, and waits until that is confirmed.
     pub(crate) fn drain(&self, machine: usize) {
         self.back_ends[machine].drain();
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -214,6 +214,20 @@
     }
 }
 
+#[test]
+fn a_process_that_starts_again_heeds_a_back_end_that_leaves_before_its_first_heartbeat() {
+    let mut day = Deployment::start(18, 4);
+    day.await_served(SETTLE);
+    day.restart_and_deregister(0);
+    std::thread::sleep(Duration::from_secs(1));
+    for machine in 0..4 {
+        for _ in 0..5 {
+            let reply = day.request(machine, "POST", ORDER, None);
+            assert_eq!(reply.back_end(), "i-3", "{reply:?}");
+        }
+    }
+}
+
 #[test]
 fn keys_of_a_back_end_that_leaves_go_to_others() {
     let day = Deployment::start(12, 3);
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -93,6 +93,7 @@
     born: u64,
     observer: Arc<dyn Observer>,
     gone: AtomicBool,
+    silent: AtomicBool,
     draining: AtomicBool,
     drain_confirmed: AtomicBool,
     orders: AtomicU64,
@@ -114,6 +115,7 @@
             born,
             observer,
             gone: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             drain_confirmed: AtomicBool::new(false),
             orders: AtomicU64::new(0),
@@ -141,6 +143,24 @@
         self.server.close();
     }
 
+    /// Lets it send no heartbeats for a while.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// Says that it leaves for good, and serves on.
+    ///
+    /// # Errors
+    /// Fails if the process beside it does not answer.
+    pub fn deregister(&self) -> std::io::Result<()> {
+        let place = &self.state.place;
+        let text = format!(
+            "POST /plantaingauge/Instances.Deregister/{} HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+            place.id
+        );
+        http::call(place.heartbeats, &text, Duration::from_secs(1)).map(drop)
+    }
+
     /// Announces that it leaves, and waits until that is confirmed.
     pub fn drain(&self) {
         self.state.draining.store(true, Ordering::SeqCst);
@@ -208,6 +228,10 @@
     fn beat(&self) {
         let mut sequence = 0;
         while !self.is_gone() {
+            if self.silent.load(Ordering::SeqCst) {
+                std::thread::sleep(HEARTBEAT);
+                continue;
+            }
             sequence += 1;
             let sent = Instant::now();
             let draining = self.draining.load(Ordering::SeqCst);
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -18,6 +18,8 @@
 const SLACK: Duration = Duration::from_secs(1);
 /// Pause of a caller between two requests in milliseconds, at most.
 const MAX_PAUSE_MS: u64 = 60;
+/// Part of the orders of one draw that take long.
+const SLOW_PART: f64 = 0.5;
 /// Pause before a caller connects again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which a connection that was idle may be closed while a request is on its way.
@@ -28,6 +30,8 @@
 pub enum Kind {
     /// An order, which must run once at most.
     Order,
+    /// An order that takes long.
+    SlowOrder,
     /// A listing of a key.
     Listing(u16),
     /// The route that a version of the configuration added.
@@ -104,6 +108,7 @@
             let kind = match rng.random_range(0..10) {
                 0 => Kind::Version(self.scene.version.load(Ordering::SeqCst)),
                 1 if self.seen.0 > 0 => Kind::Version(self.seen.0),
+                2 if rng.random_bool(SLOW_PART) => Kind::SlowOrder,
                 1..=4 => Kind::Order,
                 _ => Kind::Listing(rng.random()),
             };
@@ -121,7 +126,7 @@
             std::thread::sleep(RECONNECT_PAUSE);
             return 0;
         };
-        if kind == Kind::Order {
+        if matches!(kind, Kind::Order | Kind::SlowOrder) {
             self.scene.ledger.on_order(&id);
         }
         let sent = Instant::now();
@@ -187,6 +192,7 @@
 fn encode(id: &str, kind: Kind) -> String {
     let (method, path, key) = match kind {
         Kind::Order => ("POST", "/orders/new".to_owned(), String::new()),
+        Kind::SlowOrder => ("POST", "/orders/slow/".to_owned(), String::new()),
         Kind::Listing(key) => (
             "GET",
             "/list/all".to_owned(),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -117,6 +117,7 @@
         Cut::SilentOut,
         Cut::Delay(delay),
         Cut::Reset,
+        Cut::LoseAnswers,
     ];
     *all.choose(rng).expect("not empty")
 }
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -29,6 +29,8 @@
     Delay(Duration),
     /// All are reset at once, and so are new ones.
     Reset,
+    /// Each is reset as soon as something comes back from the target.
+    LoseAnswers,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -43,7 +45,7 @@
             Cut::Silent => true,
             Cut::SilentIn => way == Way::In,
             Cut::SilentOut => way == Way::Out,
-            Cut::None | Cut::Delay(_) | Cut::Reset => false,
+            Cut::None | Cut::Delay(_) | Cut::Reset | Cut::LoseAnswers => false,
         }
     }
 }
@@ -111,8 +113,10 @@
         while now(cut).holds_back(way) {
             std::thread::sleep(LOOK);
         }
+        let answered = way == Way::Out && count > 0;
         match now(cut) {
-            Cut::Reset => {
+            Cut::LoseAnswers if !answered => {}
+            Cut::Reset | Cut::LoseAnswers => {
                 reset(&from);
                 reset(&to);
                 return;
--- a/soak/tests/proxy.rs
+++ b/soak/tests/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use http1::answer::Answer;
@@ -44,6 +45,22 @@
     assert!(start.elapsed() >= WAIT / 4);
 }
 
+#[test]
+fn a_lost_answer_is_one_to_a_request_that_was_read() {
+    let read = Arc::new(AtomicUsize::new(0));
+    let seen = Arc::clone(&read);
+    let handler: http::Handler = Arc::new(move |_| {
+        seen.fetch_add(1, Ordering::SeqCst);
+        Some(Answer::new(200))
+    });
+    let _server = http::serve(at(7_230), handler);
+    let proxy = Proxy::start(at(7_231), at(7_230));
+    proxy.set_cut(Cut::LoseAnswers);
+    let mut connection = Connection::open(at(7_231), WAIT).expect("it listens");
+    assert!(connection.call(REQUEST, WAIT).is_err());
+    assert_eq!(read.load(Ordering::SeqCst), 1);
+}
+
 #[test]
 fn a_reset_ends_open_and_new_connections() {
     let (proxy, _server) = start(7_220);
