Answer every caller before a process that stops ends

Change: 0.4 s before that end all open requests get their final answer. The test a_request_that_outlasts_a_planned_stop_... failed before.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -165,10 +165,12 @@
         asked: false,
     };
     let left = deadline.since(BootClock.now());
-    let end = match tokio::time::timeout(left, journey.run()).await {
-        Ok(end) => end,
-        Err(_) => journey.time_out(),
+    let ended = tokio::select! {
+        end = journey.run() => Some(end),
+        () = tokio::time::sleep(left) => None,
+        () = node.last_call.notified() => None,
     };
+    let end = ended.unwrap_or_else(|| journey.time_out());
     node.metrics
         .on_request(end.outcome, BootClock.now().since(received));
     log_end(
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -75,6 +75,8 @@
     pub own_failures: FailureShare,
     /// Woken when the keys may need attention.
     pub keys_changed: Notify,
+    /// Woken when every caller must get its final answer at once, since the process ends.
+    pub last_call: Notify,
     catalog: RefCell<Option<InForce>>,
     views: RefCell<HashMap<ServiceName, Rc<Stored<Assignment>>>>,
     peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
@@ -119,6 +121,7 @@
             last_sequence: Cell::new(0),
             own_failures: FailureShare::default(),
             keys_changed: Notify::new(),
+            last_call: Notify::new(),
             catalog: RefCell::default(),
             views: RefCell::default(),
             peers: RefCell::default(),
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -26,6 +26,9 @@
 /// Part of the grace period after which the process ends whatever still runs.
 const GRACE_PART: f64 = 0.95;
 
+/// Time before the forced end in which callers get their final answers.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+
 /// Why the process cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartFault {
@@ -125,12 +128,16 @@
     log::info!(event = "stop-requested"; "");
     node.stop();
     let grace = node.bounds().grace.mul_f64(GRACE_PART);
+    let last_call = grace.saturating_sub(ANSWER_TIME);
     loop {
         tokio::time::sleep(TICK / 2).await;
         let spent = BootClock.now().since(started);
         if spent >= LEAVE_TIME {
             node.close();
         }
+        if spent >= last_call {
+            node.last_call.notify_waiters();
+        }
         let idle = node.gate.is_idle()
             && node.served.borrow().unfinished() == 0
             && node.open_requests.get() == 0;
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -290,10 +290,24 @@
         machine: usize,
         method: &'static str,
         path: &'static str,
+    ) -> JoinHandle<Reply> {
+        self.request_after(machine, method, path, Duration::ZERO)
+    }
+
+    /// Sends a request after a while, without waiting for its answer.
+    pub(crate) fn request_after(
+        &self,
+        machine: usize,
+        method: &'static str,
+        path: &'static str,
+        pause: Duration,
     ) -> JoinHandle<Reply> {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
         let at = address(self.net, machine, 7_003);
-        std::thread::spawn(move || send(at, id, method, path, None))
+        std::thread::spawn(move || {
+            std::thread::sleep(pause);
+            send(at, id, method, path, None)
+        })
     }
 
     /// Repeats a request until its answer is as wanted.
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -170,6 +170,16 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
+#[test]
+fn a_request_that_outlasts_a_planned_stop_gets_its_final_answer_before_the_end() {
+    let mut day = Deployment::start(19, 2);
+    day.await_served(SETTLE);
+    let late = day.request_after(1, "POST", "/orders/stuck/", Duration::from_millis(2_100));
+    day.stop_process(1);
+    let reply = late.join().expect("no panic");
+    assert_eq!(reply.status, 504, "{reply:?}");
+}
+
 #[test]
 fn a_request_that_waits_does_not_run_once_its_caller_has_left() {
     let day = Deployment::start(16, 2);
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -15,6 +15,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(200);
 /// Time that a request to a slow path takes.
 const SLOW_TIME: Duration = Duration::from_millis(1_500);
+/// Time that a request to a stuck path takes, longer than anybody waits.
+const STUCK_TIME: Duration = Duration::from_secs(30);
 /// Requests that a back end runs at once.
 const SLOTS: u32 = 8;
 
@@ -216,6 +218,9 @@
         if path.ends_with("/slow/") {
             std::thread::sleep(SLOW_TIME);
         }
+        if path.ends_with("/stuck/") {
+            std::thread::sleep(STUCK_TIME);
+        }
         let mut answer = Answer::new(200)
             .with("Request-Id", text("Request-Id"))
             .with("Response-Stamp", "0.1.2")
