End a request that no back end takes any more, instead of asking the own one for ever

A request that may go to another back end then asked its own machine again and again in one turn of the only thread; the process answered nobody and logged nothing until it was killed. Ruled out: a pause left over (the plan has none on that machine then), a panic (nothing on stderr), load. Change: such a refusal is final when every back end has refused before. The test a_process_that_stops_answers_a_request_that_no_back_end_takes_any_more failed before.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -598,7 +598,7 @@
             Reason::NoBackEnd | Reason::Unreachable => {
                 if self.keyed_view().is_none() {
                     self.refused.push((machine.clone(), retry_ms));
-                    return None;
+                    return patient.then(|| self.give_up());
                 }
                 self.await_assignment().await;
                 self.check_patience()
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -140,20 +140,32 @@
         for machine in 0..machines {
             day.processes.push(None);
             day.start_process(machine);
-            let service = day.service(machine);
-            let place = Place {
-                id: format!("i-{machine}"),
-                service,
-                address: address(net, machine, 7_001),
-                told_address: address(net, machine, 7_001),
-                heartbeats: address(net, machine, 7_002),
-            };
-            day.back_ends
-                .push(BackEnd::start(place, 1, Arc::new(Unobserved)));
+            day.back_ends.push(day.start_back_end(machine, 1));
         }
         day
     }
 
+    fn start_back_end(&self, machine: usize, born: u64) -> BackEnd {
+        let place = Place {
+            id: format!("i-{machine}"),
+            service: self.service(machine),
+            address: address(self.net, machine, 7_001),
+            told_address: address(self.net, machine, 7_001),
+            heartbeats: address(self.net, machine, 7_002),
+        };
+        BackEnd::start(place, born, Arc::new(Unobserved))
+    }
+
+    /// Ends the process of a machine's back end.
+    pub(crate) fn crash_back_end(&self, machine: usize) {
+        self.back_ends[machine].crash();
+    }
+
+    /// Starts a machine's back end again, as another boot.
+    pub(crate) fn restart_back_end(&mut self, machine: usize) {
+        self.back_ends[machine] = self.start_back_end(machine, 2);
+    }
+
     /// Service of a machine's back end.
     pub(crate) fn service(&self, machine: usize) -> &'static str {
         if machine.is_multiple_of(3) {
@@ -174,7 +186,7 @@
             "nodeName": self.name(machine), "ip": at(0).ip(), "zone": "z", "region": "r",
             "listenAddresses": {"outbound": at(7_003), "ready": at(7_004), "control": at(7_002)},
             "internalPortRange": [7_005, 7_010],
-            "bounds": ["graceS=6", "holdMaxMs=10000"],
+            "bounds": ["graceS=6", "holdMaxMs=10000", "budgetExtraRetries=40"],
             "applicationAddress": at(7_001), "service": self.service(machine),
             "platform": {"address": self.store.address}
         });
@@ -207,6 +219,14 @@
         self.end_process(machine, End::Kill);
     }
 
+    /// Asks a process to stop.
+    pub(crate) fn ask_to_stop(&mut self, machine: usize) {
+        let process = self.processes[machine].as_mut();
+        if let Some(end) = process.and_then(|p| p.end.take()) {
+            let _ = end.send(End::Stop);
+        }
+    }
+
     /// Asks a process to stop and waits until it has.
     pub(crate) fn stop_process(&mut self, machine: usize) {
         self.end_process(machine, End::Stop);
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -180,6 +180,24 @@
     assert_eq!(reply.status, 504, "{reply:?}");
 }
 
+#[test]
+fn a_process_that_stops_answers_a_request_that_no_back_end_takes_any_more() {
+    let mut day = Deployment::start(20, 4);
+    day.store.configure(2, &["/added/"]);
+    day.await_served(SETTLE);
+    day.await_status(0, "/added/", 200, SETTLE);
+    day.crash_back_end(0);
+    day.await_status(0, "/added/", 200, SETTLE);
+    day.ask_to_stop(0);
+    std::thread::sleep(Duration::from_millis(1_100));
+    // Machine 3 loses its answer when the back end here is back, but the process takes nothing more.
+    let retried = day.request_in_background(0, "GET", "/added/late-cut/");
+    std::thread::sleep(Duration::from_millis(300));
+    day.restart_back_end(0);
+    let reply = retried.join().expect("no panic");
+    assert!(matches!(reply.status, 502 | 503 | 504), "{reply:?}");
+}
+
 #[test]
 fn a_request_that_waits_does_not_run_once_its_caller_has_left() {
     let day = Deployment::start(16, 2);
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -218,6 +218,10 @@
         if path.ends_with("/slow/") {
             std::thread::sleep(SLOW_TIME);
         }
+        if path.ends_with("/late-cut/") {
+            std::thread::sleep(SLOW_TIME);
+            return None;
+        }
         if path.ends_with("/stuck/") {
             std::thread::sleep(STUCK_TIME);
         }
