Read again: one accept loop, one jittered pause, one way to draw a process; less work before a refusal

No change of behaviour meant. A Ping is answered in one place. The delay of a region is looked up in one way instead of two, without an allocation. A back end that does not take a request is one case, on_refusal, so that the rule that ended the endless asking holds for every such reason. A request is copied only after it is known that it will be sent; the question for assignments is made only when it is asked. Tests of node, shards and balance pass.

--- a/components/balance/src/link_delay.rs
+++ b/components/balance/src/link_delay.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use world::moment::Moment;
 
 /// Probes whose results are compared; the median stands for the link, so that one slow process does
@@ -72,11 +73,8 @@
     #[must_use]
     pub fn delay(&self, now: Moment) -> Duration {
         let least = self.least.unwrap_or_default();
-        let mut known: Vec<Duration> = self
-            .probes
-            .iter()
-            .filter_map(|p| p.round_trip(now))
-            .collect();
+        let round_trips = self.probes.iter().filter_map(|p| p.round_trip(now));
+        let mut known: SmallVec<[Duration; PROBES]> = round_trips.collect();
         known.sort_unstable();
         let median = known.get(known.len() / 2).copied().unwrap_or_default();
         median.saturating_sub(least)
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -13,13 +13,13 @@
 use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use world::moment::Moment;
-use world::name::{MachineName, RegionName, ServiceName};
+use world::name::{MachineName, ServiceName};
 use xxhash_rust::xxh3;
 
 use crate::draws::EvenDraws;
 use crate::frame::{
-    ForwardedAnswer, ForwardedRequest, Frame, LoadReport, Loss, Outcome, Reason, pack_fields,
-    unpack_fields,
+    ForwardedAnswer, ForwardedRequest, Frame, LoadReport, Loss, Member, Outcome, Reason,
+    pack_fields, unpack_fields,
 };
 use crate::gate;
 use crate::link::Peer;
@@ -355,11 +355,6 @@
     fn places(&self, patient: bool) -> Vec<(MachineName, Place, Candidate)> {
         let now = BootClock.now();
         let mut places = Vec::new();
-        let delays = self.node.link_delays();
-        let delay_to = |region: &RegionName| {
-            let known = delays.iter().find(|(r, _)| r == region);
-            known.map_or(Duration::ZERO, |(_, delay)| *delay)
-        };
         let usable = |m: &MachineName| {
             !self.tried.contains(m) && (patient || !self.refused.iter().any(|(r, _)| r == m))
         };
@@ -397,8 +392,7 @@
                     Some((load, at)) => (load, now.since(at)),
                     None => (idle, Duration::from_secs(60)),
                 };
-                let distance = self.node.distance(m);
-                let delay = delay_to(&m.region);
+                let (distance, delay) = self.way_to(m);
                 if self.is_delayed(patient, distance, delay) {
                     return None;
                 }
@@ -421,10 +415,8 @@
 
     /// Whether the way there is too full for an answer in time.
     fn is_delayed(&self, patient: bool, distance: Distance, delay: Duration) -> bool {
-        delay
-            > self
-                .target(patient, distance, Duration::ZERO)
-                .mul_f64(DELAY_PART)
+        let target = self.target(patient, distance, Duration::ZERO);
+        delay > target.mul_f64(DELAY_PART)
     }
 
     /// Time within which the answer should be ready at a machine that far away, if frames queue on
@@ -456,21 +448,25 @@
         let Place::There(peer) = place else {
             return (Distance::Local, Duration::ZERO);
         };
-        let distance = peer.with_member(|m| self.node.distance(m));
-        let delay = self.node.delay_to(peer);
-        (distance.unwrap_or(Distance::Remote), delay)
+        let known = peer.with_member(|m| self.way_to(m));
+        known.unwrap_or((Distance::Remote, Duration::ZERO))
+    }
+
+    fn way_to(&self, member: &Member) -> (Distance, Duration) {
+        let distance = self.node.distance(member);
+        (distance, self.node.link_delay(&member.region))
     }
 
     async fn send(&self, place: &Place, patient: bool) -> Outcome {
-        let mut request = self.template.clone();
-        request.patience_ms = millis(self.left());
-        request.late = self.returned;
         let (distance, delay) = self.way(place);
         if self.is_delayed(patient, distance, delay) {
             let reason = Reason::Delayed;
             let retry_ms = millis(delay);
             return Outcome::NotRun { reason, retry_ms };
         }
+        let mut request = self.template.clone();
+        request.patience_ms = millis(self.left());
+        request.late = self.returned;
         request.target_ms = millis(self.target(patient, distance, delay));
         match place {
             Place::Here => gate::submit(self.node, Rc::new(request)).await,
@@ -570,14 +566,11 @@
     ) -> Option<End> {
         log::info!(event = "not-run", id = self.id_text(), machine = machine.as_str(), reason:? = reason, retry_ms; "");
         match reason {
-            Reason::Full | Reason::Delayed if !patient => {
-                self.refused.push((machine.clone(), retry_ms));
-                None
-            }
-            Reason::Full | Reason::Delayed | Reason::Expired => {
-                self.refused.push((machine.clone(), retry_ms));
-                Some(self.give_up())
+            Reason::Full | Reason::Delayed => self.on_refusal(machine, retry_ms, patient),
+            Reason::NoBackEnd | Reason::Unreachable if self.keyed_view().is_none() => {
+                self.on_refusal(machine, retry_ms, patient)
             }
+            Reason::Expired => self.on_refusal(machine, retry_ms, true),
             Reason::BackEndRefused => {
                 self.count_result(place, true);
                 self.refused.push((machine.clone(), retry_ms));
@@ -588,24 +581,22 @@
                     Some(self.give_up())
                 }
             }
-            Reason::NotHolder => {
-                if let Place::There(peer) = place {
+            Reason::NotHolder | Reason::NoBackEnd | Reason::Unreachable => {
+                if let (Reason::NotHolder, Place::There(peer)) = (reason, place) {
                     self.ask_assignments(peer);
                 }
                 self.await_assignment().await;
                 self.check_patience()
             }
-            Reason::NoBackEnd | Reason::Unreachable => {
-                if self.keyed_view().is_none() {
-                    self.refused.push((machine.clone(), retry_ms));
-                    return patient.then(|| self.give_up());
-                }
-                self.await_assignment().await;
-                self.check_patience()
-            }
         }
     }
 
+    /// Takes in that a back end does not take the request; gives up if that is final.
+    fn on_refusal(&mut self, machine: &MachineName, retry_ms: u32, last: bool) -> Option<End> {
+        self.refused.push((machine.clone(), retry_ms));
+        last.then(|| self.give_up())
+    }
+
     /// Waits until the assignment changes, or for as long as it is worth asking the same machine
     /// again without a change.
     async fn await_assignment(&self) {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -19,9 +19,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::moment::Moment;
 
-use crate::dispatch;
 use crate::draws::EvenDraws;
 use crate::node::Node;
+use crate::{accept, dispatch};
 
 /// Most requests of one connection that are handled at once.
 const MAX_PIPELINED: usize = 32;
@@ -33,18 +33,11 @@
 /// Accepts callers.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let draws = Rc::new(EvenDraws::default());
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = Connection::new(Rc::clone(&node), Rc::clone(&draws), stream);
-                tokio::task::spawn_local(connection.run());
-            }
-            Err(error) => {
-                log::warn!(event = "accept-failed", listener = "callers", error:% = error; "");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
+    accept::each(listener, "callers", |stream| {
+        let connection = Connection::new(Rc::clone(&node), Rc::clone(&draws), stream);
+        tokio::task::spawn_local(connection.run());
+    })
+    .await;
 }
 
 struct Connection {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers on the machine send their requests to the [`entry`]; [`dispatch`] chooses the machine
 //! that runs each; a [`link`] carries it there, where the [`gate`] hands it to the back end.
 
+pub mod accept;
 pub mod back_end;
 pub mod catalog_watch;
 pub mod catch_up;
@@ -20,6 +21,7 @@
 pub mod metrics;
 pub mod node;
 pub mod patience;
+pub mod pause;
 pub mod peer_server;
 pub mod probe;
 pub mod ready;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -404,6 +404,10 @@
 /// One behind a full link gets as much more time as frames queue on the way to its region.
 async fn watch_silence(node: &Node, peer: &Rc<Peer>) {
     let mut asked: Option<Moment> = None;
+    let queued = || {
+        let delay = peer.with_member(|m| node.link_delay(&m.region));
+        delay.unwrap_or_default()
+    };
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
         let now = BootClock.now();
@@ -411,7 +415,7 @@
             asked = None;
         }
         match asked {
-            Some(at) if now.since(at) > PONG_TIMEOUT + node.delay_to(peer) => return,
+            Some(at) if now.since(at) > PONG_TIMEOUT + queued() => return,
             Some(_) => {}
             None if peer.unanswered() > 0 && now.since(peer.heard.get()) > PING_AFTER => {
                 peer.send(&Frame::Ping { probe: 0 });
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use platform::store::MEMBERS;
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 use shards::keeper::{Call, Outcome, Stored};
 use world::name::MachineName;
 
 use crate::node::Node;
+use crate::pause;
 use crate::relay::StoreClient;
 
 /// Pause after a failed call.
@@ -50,21 +50,16 @@
                 } else {
                     LIST_INTERVAL
                 };
-                pause_about(pause).await;
+                pause::about(pause).await;
             }
             Err(error) => {
                 log::warn!(event = "members-unknown", error:% = error; "");
-                pause_about(RETRY_PAUSE).await;
+                pause::about(RETRY_PAUSE).await;
             }
         }
     }
 }
 
-async fn pause_about(pause: Duration) {
-    let jitter = rand::rng().random_range(0.8..1.2);
-    tokio::time::sleep(pause.mul_f64(jitter)).await;
-}
-
 async fn register(node: &Rc<Node>, store: &Rc<StoreClient>) {
     let entry = Entry {
         machine: node.settings.machine.clone(),
@@ -86,7 +81,7 @@
             }
             Outcome::Conflict(None) => call = Call::Read,
             Outcome::Absent => call = Call::Create(entry.clone()),
-            Outcome::Unknown | Outcome::Refused => pause_about(RETRY_PAUSE).await,
+            Outcome::Unknown | Outcome::Refused => pause::about(RETRY_PAUSE).await,
         }
     }
 }
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -13,11 +13,11 @@
 use platform::configuration;
 use platform::settings::Settings;
 use platform::store::Direct;
+use rand::seq::IteratorRandom;
 use serde_json::Value;
 use shards::assignment::{Assignment, Change};
 use shards::keeper::{Keeper, Stored, Timing};
 use shards::life::Life;
-use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use tokio::sync::Notify;
 use world::moment::Moment;
@@ -397,6 +397,16 @@
         self.peers.borrow().get(machine).cloned()
     }
 
+    /// A process that is connected and is as wanted, drawn at random.
+    #[must_use]
+    pub fn draw_peer(&self, wanted: impl Fn(&Member) -> bool) -> Option<Rc<Peer>> {
+        let peers = self.peers.borrow();
+        let fitting = peers
+            .values()
+            .filter(|p| p.is_connected() && p.with_member(&wanted) == Some(true));
+        fitting.choose(&mut rand::rng()).cloned()
+    }
+
     /// Sends a frame to every process that is connected.
     pub fn broadcast(&self, frame: &Frame) {
         for peer in self.peers.borrow().values() {
@@ -517,31 +527,19 @@
 
     /// Takes in the answer to a probe.
     pub fn on_pong(&self, peer: &Peer, probe: u64) {
-        let region = peer.with_member(|m| m.region.clone());
         let mut delays = self.delays.borrow_mut();
-        if let Some(delay) = region.and_then(|r| delays.get_mut(&r)) {
+        let delay = peer.with_member(|m| delays.get_mut(&m.region));
+        if let Some(delay) = delay.flatten() {
             delay.on_answer(probe, BootClock.now());
         }
     }
 
-    /// Time that frames queue on the way to a process and back.
-    #[must_use]
-    pub fn delay_to(&self, peer: &Peer) -> Duration {
-        let region = peer.with_member(|m| m.region.clone());
-        let delays = self.delays.borrow();
-        let known = region.and_then(|r| delays.get(&r).map(|d| d.delay(BootClock.now())));
-        known.unwrap_or_default()
-    }
-
-    /// Time that frames queue on the links to each other region and back.
+    /// Time that frames queue on the way to a region and back.
     #[must_use]
-    pub fn link_delays(&self) -> SmallVec<[(RegionName, Duration); 4]> {
-        let now = BootClock.now();
+    pub fn link_delay(&self, region: &RegionName) -> Duration {
         let delays = self.delays.borrow();
-        delays
-            .iter()
-            .map(|(region, delay)| (region.clone(), delay.delay(now)))
-            .collect()
+        let delay = delays.get(region).map(|d| d.delay(BootClock.now()));
+        delay.unwrap_or_default()
     }
 
     /// How far a machine is away.
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -14,9 +14,9 @@
 use world::moment::Moment;
 
 use crate::frame::{self, ForwardedRequest, Frame};
-use crate::gate;
 use crate::link::{FrameSender, QUIET_TIME, read_frames, send_frame, write_frames};
 use crate::node::Node;
+use crate::{accept, gate};
 
 /// Time for which an answer is kept for a process that asks again.
 const ANSWER_RETENTION: Duration = Duration::from_millis(2_500);
@@ -53,20 +53,13 @@
 
 /// Accepts connections of other processes.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(error) = net::guard_silence(&stream, QUIET_TIME) {
-                    log::warn!(event = "socket-option-failed", error:% = error; "");
-                }
-                tokio::task::spawn_local(serve_link(Rc::clone(&node), stream));
-            }
-            Err(error) => {
-                log::warn!(event = "accept-failed", listener = "peers", error:% = error; "");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
+    accept::each(listener, "peers", |stream| {
+        if let Err(error) = net::guard_silence(&stream, QUIET_TIME) {
+            log::warn!(event = "socket-option-failed", error:% = error; "");
         }
-    }
+        tokio::task::spawn_local(serve_link(Rc::clone(&node), stream));
+    })
+    .await;
 }
 
 async fn serve_link(node: Rc<Node>, stream: TcpStream) {
@@ -86,9 +79,6 @@
             on_request(&node, incarnation, *request, &sender);
         }
         Frame::Cancel { id } => on_cancel(&node, (incarnation, id)),
-        Frame::Ping { probe } => {
-            send_frame(&sender, &Frame::Pong { probe });
-        }
         Frame::StoreCall { id, call } => {
             let node = Rc::clone(&node);
             let sender = sender.clone();
--- a/components/node/src/ready.rs
+++ b/components/node/src/ready.rs
@@ -13,9 +13,9 @@
 use timer::{BootClock, Clock};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-
 use world::moment::Moment;
 
+use crate::accept;
 use crate::gate::{BackEndCondition, LocalBackEnd};
 use crate::node::Node;
 
@@ -34,17 +34,10 @@
 
 /// Answers calls on a listener.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&node), stream));
-            }
-            Err(error) => {
-                log::warn!(event = "accept-failed", listener = "platform", error:% = error; "");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
+    accept::each(listener, "platform", |stream| {
+        tokio::task::spawn_local(serve_connection(Rc::clone(&node), stream));
+    })
+    .await;
 }
 
 async fn serve_connection(node: Rc<Node>, mut stream: TcpStream) {
@@ -162,19 +155,17 @@
 async fn await_grants(node: &Rc<Node>, received: Moment, report: &CheckIn) -> Option<Reply> {
     while BootClock.now().since(received) < GRANT_WAIT && !node.is_stopping() {
         tokio::time::sleep(GRANT_PAUSE).await;
-        let late = || {
-            let now = BootClock.now();
-            let mut keeper = node.keeper.borrow_mut();
-            keeper.on_late_answer(received, now, report)
-        };
-        match node.in_force() {
-            Some(_) if !node.is_keyed() => return None,
-            Some(_) => {
-                if let Some(reply) = late() {
-                    return Some(reply);
-                }
-            }
-            None => {}
+        if node.in_force().is_none() {
+            continue;
+        }
+        if !node.is_keyed() {
+            return None;
+        }
+        let now = BootClock.now();
+        let mut keeper = node.keeper.borrow_mut();
+        let reply = keeper.on_late_answer(received, now, report);
+        if reply.is_some() {
+            return reply;
         }
     }
     None
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -25,7 +25,6 @@
 const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 /// Part of the grace period after which the process ends whatever still runs.
 const GRACE_PART: f64 = 0.95;
-
 /// Time before the forced end in which callers get their final answers.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
--- a/components/shards/src/keeper/grants.rs
+++ b/components/shards/src/keeper/grants.rs
@@ -140,19 +140,17 @@
             for (release, _) in &self.releases {
                 spans = subtract(&spans, release.span());
             }
-            grants.extend(spans.into_iter().map(|span| {
-                Grant {
-                    span,
-                    fence: r.fence,
-                    handover: if held
-                        .iter()
-                        .any(|h| h.fence == r.fence && h.span.covers(span))
-                    {
-                        String::new()
-                    } else {
-                        r.handover.clone()
-                    },
-                }
+            let is_held = |span| {
+                held.iter()
+                    .any(|h| h.fence == r.fence && h.span.covers(span))
+            };
+            grants.extend(spans.into_iter().map(|span| Grant {
+                span,
+                fence: r.fence,
+                handover: match is_held(span) {
+                    true => String::new(),
+                    false => r.handover.clone(),
+                },
             }));
         }
         grants
