Lay out the small deployments of tests and soak in one place

No change of behaviour. Addresses, ports, services, settings files, back ends and the text of a caller's request stood in the tests of the node and again in the soak: stand_ins::layout and stand_ins::call serve both, which also leaves the platform's names to the stand-ins and the adapter. Ending and signalling a process of the soak is one method each instead of three copies. Tests of node and soak pass.

--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -11,8 +11,10 @@
 use http1::answer::Answer;
 use platform::settings::Settings;
 use serde_json::json;
-use stand_ins::back_end::{BackEnd, Place, Unobserved};
+use stand_ins::back_end::{BackEnd, Unobserved};
+use stand_ins::call::Call;
 use stand_ins::http;
+use stand_ins::layout::{self, Layout, ProcessSettings};
 use stand_ins::store::Store;
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
@@ -23,9 +25,9 @@
 pub(crate) const ORDER: &str = "/orders/new";
 
 /// Time that callers state as their patience.
-const PATIENCE_MS: u64 = 4_000;
+const PATIENCE: Duration = Duration::from_secs(4);
 /// Time in which a process starts.
-const PATIENCE: Duration = Duration::from_secs(5);
+const START_TIME: Duration = Duration::from_secs(5);
 /// Pause between two tries of a caller that waits for an outcome.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -67,7 +69,7 @@
 
 /// The deployment.
 pub(crate) struct Deployment {
-    net: u8,
+    layout: Layout,
     /// The store.
     pub(crate) store: Store,
     processes: Vec<Option<Process>>,
@@ -77,10 +79,10 @@
     replaced: Vec<usize>,
 }
 
-fn address(net: u8, machine: usize, port: u16) -> SocketAddr {
-    let host = u8::try_from(machine + 1).expect("few machines");
-    SocketAddr::from(([127, 77, net, host], port))
-}
+/// Second byte of the addresses of these tests.
+const BLOCK: u8 = 77;
+/// Position of the store's machine.
+const STORE_MACHINE: usize = 99;
 
 impl Deployment {
     /// Starts `machines` machines under a configuration; `net` keeps tests apart.
@@ -92,14 +94,15 @@
 
     /// Starts machines without a configuration.
     pub(crate) fn start_unconfigured(net: u8, machines: usize) -> Self {
-        Self::start_beside(net, machines, Store::start(address(net, 99, 7_000)))
+        Self::start_beside(net, machines, start_store(net))
     }
 
     /// Starts machines whose keys are stored as those of a machine that is gone, and whose address
     /// machine 1 has now.
     pub(crate) fn start_after_ghost(net: u8, machines: usize) -> Self {
-        let store = Store::start(address(net, 99, 7_000));
-        let entry = json!({"machine": "ghost", "address": address(net, 1, 7_005)});
+        let store = start_store(net);
+        let entry =
+            json!({"machine": "ghost", "address": Layout::new(BLOCK, net).at(1, layout::PEERS)});
         store.write("plantaingauge-members", "ghost", entry);
         let lease = json!({"epoch": 1, "count": 5, "fenced": false});
         store.write("plantaingauge-leases", "ghost", lease);
@@ -119,8 +122,8 @@
         machines: usize,
         listen: impl FnOnce(SocketAddr),
     ) -> Self {
-        let store = Store::start(address(net, 99, 7_000));
-        let slow = address(net, 50, 7_005);
+        let store = start_store(net);
+        let slow = Layout::new(BLOCK, net).at(50, layout::PEERS);
         listen(slow);
         let entry = json!({"machine": "slow", "address": slow});
         store.write("plantaingauge-members", "slow", entry);
@@ -130,7 +133,7 @@
 
     fn start_beside(net: u8, machines: usize, store: Store) -> Self {
         let mut day = Self {
-            net,
+            layout: Layout::new(BLOCK, net),
             store,
             processes: Vec::new(),
             back_ends: Vec::new(),
@@ -146,13 +149,7 @@
     }
 
     fn start_back_end(&self, machine: usize, born: u64) -> BackEnd {
-        let place = Place {
-            id: format!("i-{machine}"),
-            service: self.service(machine),
-            address: address(self.net, machine, 7_001),
-            told_address: address(self.net, machine, 7_001),
-            heartbeats: address(self.net, machine, 7_002),
-        };
+        let place = self.layout.back_end(machine);
         BackEnd::start(place, born, Arc::new(Unobserved))
     }
 
@@ -166,31 +163,21 @@
         self.back_ends[machine] = self.start_back_end(machine, 2);
     }
 
-    /// Service of a machine's back end.
-    pub(crate) fn service(&self, machine: usize) -> &'static str {
-        if machine.is_multiple_of(3) {
-            "orders"
-        } else {
-            "lists"
-        }
-    }
-
     fn name(&self, machine: usize) -> String {
         let replaced = self.replaced.contains(&machine);
         format!("m-{machine}{}", if replaced { "-new" } else { "" })
     }
 
     fn settings(&self, machine: usize) -> Settings {
-        let at = |port| address(self.net, machine, port);
-        let text = json!({
-            "nodeName": self.name(machine), "ip": at(0).ip(), "zone": "z", "region": "r",
-            "listenAddresses": {"outbound": at(7_003), "ready": at(7_004), "control": at(7_002)},
-            "internalPortRange": [7_005, 7_010],
-            "bounds": ["graceS=6", "holdMaxMs=10000", "budgetExtraRetries=40"],
-            "applicationAddress": at(7_001), "service": self.service(machine),
-            "platform": {"address": self.store.address}
-        });
-        Settings::from_json(text.to_string().as_bytes()).expect("well-formed")
+        let bounds = ["graceS=6", "holdMaxMs=10000", "budgetExtraRetries=40"];
+        let process = ProcessSettings {
+            name: &self.name(machine),
+            back_end: self.layout.at(machine, layout::BACK_END),
+            store: self.store.address,
+            bounds: &bounds.map(str::to_owned),
+        };
+        let text = self.layout.settings(machine, &process);
+        Settings::from_json(text.as_bytes()).expect("well-formed")
     }
 
     /// Starts a machine's process.
@@ -251,7 +238,7 @@
         self.back_ends[machine].set_silent(true);
         self.kill_process(machine);
         self.start_process(machine);
-        let end = Instant::now() + PATIENCE;
+        let end = Instant::now() + START_TIME;
         while self.back_ends[machine].deregister().is_err() {
             assert!(Instant::now() < end, "machine {machine} does not start");
             std::thread::sleep(PAUSE);
@@ -278,13 +265,19 @@
         key: Option<u16>,
     ) -> Reply {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
-        send(address(self.net, machine, 7_003), id, method, path, key)
+        send(
+            self.layout.at(machine, layout::CALLERS),
+            id,
+            method,
+            path,
+            key,
+        )
     }
 
     /// Sends an order and leaves without its answer after a while.
     pub(crate) fn order_and_leave(&self, machine: usize, after: Duration) {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
-        let at = address(self.net, machine, 7_003);
+        let at = self.layout.at(machine, layout::CALLERS);
         let mut stream = TcpStream::connect(at).expect("it listens");
         let text = encode(id, "POST", ORDER, None);
         stream.write_all(text.as_bytes()).expect("it reads");
@@ -293,7 +286,7 @@
 
     /// Sends bytes where other processes connect, and waits until the connection is closed.
     pub(crate) fn send_to_peer_port(&self, machine: usize, bytes: &[u8]) {
-        let at = address(self.net, machine, 7_005);
+        let at = self.layout.at(machine, layout::PEERS);
         let mut stream = TcpStream::connect(at).expect("it listens");
         stream.write_all(bytes).expect("it reads");
         stream.shutdown(Shutdown::Write).expect("it is open");
@@ -323,7 +316,7 @@
         pause: Duration,
     ) -> JoinHandle<Reply> {
         let id = self.next_id.fetch_add(1, Ordering::SeqCst);
-        let at = address(self.net, machine, 7_003);
+        let at = self.layout.at(machine, layout::CALLERS);
         std::thread::spawn(move || {
             std::thread::sleep(pause);
             send(at, id, method, path, None)
@@ -378,22 +371,18 @@
 
     fn ask(&self, machine: usize, port: u16, path: &str) -> Answer {
         let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-        http::call(
-            address(self.net, machine, port),
-            &text,
-            Duration::from_secs(5),
-        )
-        .expect("an answer")
+        http::call(self.layout.at(machine, port), &text, Duration::from_secs(5)).expect("an answer")
     }
 
     /// Status of a process's readiness.
     pub(crate) fn readiness(&self, machine: usize) -> u16 {
-        self.ask(machine, 7_004, "/plantaingauge/readiness").status
+        self.ask(machine, layout::READINESS, "/plantaingauge/readiness")
+            .status
     }
 
     /// A process's metrics.
     pub(crate) fn metrics(&self, machine: usize) -> String {
-        let answer = self.ask(machine, 7_010, "/metrics");
+        let answer = self.ask(machine, layout::METRICS, "/metrics");
         String::from_utf8_lossy(&answer.body).into_owned()
     }
 }
@@ -413,17 +402,24 @@
     }
 }
 
+fn start_store(net: u8) -> Store {
+    Store::start(Layout::new(BLOCK, net).at(STORE_MACHINE, layout::STORE))
+}
+
 fn encode(id: u64, method: &str, path: &str, key: Option<u16>) -> String {
-    let key = key.map_or(String::new(), |k| format!("Shard-Key: {k}\r\n"));
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r{id}\r\n\
-         Deadline-Ms: {PATIENCE_MS}\r\n{key}Content-Length: 0\r\n\r\n"
-    )
+    let call = Call {
+        id: &format!("r{id}"),
+        method,
+        path,
+        key,
+        patience: PATIENCE,
+    };
+    call.to_string()
 }
 
 fn send(at: SocketAddr, id: u64, method: &str, path: &str, key: Option<u16>) -> Reply {
     let text = encode(id, method, path, key);
-    let answer = http::call(at, &text, Duration::from_millis(PATIENCE_MS + 1_000)).ok();
+    let answer = http::call(at, &text, PATIENCE + Duration::from_secs(1)).ok();
     Reply {
         status: answer.as_ref().map_or(0, |a| a.status),
         answer,
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use deployment::{Deployment, LISTING, ORDER, Reply};
+use stand_ins::layout;
 
 /// Time for keys to get a first holder, and for a change to arrive everywhere.
 const SETTLE: Duration = Duration::from_secs(20);
@@ -19,7 +20,7 @@
         for key in [0, 17_000, 40_000, 65_535] {
             let reply = day.request(machine, "GET", LISTING, Some(key));
             assert_eq!(reply.status, 200, "{reply:?}");
-            assert_eq!(reply.caller(), day.service(machine));
+            assert_eq!(reply.caller(), layout::service(machine));
         }
         assert_eq!(day.request(machine, "POST", ORDER, None).status, 200);
         assert_eq!(day.request(machine, "GET", "/nowhere/", None).status, 404);
--- a/components/stand-ins/src/lib.rs
+++ b/components/stand-ins/src/lib.rs
@@ -3,5 +3,7 @@
 //! They speak the platform's protocol over blocking sockets, a thread a connection.
 
 pub mod back_end;
+pub mod call;
 pub mod http;
+pub mod layout;
 pub mod store;
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -7,7 +7,9 @@
 use http1::answer::Answer;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use stand_ins::call::Call;
 use stand_ins::http::Connection;
+use stand_ins::layout;
 
 use crate::fleet::{Fleet, Site};
 use crate::ledger::{Claim, Ledger};
@@ -153,7 +155,7 @@
         if let Some(connection) = self.connection.take() {
             return Some(connection);
         }
-        let address = self.scene.site.callers(self.machine);
+        let address = self.scene.site.layout.at(self.machine, layout::CALLERS);
         let connection = Connection::open(address, PATIENCE).ok()?;
         Some((connection, Instant::now()))
     }
@@ -191,20 +193,19 @@
 
 fn encode(id: &str, kind: Kind) -> String {
     let (method, path, key) = match kind {
-        Kind::Order => ("POST", "/orders/new".to_owned(), String::new()),
-        Kind::SlowOrder => ("POST", "/orders/slow/".to_owned(), String::new()),
-        Kind::Listing(key) => (
-            "GET",
-            "/list/all".to_owned(),
-            format!("Shard-Key: {key}\r\n"),
-        ),
-        Kind::Version(version) => ("GET", version_path(version), String::new()),
+        Kind::Order => ("POST", "/orders/new".to_owned(), None),
+        Kind::SlowOrder => ("POST", "/orders/slow/".to_owned(), None),
+        Kind::Listing(key) => ("GET", "/list/all".to_owned(), Some(key)),
+        Kind::Version(version) => ("GET", version_path(version), None),
     };
-    format!(
-        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
-         Deadline-Ms: {}\r\n{key}Content-Length: 0\r\n\r\n",
-        PATIENCE.as_millis()
-    )
+    let call = Call {
+        id,
+        method,
+        path: &path,
+        key,
+        patience: PATIENCE,
+    };
+    call.to_string()
 }
 
 /// Path that exists from a version of the configuration on.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,16 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
 use snafu::{ResultExt, Snafu};
 use stand_ins::back_end::{BackEnd, Place};
+use stand_ins::layout::{self, Layout, ProcessSettings};
 use stand_ins::store::Store;
 
 use crate::ledger::Ledger;
@@ -23,6 +22,16 @@
 /// Time until a process or back end that has ended starts again.
 const RESTART_TIME: Duration = Duration::from_millis(700);
 
+/// Second byte of the addresses of soaks.
+const BLOCK: u8 = 78;
+/// Distance between a port and that of the proxy in front of it.
+const PROXY_OFFSET: u16 = 100;
+
+/// Port of the proxy in front of a port.
+fn proxied(port: u16) -> u16 {
+    port + PROXY_OFFSET
+}
+
 /// Why the processes cannot be run.
 #[derive(Debug, Snafu)]
 pub enum FleetFault {
@@ -47,8 +56,8 @@
 /// Where everything of a soak is.
 #[derive(Clone, Debug)]
 pub struct Site {
-    /// Third byte of the addresses, which keeps soaks apart.
-    pub net: u8,
+    /// The addresses.
+    pub layout: Layout,
     /// Directory for settings and logs.
     pub directory: PathBuf,
     /// The program of the processes.
@@ -61,48 +70,65 @@
     pub fn new(directory: PathBuf, program: PathBuf, seed: u64) -> Self {
         let mixed = seed.wrapping_add(u64::from(std::process::id()).wrapping_mul(61));
         Self {
-            net: u8::try_from(mixed % 251).unwrap_or_default(),
+            layout: Layout::new(BLOCK, u8::try_from(mixed % 251).unwrap_or_default()),
             directory,
             program,
         }
     }
 
-    /// Address of a port on a machine.
-    ///
-    /// # Panics
-    /// Panics if there are more machines than addresses.
-    #[must_use]
-    pub fn at(&self, machine: usize, port: u16) -> SocketAddr {
-        let host = u8::try_from(machine + 1).expect("few machines");
-        SocketAddr::from((IpAddr::from([127, 78, self.net, host]), port))
-    }
-
-    /// Where callers on a machine send their requests.
-    #[must_use]
-    pub fn callers(&self, machine: usize) -> SocketAddr {
-        self.at(machine, 7_003)
-    }
-
     fn settings_path(&self, machine: usize) -> PathBuf {
         self.directory.join(format!("m-{machine}.json"))
     }
 }
 
-/// Service of a machine's back end.
-fn service(machine: usize) -> &'static str {
-    if machine.is_multiple_of(3) {
-        "orders"
-    } else {
-        "lists"
-    }
-}
-
 enum Process {
     Running(Child),
     Stopping { child: Child, since: Instant },
     Down { until: Instant },
 }
 
+impl Process {
+    /// Ends the process at once, if it is there; it is to start again later.
+    fn end(&mut self) {
+        if let Process::Running(child) | Process::Stopping { child, .. } = self {
+            // Fails only if it has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let until = Instant::now() + RESTART_TIME;
+        *self = Process::Down { until };
+    }
+
+    /// Asks the process to stop, if it has not been asked before.
+    fn stop(&mut self) {
+        let now = Instant::now();
+        *self = match std::mem::replace(self, Process::Down { until: now }) {
+            Process::Running(child) => {
+                let stopping = Process::Stopping { child, since: now };
+                stopping.signal(Signal::TERM);
+                stopping
+            }
+            other => other,
+        };
+    }
+
+    /// Sends a signal to the process, if it is there.
+    fn signal(&self, signal: Signal) {
+        let (Process::Running(child) | Process::Stopping { child, .. }) = self else {
+            return;
+        };
+        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // Fails only if the process has ended, which the next look notices.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        matches!(self, Process::Down { .. })
+    }
+}
+
 struct Machine {
     process: Process,
     paused: bool,
@@ -159,46 +185,47 @@
     }
 
     fn start_links(&self, machine: usize, store: &Store) -> BTreeMap<Link, Proxy> {
-        let at = |port| self.site.at(machine, port);
+        let at = |port| self.site.layout.at(machine, port);
         let proxies = [
-            (Link::Peers, 7_105, at(7_005)),
-            (Link::Store, 7_106, store.address),
-            (Link::BackEnd, 7_101, at(7_001)),
-            (Link::Heartbeats, 7_102, at(7_002)),
+            (Link::Peers, layout::PEERS, at(layout::PEERS)),
+            (Link::Store, layout::STORE, store.address),
+            (Link::BackEnd, layout::BACK_END, at(layout::BACK_END)),
+            (Link::Heartbeats, layout::HEARTBEATS, at(layout::HEARTBEATS)),
         ];
         proxies
             .into_iter()
-            .map(|(link, port, target)| (link, Proxy::start(at(port), target)))
+            .map(|(link, port, target)| (link, Proxy::start(at(proxied(port)), target)))
             .collect()
     }
 
     fn start_back_end(&self, machine: usize, born: u64) -> BackEnd {
-        let at = |port| self.site.at(machine, port);
+        let at = |port| self.site.layout.at(machine, proxied(port));
         let place = Place {
-            id: format!("i-{machine}"),
-            service: service(machine),
-            address: at(7_001),
-            told_address: at(7_101),
-            heartbeats: at(7_102),
+            told_address: at(layout::BACK_END),
+            heartbeats: at(layout::HEARTBEATS),
+            ..self.site.layout.back_end(machine)
         };
         let ledger = Arc::clone(&self.ledger);
         BackEnd::start(place, born, ledger)
     }
 
     fn write_settings(&self, machine: usize) -> Result<(), FleetFault> {
-        let at = |port| self.site.at(machine, port);
+        let at = |port| self.site.layout.at(machine, proxied(port));
         let extra = 8 + self.reloads % 4;
-        let text = json!({
-            "nodeName": format!("m-{machine}"), "ip": at(0).ip(), "zone": "z", "region": "r",
-            "listenAddresses": {"outbound": at(7_003), "ready": at(7_004), "control": at(7_002)},
-            "internalPortRange": [7_005, 7_010],
-            "bounds": [format!("graceS={}", GRACE.as_secs()), "holdMaxMs=10000",
-                "retryBudgetRatio=0.2", format!("budgetExtraRetries={extra}")],
-            "applicationAddress": at(7_101), "service": service(machine),
-            "platform": {"address": at(7_106)}
-        });
+        let process = ProcessSettings {
+            name: &format!("m-{machine}"),
+            back_end: at(layout::BACK_END),
+            store: at(layout::STORE),
+            bounds: &[
+                format!("graceS={}", GRACE.as_secs()),
+                "holdMaxMs=10000".to_owned(),
+                "retryBudgetRatio=0.2".to_owned(),
+                format!("budgetExtraRetries={extra}"),
+            ],
+        };
+        let text = self.site.layout.settings(machine, &process);
         let path = self.site.settings_path(machine);
-        std::fs::write(&path, text.to_string()).context(FileSnafu { path })
+        std::fs::write(&path, text).context(FileSnafu { path })
     }
 
     fn spawn(&self, machine: usize) -> Result<Child, FleetFault> {
@@ -210,7 +237,10 @@
             .env("PLANTAINGAUGE_NODE_FILE", self.site.settings_path(machine))
             .env(
                 "PLANTAINGAUGE_PEER_ADDRESS",
-                self.site.at(machine, 7_105).to_string(),
+                self.site
+                    .layout
+                    .at(machine, proxied(layout::PEERS))
+                    .to_string(),
             )
             .stdin(Stdio::null())
             .stdout(log)
@@ -240,24 +270,14 @@
     #[must_use]
     pub fn was_disturbed(&self, machine: usize, since: Instant) -> bool {
         let m = &self.machines[machine];
-        m.paused || m.disturbed >= since || matches!(m.process, Process::Down { .. })
-    }
-
-    fn signal(child: &Child, signal: Signal) {
-        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            // Fails only if the process has ended, which the next look notices.
-            let _ = kill_process(pid, signal);
-        }
+        m.paused || m.disturbed >= since || m.process.is_down()
     }
 
     /// Lets a process stand still.
     pub fn pause(&mut self, machine: usize) {
         let m = &mut self.machines[machine];
-        if let Process::Running(child) | Process::Stopping { child, .. } = &m.process {
-            Self::signal(child, Signal::STOP);
-            m.paused = true;
-        }
+        m.process.signal(Signal::STOP);
+        m.paused = !m.process.is_down();
     }
 
     /// Lets a process go on.
@@ -266,20 +286,15 @@
         if !std::mem::replace(&mut m.paused, false) {
             return;
         }
-        if let Process::Running(child) | Process::Stopping { child, .. } = &m.process {
-            Self::signal(child, Signal::CONT);
-        }
+        m.process.signal(Signal::CONT);
         m.disturbed = Instant::now();
     }
 
     /// Kills a process; it starts again.
     pub fn kill(&mut self, machine: usize) {
         let m = &mut self.machines[machine];
-        if let Process::Running(child) | Process::Stopping { child, .. } = &mut m.process {
-            let _ = child.kill();
-            let _ = child.wait();
-            let until = Instant::now() + RESTART_TIME;
-            m.process = Process::Down { until };
+        if !m.process.is_down() {
+            m.process.end();
             m.paused = false;
             m.disturbed = Instant::now();
         }
@@ -287,17 +302,7 @@
 
     /// Asks a process to stop; it starts again.
     pub fn stop(&mut self, machine: usize) {
-        let m = &mut self.machines[machine];
-        let until = Instant::now();
-        let process = std::mem::replace(&mut m.process, Process::Down { until });
-        m.process = match process {
-            Process::Running(child) => {
-                Self::signal(&child, Signal::TERM);
-                let since = Instant::now();
-                Process::Stopping { child, since }
-            }
-            other => other,
-        };
+        self.machines[machine].process.stop();
     }
 
     /// Changes a process's settings, with a signal or without.
@@ -307,10 +312,9 @@
     pub fn reload(&mut self, machine: usize) -> Result<(), FleetFault> {
         self.reloads += 1;
         self.write_settings(machine)?;
-        if let Process::Running(child) = &self.machines[machine].process
-            && self.reloads.is_multiple_of(2)
-        {
-            Self::signal(child, Signal::HUP);
+        let process = &self.machines[machine].process;
+        if matches!(process, Process::Running(_)) && self.reloads.is_multiple_of(2) {
+            process.signal(Signal::HUP);
         }
         Ok(())
     }
@@ -381,13 +385,8 @@
             self.ledger.note(breach);
         }
         let m = &mut self.machines[machine];
-        if let Process::Running(child) | Process::Stopping { child, .. } = &mut m.process {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        m.process.end();
         m.paused = false;
-        let until = now + RESTART_TIME;
-        m.process = Process::Down { until };
         Ok(())
     }
 }
@@ -395,10 +394,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         for m in &mut self.machines {
-            if let Process::Running(child) | Process::Stopping { child, .. } = &mut m.process {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
+            m.process.end();
             if let Some(back_end) = m.back_end.take() {
                 back_end.crash();
             }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use stand_ins::layout;
 use stand_ins::store::{Store, Trouble};
 
 use crate::callers::{Caller, Kind, Scene, version_path};
@@ -15,6 +16,8 @@
 
 /// Time in which all is served after the start, and again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(15);
+/// Position of the store's machine.
+const STORE_MACHINE: usize = 98;
 /// Callers on each machine.
 const CALLERS: u64 = 2;
 /// Time between two looks at the processes.
@@ -61,7 +64,7 @@
 /// # Errors
 /// Fails if the processes cannot be run.
 pub fn run(options: &Options) -> Result<Verdict, FleetFault> {
-    let store = Store::start(options.site.at(98, 7_000));
+    let store = Store::start(options.site.layout.at(STORE_MACHINE, layout::STORE));
     store.configure(1, &[&version_path(1)]);
     let ledger = Arc::new(Ledger::default());
     let site = options.site.clone();
