--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -1,8 +1,11 @@
 //! Stand-in for a back end: sends heartbeats, holds keys and runs requests.
+//!
+//! The end of a request's path selects what else happens: `/slow/` and `/stuck/` run long, `/cut/`
+//! and `/late-cut/` lose their response, `/crash/` crashes the back end as it begins to run.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 use http1::request::Request;
@@ -100,12 +103,12 @@
     drain_confirmed: AtomicBool,
     order_count: AtomicU64,
     keys: Mutex<HeldKeys>,
+    server: OnceLock<http::Acceptor>,
 }
 
 /// One incarnation of a back end.
 pub struct BackEnd {
     state: Arc<State>,
-    server: http::Acceptor,
 }
 
 impl BackEnd {
@@ -122,29 +125,33 @@
             drain_confirmed: AtomicBool::new(false),
             order_count: AtomicU64::new(0),
             keys: Mutex::default(),
+            server: OnceLock::new(),
         });
         let handler_state = Arc::clone(&state);
         let handler: http::Handler = Arc::new(move |request| handler_state.handle(request));
         let server = http::serve(state.config.listen_address, handler);
+        let _ = state.server.set(server);
         let heartbeat_state = Arc::clone(&state);
         std::thread::spawn(move || heartbeat_state.send_heartbeats());
-        Self { state, server }
+        Self { state }
     }
 
     /// Halts the back end as if its machine were lost.
     ///
     /// It sends no heartbeats and closes connections without a response; its port stays bound.
     pub fn halt(&self) {
-        let state = &self.state;
-        let _keys = state.lock_keys();
-        state.halted.store(true, Ordering::SeqCst);
-        state.observer.on_exit(&state.config.id, state.born);
+        self.state.halt();
     }
 
     /// Halts the back end and closes its listener, as if its process had crashed.
     pub fn crash(&self) {
-        self.halt();
-        self.server.close();
+        self.state.crash();
+    }
+
+    /// Returns whether it was halted, or crashed by [`Self::crash`] or by a request to a crash path.
+    #[must_use]
+    pub fn is_halted(&self) -> bool {
+        self.state.is_halted()
     }
 
     /// Suspends or resumes its heartbeats.
@@ -189,6 +196,20 @@
         self.halted.load(Ordering::SeqCst)
     }
 
+    fn halt(&self) {
+        let _keys = self.lock_keys();
+        self.halted.store(true, Ordering::SeqCst);
+        self.observer.on_exit(&self.config.id, self.born);
+    }
+
+    fn crash(&self) {
+        self.halt();
+        // `None` only while `BackEnd::start` has not returned.
+        if let Some(server) = self.server.get() {
+            server.close();
+        }
+    }
+
     fn holds(&self, key: u16) -> bool {
         let keys = self.lock_keys();
         let unexpired = keys.expires_at.is_some_and(|at| Instant::now() < at);
@@ -215,6 +236,10 @@
         if path.starts_with("/orders/") {
             self.order_count.fetch_add(1, Ordering::SeqCst);
         }
+        if path.ends_with("/crash/") {
+            self.crash();
+            return None;
+        }
         if path.ends_with("/cut/") {
             return None;
         }
--- a/components/stand-ins/src/layout.rs
+++ b/components/stand-ins/src/layout.rs
@@ -24,6 +24,9 @@
 /// Port of the node for metrics.
 pub const METRICS_PORT: u16 = 7_010;
 
+/// Start of the id of a back end, before the number of its machine.
+const BACK_END_PREFIX: &str = "i-";
+
 /// Addresses of one deployment: `127.<second octet>.<third octet>.<machine + 1>`.
 #[derive(Clone, Copy, Debug)]
 pub struct Layout {
@@ -68,7 +71,7 @@
     #[must_use]
     pub fn back_end_config(self, machine: usize) -> BackEndConfig {
         BackEndConfig {
-            id: format!("i-{machine}"),
+            id: back_end_id(machine),
             service: service(machine),
             listen_address: self.address(machine, BACK_END_PORT),
             advertised_address: self.address(machine, BACK_END_PORT),
@@ -95,6 +98,22 @@
     }
 }
 
+fn back_end_id(machine: usize) -> String {
+    format!("{BACK_END_PREFIX}{machine}")
+}
+
+/// Returns the machine of the back end with this id.
+///
+/// # Panics
+/// Panics if the id is not one of a layout.
+#[must_use]
+pub fn machine_of(back_end: &str) -> usize {
+    let number = back_end.strip_prefix(BACK_END_PREFIX);
+    number
+        .and_then(|n| n.parse().ok())
+        .expect("the id of a back end")
+}
+
 /// Returns the service of a machine's back end.
 #[must_use]
 pub fn service(machine: usize) -> &'static str {
--- a/components/stand-ins/src/store.rs
+++ b/components/stand-ins/src/store.rs
@@ -96,6 +96,12 @@
         self.state.1.notify_all();
     }
 
+    /// Returns the injected fault.
+    #[must_use]
+    pub fn fault(&self) -> StoreFault {
+        self.lock().fault
+    }
+
     /// Discards the history: a watch from an earlier revision gets a 410.
     pub fn compact(&self) {
         let mut state = self.lock();
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -11,6 +11,7 @@
 use stand_ins::http::Connection;
 use stand_ins::layout;
 
+use crate::crashing::{CrashingRequest, Target};
 use crate::fleet::{Environment, Fleet};
 use crate::invariants::{InvariantChecker, ReportedOutcome};
 
@@ -39,6 +40,25 @@
     Listing(u16),
     /// A request to the route that this version of the configuration added.
     Version(u64),
+    /// A request that crashes the back end that begins to run it.
+    Crashing(CrashingRequest),
+}
+
+impl RequestKind {
+    fn is_order(self) -> bool {
+        match self {
+            Self::Order | Self::SlowOrder => true,
+            Self::Crashing(request) => request.target == Target::Order,
+            Self::Listing(_) | Self::Version(_) => false,
+        }
+    }
+
+    fn id_prefix(self) -> String {
+        match self {
+            Self::Crashing(request) => request.id_prefix(),
+            _ => "s".to_owned(),
+        }
+    }
 }
 
 /// State shared by the callers and the fault injection.
@@ -53,6 +73,8 @@
     pub config_version: AtomicU64,
     /// Whether callers continue to send requests.
     pub running: AtomicBool,
+    /// Whether faults are injected.
+    pub faulty: AtomicBool,
     next_id: AtomicU64,
 }
 
@@ -66,6 +88,7 @@
             checker,
             config_version: AtomicU64::new(1),
             running: AtomicBool::new(true),
+            faulty: AtomicBool::new(true),
             next_id: AtomicU64::new(1),
         }
     }
@@ -78,8 +101,9 @@
         self.fleet.lock().expect("no panic under the lock")
     }
 
-    fn next_id(&self) -> String {
-        format!("s{}", self.next_id.fetch_add(1, Ordering::SeqCst))
+    fn next_id(&self, kind: RequestKind) -> String {
+        let number = self.next_id.fetch_add(1, Ordering::SeqCst);
+        format!("{}{number}", kind.id_prefix())
     }
 }
 
@@ -125,13 +149,13 @@
 
     /// Sends one request and checks its response; returns the status, or 0 without a response.
     pub fn request(&mut self, kind: RequestKind) -> u16 {
-        let id = self.shared.next_id();
+        let id = self.shared.next_id(kind);
         let run = self.shared.fleet().process_run(self.machine);
         let Some((mut connection, last_used)) = self.take_connection() else {
             std::thread::sleep(RECONNECT_PAUSE);
             return 0;
         };
-        if matches!(kind, RequestKind::Order | RequestKind::SlowOrder) {
+        if kind.is_order() {
             self.shared.checker.on_order(&id);
         }
         let sent_at = Instant::now();
@@ -215,6 +239,11 @@
         RequestKind::SlowOrder => ("POST", "/orders/slow/".to_owned(), None),
         RequestKind::Listing(key) => ("GET", "/list/all".to_owned(), Some(key)),
         RequestKind::Version(version) => ("GET", version_path(version), None),
+        RequestKind::Crashing(request) => match request.target {
+            Target::Order => ("POST", request.path(), None),
+            Target::Idempotent => ("GET", request.path(), None),
+            Target::Keyed(key) => ("GET", request.path(), Some(key)),
+        },
     };
     let request = CallerRequest {
         id,
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -362,8 +362,26 @@
         Ok(())
     }
 
+    /// Returns the machines whose node or one of its connections is under a fault.
+    #[must_use]
+    pub fn disturbed(&self) -> Vec<usize> {
+        let is_disturbed = |m: &Machine| {
+            let links = m.proxies.values().any(|p| p.fault() != LinkFault::None);
+            m.paused || links || !matches!(m.process, Process::Running(_))
+        };
+        let machines = self.machines.iter().enumerate();
+        machines
+            .filter(|(_, m)| is_disturbed(m))
+            .map(|(machine, _)| machine)
+            .collect()
+    }
+
     fn poll_back_end(&mut self, machine: usize) {
-        let m = &self.machines[machine];
+        let m = &mut self.machines[machine];
+        if m.back_end.as_ref().is_some_and(BackEnd::is_halted) {
+            m.back_end = None;
+            m.back_end_restart_at = Some(Instant::now() + RESTART_DELAY);
+        }
         if m.back_end_restart_at.is_some_and(|at| at <= Instant::now()) {
             let born = m.born + 1;
             let back_end = self.start_back_end(machine, born);
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -2,6 +2,7 @@
 //!
 //! - An order runs at most once, and a request reported as not run never runs.
 //! - A response comes from a back end that ran the request.
+//! - A request that has crashed three back ends is stopped.
 //! - No two incarnations of back ends hold a key at once, and the fencing token of a key increases
 //!   with each change of holder.
 
@@ -10,6 +11,10 @@
 use std::time::Instant;
 
 use stand_ins::back_end::{Grant, Observer};
+use stand_ins::layout;
+
+use crate::crashing::{self, Crash};
+use crate::disturbances::Disturbances;
 
 /// Number of keys.
 const KEYS: usize = 65_536;
@@ -45,6 +50,8 @@
     /// Latest fencing token of each key and the index of its holder in `incarnations`.
     fences: Vec<(u64, u32)>,
     incarnations: Vec<Incarnation>,
+    crashes: Vec<Crash>,
+    disturbances: Disturbances,
     counts: Counts,
 }
 
@@ -72,6 +79,8 @@
             held_grants: BTreeMap::new(),
             fences: vec![(0, u32::MAX); KEYS],
             incarnations: Vec::new(),
+            crashes: Vec::new(),
+            disturbances: Disturbances::default(),
             counts: Counts::default(),
         }))
     }
@@ -87,6 +96,15 @@
         self.state().violations.push(violation);
     }
 
+    /// Records that these machines are under a fault at this moment.
+    pub fn on_disturbed(&self, machines: impl IntoIterator<Item = usize>) {
+        let mut state = self.state();
+        let now = Instant::now();
+        for machine in machines {
+            state.disturbances.record(machine, now);
+        }
+    }
+
     /// Records that a request must run at most once.
     pub fn on_order(&self, request: &str) {
         self.state().orders.insert(request.to_owned());
@@ -124,6 +142,7 @@
                 ));
             }
         }
+        violations.extend(crashing::violations(&state.crashes, &state.disturbances));
         (violations, state.counts)
     }
 }
@@ -171,6 +190,14 @@
 impl Observer for InvariantChecker {
     fn on_execute(&self, back_end: &str, request: &str) {
         let mut state = self.state();
+        if crashing::number_of(request).is_some() {
+            let machine = layout::machine_of(back_end);
+            state.crashes.push(Crash {
+                machine,
+                request: request.to_owned(),
+                at: Instant::now(),
+            });
+        }
         let runs = state.runs.entry(request.to_owned()).or_default();
         runs.push(back_end.to_owned());
         let runs = runs.clone();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,6 +3,8 @@
 //! Callers and back ends report what they see to an [`invariants::InvariantChecker`] throughout.
 
 pub mod callers;
+pub mod crashing;
+pub mod disturbances;
 pub mod fleet;
 pub mod invariants;
 pub mod plan;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -24,6 +24,8 @@
     /// Seconds for which faults are injected
     #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
     seconds: u64,
+    /// Leave out requests that crash back ends
+    no_crashing: bool,
     /// Program to soak; plantaingauge-node beside this program if left out
     #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
@@ -61,6 +63,7 @@
             seed,
             machines: arguments.machines,
             duration: Duration::from_secs(arguments.seconds),
+            crashing: !arguments.no_crashing,
             environment: Environment::new(directory, program.clone(), seed),
         };
         let verdict = run::run(&options)?;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -70,6 +70,12 @@
         Self { fault, acceptor }
     }
 
+    /// Returns the current fault.
+    #[must_use]
+    pub fn fault(&self) -> LinkFault {
+        current(&self.fault)
+    }
+
     /// Replaces the fault, for open connections as well.
     pub fn set_fault(&self, fault: LinkFault) {
         *self.fault.lock().expect("no panic under the lock") = fault;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -3,12 +3,14 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use stand_ins::layout;
 use stand_ins::store::{Store, StoreFault};
 
 use crate::callers::{Caller, RequestKind, SharedState, version_path};
+use crate::crashing::{self, CrashingRequest};
 use crate::fleet::{Environment, Fleet, FleetError};
 use crate::invariants::{Counts, InvariantChecker};
 use crate::plan::{self, Fault, Link, ScheduledFault};
@@ -34,6 +36,8 @@
     pub machines: usize,
     /// Time for which faults are injected.
     pub duration: Duration,
+    /// Whether requests that crash back ends are among them.
+    pub crashing: bool,
     /// Addresses, files and the program to run.
     pub environment: Environment,
 }
@@ -82,6 +86,7 @@
     let shared = Arc::new(SharedState::new(environment, fleet, checker));
     await_served(&shared)?;
     let faults = plan::generate(options.seed, options.machines, options.duration);
+    let senders = start_crashing_requests(&shared, options);
     let callers: Vec<_> = (0..options.machines)
         .flat_map(|machine| (0..CALLERS_PER_MACHINE).map(move |n| (machine, n)))
         .map(|(machine, n)| {
@@ -91,6 +96,10 @@
         })
         .collect();
     inject_faults(&shared, &store, &faults, options.duration)?;
+    shared.faulty.store(false, Ordering::SeqCst);
+    for sender in senders {
+        let _ = sender.join();
+    }
     let recovery = await_served(&shared)?;
     shared.running.store(false, Ordering::SeqCst);
     for caller in callers {
@@ -105,6 +114,18 @@
     })
 }
 
+fn start_crashing_requests(shared: &Arc<SharedState>, options: &Options) -> Vec<JoinHandle<()>> {
+    if !options.crashing {
+        return Vec::new();
+    }
+    let requests = crashing::generate(options.seed, options.machines, options.duration);
+    let start = |request: CrashingRequest| {
+        let shared = Arc::clone(shared);
+        std::thread::spawn(move || request.send_repeatedly(&shared))
+    };
+    requests.into_iter().map(start).collect()
+}
+
 /// Injects the faults as scheduled and reverts each after its duration.
 fn inject_faults(
     shared: &SharedState,
@@ -129,6 +150,7 @@
             !is_over
         });
         shared.fleet().poll()?;
+        record_disturbances(shared, store);
         std::thread::sleep(POLL_INTERVAL);
     }
     for (_, revert) in reverts {
@@ -137,6 +159,16 @@
     Ok(())
 }
 
+fn record_disturbances(shared: &SharedState, store: &Store) {
+    let fleet = shared.fleet();
+    let disturbed = match store.fault() {
+        StoreFault::None => fleet.disturbed(),
+        _ => (0..fleet.len()).collect(),
+    };
+    drop(fleet);
+    shared.checker.on_disturbed(disturbed);
+}
+
 fn begin_fault(
     shared: &SharedState,
     store: &Store,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -23,6 +23,7 @@
             seed,
             machines,
             duration: Duration::from_secs(seconds),
+            crashing: false,
             environment: Environment::new(directory.clone(), program, seed),
         })
         .expect("the processes start");
