Name the requests that an exiting back end interrupts

A fingerprint of method, host, path with query, caller's service and body is the same for all attempts. `event=exchange-failed` has it as `digest`; `event=back-end-exit` lists those of the requests whose connections broke as the back end ended, and how the exit showed: its address refuses connections, or another incarnation reports. A broken connection is followed by a probe of the address at once, so that the first proof comes in milliseconds instead of with the heartbeat after the restart. The probe's connection is kept for the next request. Counted in `plantaingauge_back_end_exits_total`.

Nothing is decided by it yet.

--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -120,12 +120,14 @@
             })
     }
 
-    /// Opens and closes a connection to check whether the back end listens.
+    /// Opens a connection to check whether the back end listens, and keeps it for the next request.
     ///
     /// # Errors
     /// Returns `NobodyListens` or `Unreachable`.
     pub async fn probe(&self) -> Result<(), ExchangeError> {
-        self.connect().await.map(drop)
+        let stream = self.connect().await?;
+        self.push_idle(stream, DEFAULT_IDLE_TIMEOUT);
+        Ok(())
     }
 
     /// Sends a request and returns the back end's response with its check.
@@ -180,11 +182,15 @@
         let Some(idle) = message::idle_timeout(response, DEFAULT_IDLE_TIMEOUT) else {
             return;
         };
+        self.push_idle(stream, idle);
+    }
+
+    fn push_idle(&self, stream: TcpStream, timeout: Duration) {
         let now = BootClock.now();
         self.idle.borrow_mut().push(IdleConnection {
             stream,
             since: now,
-            until: now + idle.mul_f64(IDLE_USE_RATIO),
+            until: now + timeout.mul_f64(IDLE_USE_RATIO),
         });
     }
 }
--- a/components/node/src/back_end_proxy.rs
+++ b/components/node/src/back_end_proxy.rs
@@ -20,6 +20,7 @@
 use world::name::ServiceName;
 
 use crate::back_end::{ConnectionPool, ExchangeError};
+use crate::crash_watch::{self, CrashWatch};
 use crate::frame::{
     ForwardedRequest, ForwardedResponse, LoadReport, LossCause, RejectReason, RequestOutcome,
     pack_headers, unpack_headers,
@@ -75,6 +76,8 @@
     running: RefCell<HashSet<Bytes>>,
     /// Connections to the back end.
     pub connections: ConnectionPool,
+    /// Exits of the back end, and what they interrupted.
+    pub crash_watch: CrashWatch,
     /// The back end, once it has sent a heartbeat.
     pub back_end: RefCell<Option<LocalBackEnd>>,
     utilization: Cell<f64>,
@@ -95,6 +98,7 @@
             next_id: Cell::new(0),
             running: RefCell::default(),
             connections,
+            crash_watch: CrashWatch::default(),
             back_end: RefCell::new(None),
             utilization: Cell::new(0.0),
             arrivals: Cell::new(0),
@@ -441,7 +445,7 @@
     match tokio::time::timeout(remaining + DEADLINE_SLACK, exchange).await {
         Err(_) => RequestOutcome::Lost(LossCause::TimedOut),
         Ok(Ok((response, check))) => {
-            node.on_back_end_response();
+            node.on_back_end_response(slot.started);
             let outcome = classify_response(
                 response,
                 check,
@@ -454,15 +458,21 @@
             outcome
         }
         Ok(Err(error)) => {
+            let interrupted = crash_watch::interrupted_now(&request);
             log::warn!(
                 event = "exchange-failed",
                 id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
+                digest:% = interrupted.fingerprint,
                 back_end = back_end.incarnation.id.as_str(),
                 fault:? = error,
                 ran_ms = BootClock.now().since(slot.started).as_millis() as u64;
                 ""
             );
-            node.on_exchange_error(error);
+            if error == ExchangeError::Cut {
+                crash_watch::on_interrupted(&node, &back_end.incarnation, interrupted).await;
+            } else {
+                node.on_exchange_error(error);
+            }
             match error {
                 ExchangeError::NobodyListens | ExchangeError::Unreachable => {
                     not_run(RejectReason::Unreachable, default_retry_ms)
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -31,6 +31,7 @@
     sends: LabelledCounter,
     retries: Cell<u64>,
     store_requests: LabelledCounter,
+    back_end_exits: LabelledCounter,
     latency: RefCell<Option<Histogram<u32>>>,
 }
 
@@ -41,6 +42,7 @@
             sends: LabelledCounter::default(),
             retries: Cell::new(0),
             store_requests: LabelledCounter::default(),
+            back_end_exits: LabelledCounter::default(),
             // 1 ms to 60 s with two significant digits.
             latency: RefCell::new(Histogram::new_with_bounds(1, 60_000, 2).ok()),
         }
@@ -72,6 +74,11 @@
         self.store_requests.increment(outcome);
     }
 
+    /// Counts an exit of the local back end by how it showed.
+    pub fn on_back_end_exit(&self, proof: &'static str) {
+        self.back_end_exits.increment(proof);
+    }
+
     /// Renders all metrics as text, with the current values of the given gauges.
     #[must_use]
     pub fn render(&self, gauges: &[(&str, f64)]) -> String {
@@ -84,6 +91,11 @@
                 "outcome",
                 &self.store_requests,
             ),
+            (
+                "plantaingauge_back_end_exits_total",
+                "proof",
+                &self.back_end_exits,
+            ),
         ] {
             let _ = writeln!(out, "# TYPE {name} counter");
             for (value, n) in counts.0.borrow().iter() {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -28,6 +28,7 @@
 
 use crate::back_end::{ConnectionPool, ExchangeError};
 use crate::back_end_proxy::{Availability, BackEndProxy, LocalBackEnd};
+use crate::crash_watch::{self, ExitProof};
 use crate::failure_rate::FailureRate;
 use crate::frame::{BackEndStatus, ForwardedRequest, Frame, NodeStatus};
 use crate::link::{FrameSender, Peer, keep_connected, send_frame};
@@ -337,6 +338,12 @@
         if before != after {
             log::info!(event = "back-end", id = back_end.incarnation.id.as_str(), born = back_end.incarnation.born, state:? = state; "");
         }
+        if let Some((previous, _)) = &before
+            && *previous != back_end.incarnation
+        {
+            crash_watch::on_exit(self, previous, ExitProof::Replaced);
+        }
+        self.proxy.crash_watch.on_heartbeat(&back_end.incarnation);
         self.proxy.set_back_end(back_end);
         if before != after {
             self.proxy.set_availability(state);
@@ -375,8 +382,9 @@
             .is_some_and(|(id, at)| *id == incarnation.id && incarnation.born <= *at)
     }
 
-    /// Records that the local back end has responded to a request.
-    pub fn on_back_end_response(&self) {
+    /// Records that the local back end has responded to a request sent at `sent`.
+    pub fn on_back_end_response(&self, sent: BootInstant) {
+        self.proxy.crash_watch.on_response(sent);
         if let Some(b) = self.proxy.back_end.borrow_mut().as_mut() {
             b.last_contact = BootClock.now();
         }
@@ -395,9 +403,15 @@
         if connections.in_use() > 0 || connections.evict_closed(now) > 0 {
             return;
         }
-        let has_reported = self.proxy.back_end.borrow().is_some();
+        let incarnation = {
+            let back_end = self.proxy.back_end.borrow();
+            back_end.as_ref().map(|b| b.incarnation.clone())
+        };
         self.set_availability(Availability::Down);
-        if has_reported || now.since(self.started) > BACK_END_START_TIMEOUT {
+        if let Some(incarnation) = &incarnation {
+            crash_watch::on_exit(self, incarnation, ExitProof::Refused);
+        }
+        if incarnation.is_some() || now.since(self.started) > BACK_END_START_TIMEOUT {
             self.shard_manager.borrow_mut().on_back_end_exit(now);
             self.keys_changed.notify_one();
         }
--- /dev/null
+++ b/components/quarantine/src/interrupted.rs
@@ -0,0 +1,72 @@
+//! Requests whose connection to a back end broke, until it is known whether the back end exited.
+//!
+//! A broken connection alone does not show that the back end has exited: it may have reset just
+//! this one. That it no longer listens, or that another incarnation reports, does.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use world::instant::BootInstant;
+
+use crate::fingerprint::Fingerprint;
+
+/// Most requests that are kept; the oldest are dropped first.
+const MAX_INTERRUPTED: usize = 256;
+/// Time for which a request is kept; longer than a back end takes to come back after a crash.
+const RETENTION: Duration = Duration::from_secs(20);
+
+/// A request whose connection to the back end broke while it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InterruptedRequest {
+    /// What it is.
+    pub fingerprint: Fingerprint,
+    /// Crashes attributed to it that were known when it was sent.
+    pub known_crashes: u32,
+    /// When its connection broke.
+    pub at: BootInstant,
+}
+
+/// Interrupted requests of the back ends on one machine; `I` identifies an incarnation.
+#[derive(Clone, Debug)]
+pub struct InterruptedRequests<I> {
+    /// Ordered by the instant of the interruption.
+    requests: VecDeque<(I, InterruptedRequest)>,
+}
+
+impl<I> Default for InterruptedRequests<I> {
+    fn default() -> Self {
+        Self {
+            requests: VecDeque::new(),
+        }
+    }
+}
+
+impl<I: PartialEq> InterruptedRequests<I> {
+    /// Records a request that was interrupted while an incarnation ran it.
+    pub fn insert(&mut self, incarnation: I, request: InterruptedRequest) {
+        let is_kept = |r: &InterruptedRequest| request.at.since(r.at) <= RETENTION;
+        self.requests.retain(|(_, r)| is_kept(r));
+        if self.requests.len() == MAX_INTERRUPTED {
+            self.requests.pop_front();
+        }
+        self.requests.push_back((incarnation, request));
+    }
+
+    /// Records that the back end has responded to a request sent at `sent`: it outlived what was
+    /// interrupted before.
+    pub fn on_response(&mut self, sent: BootInstant) {
+        while self.requests.front().is_some_and(|(_, r)| r.at < sent) {
+            self.requests.pop_front();
+        }
+    }
+
+    /// Removes and returns the interrupted requests of an incarnation that has exited.
+    pub fn take(&mut self, incarnation: &I) -> Vec<InterruptedRequest> {
+        let (taken, kept) = std::mem::take(&mut self.requests)
+            .into_iter()
+            .partition(|(i, _)| i == incarnation);
+        self.requests = kept;
+        let taken: VecDeque<(I, InterruptedRequest)> = taken;
+        taken.into_iter().map(|(_, r)| r).collect()
+    }
+}
--- /dev/null
+++ b/components/quarantine/tests/interrupted.rs
@@ -0,0 +1,66 @@
+//! Interrupted requests are attributed to the exit of the incarnation that ran them.
+
+use std::time::Duration;
+
+use quarantine::fingerprint::{Fingerprint, RequestIdentity};
+use quarantine::interrupted::{InterruptedRequest, InterruptedRequests};
+use world::instant::BootInstant;
+
+fn request(name: &str, at_ms: u64) -> InterruptedRequest {
+    let identity = RequestIdentity {
+        method: b"GET",
+        host: b"h",
+        target: name.as_bytes(),
+        caller: b"c",
+        body: b"",
+    };
+    InterruptedRequest {
+        fingerprint: Fingerprint::new(&identity),
+        known_crashes: 0,
+        at: BootInstant::from_millis(at_ms),
+    }
+}
+
+#[test]
+fn requests_of_the_incarnation_that_exited_are_taken_once() {
+    let mut interrupted = InterruptedRequests::default();
+    interrupted.insert(1, request("/a", 100));
+    interrupted.insert(2, request("/b", 101));
+    interrupted.insert(1, request("/c", 102));
+    assert_eq!(
+        interrupted.take(&1),
+        [request("/a", 100), request("/c", 102)]
+    );
+    assert!(interrupted.take(&1).is_empty());
+    assert_eq!(interrupted.take(&2), [request("/b", 101)]);
+}
+
+#[test]
+fn a_response_to_a_later_request_shows_that_the_back_end_lived_on() {
+    let mut interrupted = InterruptedRequests::default();
+    interrupted.insert(1, request("/a", 100));
+    interrupted.insert(1, request("/b", 200));
+    interrupted.on_response(BootInstant::from_millis(150));
+    assert_eq!(interrupted.take(&1), [request("/b", 200)]);
+}
+
+#[test]
+fn a_response_to_an_earlier_request_shows_nothing() {
+    let mut interrupted = InterruptedRequests::default();
+    interrupted.insert(1, request("/a", 100));
+    interrupted.on_response(BootInstant::from_millis(90));
+    assert_eq!(interrupted.take(&1).len(), 1);
+}
+
+#[test]
+fn the_number_and_the_age_of_interrupted_requests_are_bounded() {
+    let mut interrupted = InterruptedRequests::default();
+    for i in 0..1_000 {
+        interrupted.insert(1, request("/a", i));
+    }
+    assert_eq!(interrupted.take(&1).len(), 256);
+    interrupted.insert(1, request("/a", 1_000));
+    let later = Duration::from_secs(60).as_millis() as u64;
+    interrupted.insert(1, request("/b", 1_000 + later));
+    assert_eq!(interrupted.take(&1), [request("/b", 1_000 + later)]);
+}
