--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -3,15 +3,15 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use http1::response::Response;
 use platform::settings::Settings;
 use serde_json::json;
-use stand_ins::back_end::{BackEnd, NoopObserver};
+use stand_ins::back_end::{BackEnd, Observer};
 use stand_ins::caller::CallerRequest;
 use stand_ins::http;
 use stand_ins::layout::{self, Layout, NodeSettings};
@@ -57,6 +57,32 @@
     }
 }
 
+/// The start of a request at a back end.
+#[derive(Clone, Debug)]
+pub(crate) struct Execution {
+    /// Id of the request.
+    pub(crate) request: String,
+    /// When the back end began to run it.
+    pub(crate) at: Instant,
+}
+
+/// Records what the back ends run.
+#[derive(Default)]
+struct ExecutionLog(Mutex<Vec<Execution>>);
+
+impl Observer for ExecutionLog {
+    fn on_execute(&self, _back_end: &str, request: &str) {
+        let execution = Execution {
+            request: request.to_owned(),
+            at: Instant::now(),
+        };
+        self.0
+            .lock()
+            .expect("no panic under the lock")
+            .push(execution);
+    }
+}
+
 enum Exit {
     Stop,
     Kill,
@@ -74,6 +100,9 @@
     pub(crate) store: Store,
     processes: Vec<Option<Process>>,
     back_ends: Vec<BackEnd>,
+    executions: Arc<ExecutionLog>,
+    /// `born` of the back end started last.
+    last_born: u64,
     next_id: AtomicU64,
     /// Machines whose process was replaced by another one at the same address.
     replaced: Vec<usize>,
@@ -141,6 +170,8 @@
             store,
             processes: Vec::new(),
             back_ends: Vec::new(),
+            executions: Arc::default(),
+            last_born: 1,
             next_id: AtomicU64::new(1),
             replaced: Vec::new(),
         };
@@ -156,7 +187,8 @@
 
     fn start_back_end(&self, machine: usize, born: u64) -> BackEnd {
         let config = self.layout.back_end_config(machine);
-        BackEnd::start(config, born, Arc::new(NoopObserver))
+        let executions = Arc::clone(&self.executions);
+        BackEnd::start(config, born, executions)
     }
 
     /// Crashes a machine's back end.
@@ -166,7 +198,23 @@
 
     /// Starts a machine's back end again, as a new incarnation.
     pub(crate) fn restart_back_end(&mut self, machine: usize) {
-        self.back_ends[machine] = self.start_back_end(machine, 2);
+        self.last_born += 1;
+        self.back_ends[machine] = self.start_back_end(machine, self.last_born);
+    }
+
+    /// Returns the machines whose back end has crashed and was not restarted.
+    pub(crate) fn crashed_back_ends(&self) -> Vec<usize> {
+        let machines = 0..self.back_ends.len();
+        machines
+            .filter(|m| self.back_ends[*m].is_halted())
+            .collect()
+    }
+
+    /// Returns the executions of requests whose id begins with `prefix`, in their order.
+    pub(crate) fn executions(&self, prefix: &str) -> Vec<Execution> {
+        let executions = self.executions.0.lock().expect("no panic under the lock");
+        let matching = executions.iter().filter(|e| e.request.starts_with(prefix));
+        matching.cloned().collect()
     }
 
     fn name(&self, machine: usize) -> String {
@@ -260,6 +308,10 @@
         self.back_ends[machine].drain();
     }
 
+    fn next_id(&self) -> String {
+        format!("r{}", self.next_id.fetch_add(1, Ordering::SeqCst))
+    }
+
     /// Returns the number of orders that the back ends have executed.
     pub(crate) fn executed_orders(&self) -> u64 {
         self.back_ends.iter().map(BackEnd::order_count).sum()
@@ -273,22 +325,30 @@
         path: &str,
         key: Option<u16>,
     ) -> Reply {
-        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
-        send(
-            self.layout.address(machine, layout::CALLER_PORT),
-            id,
-            method,
-            path,
-            key,
-        )
+        self.request_with_prefix("r", machine, method, path, key)
+    }
+
+    /// Sends a request whose id begins with `prefix`.
+    pub(crate) fn request_with_prefix(
+        &self,
+        prefix: &str,
+        machine: usize,
+        method: &str,
+        path: &str,
+        key: Option<u16>,
+    ) -> Reply {
+        let number = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = format!("{prefix}{number}");
+        let at = self.layout.address(machine, layout::CALLER_PORT);
+        send(at, &id, method, path, key)
     }
 
     /// Sends an order and closes the connection without reading the response after `delay`.
     pub(crate) fn order_and_disconnect(&self, machine: usize, delay: Duration) {
-        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = self.next_id();
         let at = self.layout.address(machine, layout::CALLER_PORT);
         let mut stream = TcpStream::connect(at).expect("the port is open");
-        let text = encode(id, "POST", ORDER, None);
+        let text = encode(&id, "POST", ORDER, None);
         stream
             .write_all(text.as_bytes())
             .expect("the process reads the bytes");
@@ -332,11 +392,11 @@
         path: &'static str,
         delay: Duration,
     ) -> JoinHandle<Reply> {
-        let id = self.next_id.fetch_add(1, Ordering::SeqCst);
+        let id = self.next_id();
         let at = self.layout.address(machine, layout::CALLER_PORT);
         std::thread::spawn(move || {
             std::thread::sleep(delay);
-            send(at, id, method, path, None)
+            send(at, &id, method, path, None)
         })
     }
 
@@ -432,9 +492,9 @@
     Store::start(Layout::new(ADDRESS_BLOCK, net).address(STORE_MACHINE, layout::STORE_PORT))
 }
 
-fn encode(id: u64, method: &str, path: &str, key: Option<u16>) -> String {
+fn encode(id: &str, method: &str, path: &str, key: Option<u16>) -> String {
     let request = CallerRequest {
-        id: &format!("r{id}"),
+        id,
         method,
         path,
         key,
@@ -443,7 +503,7 @@
     request.to_string()
 }
 
-fn send(at: SocketAddr, id: u64, method: &str, path: &str, key: Option<u16>) -> Reply {
+fn send(at: SocketAddr, id: &str, method: &str, path: &str, key: Option<u16>) -> Reply {
     let text = encode(id, method, path, key);
     let response = http::call(at, &text, CALLER_TIMEOUT + Duration::from_secs(1)).ok();
     Reply {
