Keep blocked requests in the store

After a restart of all processes at once, or between machines that are cut off from each other but not from the store, three more crashes would have been needed.

The process that attributes the third crash writes the count under the request's fingerprint, by conditional writes that merge with what is there; so does the one that clears a blocked request. Each process reads these records at its start and watches them (one call in 25 s); expired ones are removed by whoever reads them. Links remain the fast way, and the only one while the store is away.

--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -6,15 +6,14 @@
 
 use platform::store::MEMBERS;
 use serde::{Deserialize, Serialize};
-use shards::manager::{StoreOp, StoreOutcome, Versioned};
+use shards::manager::{StoreOp, StoreOutcome};
 use world::name::MachineName;
 
 use crate::node::Node;
-use crate::pause;
 use crate::relay::StoreClient;
+use crate::store_update::RETRY_PAUSE;
+use crate::{pause, store_update};
 
-/// Pause after a failed store request.
-const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Time between two listings of the member records.
 const LIST_INTERVAL: Duration = Duration::from_secs(30);
 /// Time between two listings while no peer is connected.
@@ -66,25 +65,8 @@
         machine: node.settings.machine.clone(),
         address: node.settings.advertised_address,
     };
-    let name = record.machine.as_str().to_owned();
-    let mut op = StoreOp::Create(record.clone());
-    loop {
-        match store.execute(MEMBERS, &name, &op).await {
-            StoreOutcome::Done(stored) if stored.value == record => return,
-            StoreOutcome::Done(stored) | StoreOutcome::Conflict(Some(stored)) => {
-                if stored.value == record {
-                    return;
-                }
-                op = StoreOp::Replace(Versioned {
-                    revision: stored.revision,
-                    value: record.clone(),
-                });
-            }
-            StoreOutcome::Conflict(None) => op = StoreOp::Read,
-            StoreOutcome::Absent => op = StoreOp::Create(record.clone()),
-            StoreOutcome::Unknown | StoreOutcome::Refused => pause::jittered(RETRY_PAUSE).await,
-        }
-    }
+    let name = record.machine.as_str();
+    store_update::converge(store, MEMBERS, name, |_| record.clone()).await;
 }
 
 /// Removes the record of this process, when its machine leaves the deployment.
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use http1::request::{Bounds, Request, RequestReader};
@@ -16,9 +16,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
-use crate::accept;
 use crate::back_end_proxy::{Availability, LocalBackEnd};
 use crate::node::Node;
+use crate::{accept, wall_clock};
 
 /// Limits on the head and body of a request.
 const BOUNDS: Bounds = Bounds {
@@ -180,12 +180,6 @@
     None
 }
 
-/// Returns the Unix time in milliseconds, the unit of `born` in back-end incarnations.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
-
 fn deregister(node: &Node, id: &str) -> Response {
     let known = node
         .proxy
@@ -193,7 +187,7 @@
         .borrow()
         .as_ref()
         .is_some_and(|b| b.incarnation.id == id);
-    node.on_deregistered(id, unix_ms());
+    node.on_deregistered(id, wall_clock::unix_ms());
     if known {
         node.shard_manager.borrow_mut().on_deregistered(id);
         node.set_availability(Availability::Leaving);
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::{
     catalog_watch, entry, log_queue, members, peer_server, peer_sync, platform_server, probe,
-    relay, shard_driver,
+    quarantine_store, relay, shard_driver,
 };
 
 /// Time between two runs of the periodic checks of keys, queue and back end.
@@ -105,6 +105,8 @@
     let timer = TimerService::new(BootClock);
     spawn_local(log_queue::run());
     spawn_local(catalog_watch::run(Rc::clone(&node), Rc::clone(&store)));
+    spawn_local(quarantine_store::watch(Rc::clone(&node), Rc::clone(&store)));
+    spawn_local(quarantine_store::save(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(members::run(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(shard_driver::run(
         Rc::clone(&node),
--- /dev/null
+++ b/components/node/src/store_update.rs
@@ -0,0 +1,41 @@
+//! Updates of one object in the store that are repeated until they are confirmed.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use shards::manager::{StoreOp, StoreOutcome, Versioned};
+
+use crate::pause;
+use crate::relay::StoreClient;
+
+/// Pause after a failed store request.
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Writes an object until the store has the value that `desired` returns for the stored one, `None`
+/// if there is none.
+pub async fn converge<V>(
+    store: &StoreClient,
+    kind: &str,
+    name: &str,
+    mut desired: impl FnMut(Option<&V>) -> V,
+) where
+    V: Clone + PartialEq + Serialize + DeserializeOwned,
+{
+    let mut op = StoreOp::Create(desired(None));
+    loop {
+        match store.execute(kind, name, &op).await {
+            StoreOutcome::Done(stored) | StoreOutcome::Conflict(Some(stored)) => {
+                let value = desired(Some(&stored.value));
+                if stored.value == value {
+                    return;
+                }
+                let revision = stored.revision;
+                op = StoreOp::Replace(Versioned { revision, value });
+            }
+            StoreOutcome::Conflict(None) => op = StoreOp::Read,
+            StoreOutcome::Absent => op = StoreOp::Create(desired(None)),
+            StoreOutcome::Unknown | StoreOutcome::Refused => pause::jittered(RETRY_PAUSE).await,
+        }
+    }
+}
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -42,6 +42,15 @@
             age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
         }
     }
+
+    /// Returns whether a process that knew of this would have forgotten it by now.
+    #[must_use]
+    pub fn is_expired(&self) -> bool {
+        let now = BootClock.now();
+        let changed_at = now - Duration::from_millis(self.age_ms);
+        let count = self.count;
+        Record { count, changed_at }.is_expired(now)
+    }
 }
 
 /// Where a process learns of a crash.
--- a/components/node/tests/whole_path/crash_causing_requests.rs
+++ b/components/node/tests/whole_path/crash_causing_requests.rs
@@ -245,11 +245,42 @@
     deployment.kill_process(1);
     deployment.start_process(1);
     deployment.await_status(1, "/added/", 200, SETTLE_TIMEOUT);
+    await_blocked(&deployment, 1);
+}
+
+// Guards against a block that only the memories of the processes hold.
+#[test]
+fn a_block_outlives_a_restart_of_all_processes() {
+    let mut deployment = start(36);
+    Attempts::new(IDEMPOTENT, 8).send_until_blocked(&mut deployment, |_| ());
+    for machine in 0..MACHINES {
+        deployment.kill_process(machine);
+    }
+    for machine in 0..MACHINES {
+        deployment.start_process(machine);
+    }
+    deployment.await_serving(SETTLE_TIMEOUT);
+    for machine in 0..MACHINES {
+        await_blocked(&deployment, machine);
+    }
+}
+
+// Guards against machines that learn of each other's crashes only through the store.
+#[test]
+fn a_crash_causing_request_is_blocked_everywhere_while_the_store_is_unavailable() {
+    let mut deployment = start(37);
+    deployment.store.set_unavailable(true);
+    Attempts::new(IDEMPOTENT, 9).send_until_blocked(&mut deployment, |_| ());
+    deployment.store.set_unavailable(false);
+    deployment.await_serving(SETTLE_TIMEOUT);
+}
+
+fn await_blocked(deployment: &Deployment, machine: usize) {
     let deadline = Instant::now() + SETTLE_TIMEOUT;
-    while !is_blocked(&deployment, 1) {
+    while !is_blocked(deployment, machine) {
         assert!(
             Instant::now() < deadline,
-            "the process does not learn of the block"
+            "machine {machine} does not learn of the block"
         );
         std::thread::sleep(SEND_INTERVAL);
     }
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -58,7 +58,9 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    fn is_expired(&self, now: BootInstant) -> bool {
+    /// Returns whether the record has been remembered for long enough.
+    #[must_use]
+    pub fn is_expired(&self, now: BootInstant) -> bool {
         let retention = match self.count.unresolved() {
             0 => CLEARED_RETENTION,
             _ => self.block_time() + SUSPECT_RETENTION,
