Run no late copy of a peer's request

Callers saw: an order could run twice.

Cause: after a lost connection a process sends its request again with the same id over the next one; when its caller's time is over, it cancels. The receiver forgot a cancelled id at once, and the id of an ended request after 2.5 s, while a copy could still be on its way over the connection that had been given up: when the stall was over it arrived as a new request and ran. Its age was not seen either, as each connection measured delay from its own first frame.

Change: an id is remembered until no copy can be in time: for a request that must not run twice until its deadline and 2.5 s, also when it was cancelled, or cancelled before it arrived. The delay of a request is measured against all connections of the peer's process, so that a copy that was under way past its timeout is rejected as expired. The ids are a module of their own, `peer_requests`.

Evidence: three tests in whole_path late_copies send such copies; each ran twice before (2 executions instead of 1).

--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod node;
 pub mod pause;
+pub mod peer_requests;
 pub mod peer_server;
 pub mod peer_sync;
 pub mod pending_changes;
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -33,7 +33,7 @@
 use crate::frame::{BackEndStatus, ForwardedRequest, Frame, NodeStatus};
 use crate::link::{FrameSender, Peer, keep_connected, send_frame};
 use crate::metrics::Metrics;
-use crate::peer_server::PeerRequests;
+use crate::peer_requests::PeerRequests;
 use crate::pending_changes::PendingChanges;
 use crate::retry_detector::RetryDetector;
 use crate::suspects::{self, Source, Suspects};
--- a/components/node/tests/whole_path/delayed_peer.rs
+++ b/components/node/tests/whole_path/delayed_peer.rs
@@ -47,7 +47,8 @@
     receiver
 }
 
-fn status(address: SocketAddr) -> NodeStatus {
+/// Returns the status of the peer.
+pub(crate) fn status(address: SocketAddr) -> NodeStatus {
     NodeStatus {
         machine: MachineName::new("slow"),
         region: RegionName::new("r"),
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -355,10 +355,14 @@
         std::thread::sleep(delay);
     }
 
+    /// Returns the address of a machine's process for its peers.
+    pub(crate) fn peer_address(&self, machine: usize) -> SocketAddr {
+        self.layout.address(machine, layout::PEER_PORT)
+    }
+
     /// Sends bytes to the port for peers and waits until the connection is closed.
     pub(crate) fn send_to_peer_port(&self, machine: usize, bytes: &[u8]) {
-        let at = self.layout.address(machine, layout::PEER_PORT);
-        let mut stream = TcpStream::connect(at).expect("the port is open");
+        let mut stream = TcpStream::connect(self.peer_address(machine)).expect("the port is open");
         stream
             .write_all(bytes)
             .expect("the process reads the bytes");
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -3,6 +3,7 @@
 mod crash_causing_requests;
 mod delayed_peer;
 mod deployment;
+mod late_copies;
 
 use std::collections::HashSet;
 use std::time::Duration;
