Tell peers which frames a process decodes

Operators would have seen, in an upgrade one process after the other: a process of the version before refuses the frame with crash reports as malformed and closes the link; as a new process sends what it knows whenever a link opens, the two reconnect for ever while there is a suspect.

Change: `Hello` ends with the features that its sender decodes, after the encoded frame, where versions before ignore bytes; a `Hello` without them has none. Crash reports, and the reasons `Blocked` and `Isolated`, go only to processes that decode them; others get `Expired` and `Full`, which they treat alike. Later frames can be added in the same way.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -540,7 +540,7 @@
         loop {
             // Arrives before the request, in case the peer has not learned of a crash yet.
             if let Some(report) = self.node.suspects.report(&request) {
-                peer.send(&Frame::CrashReports(vec![report]));
+                peer.send_crashes(&[report]);
             }
             request.remaining_ms = millis(self.remaining());
             request.sent_ms = BootClock.now().as_millis();
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -1,7 +1,10 @@
 //! Frames that processes of the deployment exchange.
 //!
 //! A frame is its length as a big-endian `u32`, then its postcard encoding, in which fields and
-//! variants are identified by their position.
+//! variants are identified by their position. Bytes that follow the encoding are ignored, so that a
+//! `Hello` can end with the [`Features`] of its sender: a process receives frames and variants added
+//! later only if it has announced that it decodes them, as processes of two versions run side by
+//! side during an upgrade.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -107,6 +110,41 @@
     CrashReports(Vec<CrashReport>),
 }
 
+/// What a process decodes beyond the frames that all versions have in common.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// [`Frame::CrashReports`], [`RejectReason::Blocked`] and [`RejectReason::Isolated`].
+    pub crash_reports: bool,
+}
+
+impl Features {
+    /// Features of this version.
+    pub const SUPPORTED: Self = Self {
+        crash_reports: true,
+    };
+    const CRASH_REPORTS_BIT: u32 = 1;
+
+    fn encode(self) -> Result<Vec<u8>, postcard::Error> {
+        let bits = if self.crash_reports {
+            Self::CRASH_REPORTS_BIT
+        } else {
+            0
+        };
+        postcard::to_stdvec(&bits)
+    }
+
+    /// Decodes the bytes that follow a `Hello`, none from a version without features.
+    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let bits: u32 = postcard::from_bytes(bytes)?;
+        Ok(Self {
+            crash_reports: bits & Self::CRASH_REPORTS_BIT != 0,
+        })
+    }
+}
+
 /// Status of a process and its back end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeStatus {
@@ -137,6 +175,9 @@
     /// Offered load of the back end in eighths of its capacity; 0 for a service that is not divided
     /// by key.
     pub utilization_eighths: u32,
+    /// What the process decodes; follows the encoded frame.
+    #[serde(skip)]
+    pub features: Features,
 }
 
 impl NodeStatus {
@@ -225,6 +266,23 @@
     Lost(LossCause),
 }
 
+impl RequestOutcome {
+    /// Returns the outcome as a process with these features decodes it.
+    #[must_use]
+    pub fn for_features(self, features: Features) -> Self {
+        let Self::NotRun { reason, retry_ms } = self else {
+            return self;
+        };
+        let reason = match reason {
+            // Both are final.
+            RejectReason::Blocked if !features.crash_reports => RejectReason::Expired,
+            RejectReason::Isolated if !features.crash_reports => RejectReason::Full,
+            other => other,
+        };
+        Self::NotRun { reason, retry_ms }
+    }
+}
+
 /// A back end's response.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ForwardedResponse {
@@ -337,7 +395,11 @@
 /// # Errors
 /// Returns `TooLong` if the frame exceeds the maximum length, `Malformed` if it cannot be encoded.
 pub fn encode(frame: &Frame) -> Result<Bytes, FrameError> {
-    let body = postcard::to_stdvec(frame).context(MalformedSnafu)?;
+    let mut body = postcard::to_stdvec(frame).context(MalformedSnafu)?;
+    if let Frame::Hello(status) = frame {
+        let features = status.features.encode().context(MalformedSnafu)?;
+        body.extend_from_slice(&features);
+    }
     let length = body.len();
     ensure!(length <= MAX_FRAME_BYTES, TooLongSnafu { length });
     let mut out = BytesMut::with_capacity(LENGTH_BYTES + length);
@@ -361,7 +423,9 @@
     }
     buf.advance(LENGTH_BYTES);
     let body = buf.split_to(length);
-    postcard::from_bytes(&body)
-        .map(Some)
-        .context(MalformedSnafu)
+    let (mut frame, rest) = postcard::take_from_bytes(&body).context(MalformedSnafu)?;
+    if let Frame::Hello(status) = &mut frame {
+        status.features = Features::decode(rest).context(MalformedSnafu)?;
+    }
+    Ok(Some(frame))
 }
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -19,8 +19,9 @@
 use world::name::MachineName;
 
 use crate::failure_rate::FailureRate;
-use crate::frame::{self, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome};
+use crate::frame::{self, Features, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome};
 use crate::node::Node;
+use crate::suspects::CrashReport;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -189,6 +190,19 @@
         }
     }
 
+    /// Returns what its process decodes; nothing before its first status.
+    #[must_use]
+    pub fn features(&self) -> Features {
+        self.with_status(|s| s.features).unwrap_or_default()
+    }
+
+    /// Sends reports of crashes, if there are any and its process decodes them.
+    pub fn send_crashes(&self, reports: &[CrashReport]) {
+        if !reports.is_empty() && self.features().crash_reports {
+            self.send(&Frame::CrashReports(reports.to_vec()));
+        }
+    }
+
     /// Returns the id for a new request.
     #[must_use]
     pub fn next_id(&self) -> u64 {
@@ -391,10 +405,7 @@
                     if let Some(announcement) = node.assignment_announcement() {
                         send_frame(&sender, &announcement);
                     }
-                    let reports = node.suspects.reports();
-                    if !reports.is_empty() {
-                        send_frame(&sender, &Frame::CrashReports(reports));
-                    }
+                    peer.send_crashes(&node.suspects.reports());
                 }
                 node.on_link_change();
             }
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -30,13 +30,13 @@
 use crate::back_end_proxy::{Availability, BackEndProxy, LocalBackEnd};
 use crate::crash_watch::{self, ExitProof};
 use crate::failure_rate::FailureRate;
-use crate::frame::{BackEndStatus, ForwardedRequest, Frame, NodeStatus};
+use crate::frame::{BackEndStatus, Features, ForwardedRequest, Frame, NodeStatus};
 use crate::link::{FrameSender, Peer, keep_connected, send_frame};
 use crate::metrics::Metrics;
 use crate::peer_requests::PeerRequests;
 use crate::pending_changes::PendingChanges;
 use crate::retry_detector::RetryDetector;
-use crate::suspects::{self, Source, Suspects};
+use crate::suspects::{self, CrashReport, Source, Suspects};
 
 /// Time after the start of the process within which a back end that refuses connections counts as
 /// still starting, not as exited.
@@ -272,6 +272,7 @@
             store_reachable: self.store_reachable.get(),
             leaving: self.stopping.get(),
             utilization_eighths: self.announced_utilization(),
+            features: Features::SUPPORTED,
         }
     }
 
@@ -452,6 +453,13 @@
         }
     }
 
+    /// Sends reports of crashes to every connected peer that decodes them.
+    pub fn broadcast_crashes(&self, reports: &[CrashReport]) {
+        for peer in self.peers.borrow().values() {
+            peer.send_crashes(reports);
+        }
+    }
+
     /// Adds the peer on a machine and keeps a connection to it open; updates the address of a known
     /// peer. Does nothing for this machine itself.
     pub fn add_peer(self: &Rc<Self>, machine: &MachineName, address: std::net::SocketAddr) {
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -10,12 +10,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::frame::{self, ForwardedRequest, Frame};
+use crate::frame::{self, Features, ForwardedRequest, Frame};
 use crate::link::{FrameSender, KEEPALIVE_IDLE, read_frames, send_frame, write_frames};
 use crate::node::Node;
-use crate::peer_requests::PeerRequestId;
 use crate::{accept, back_end_proxy};
 
+/// The process at the other end of a connection, from its `Hello`.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerProcess {
+    incarnation: u64,
+    features: Features,
+}
+
 /// Accepts connections of peers for as long as the process runs.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     accept::run(listener, "peers", |stream| {
@@ -31,23 +37,25 @@
     let (read, write) = stream.into_split();
     let (sender, frames) = mpsc::unbounded_channel();
     send_frame(&sender, &Frame::Hello(Box::new(node.status())));
-    let mut incarnation = 0;
+    let mut process = PeerProcess::default();
     let reading = read_frames(read, |frame| match frame {
         Frame::Hello(status) => {
-            incarnation = status.incarnation;
+            process.incarnation = status.incarnation;
+            process.features = status.features;
             node.on_frame(Frame::Hello(status), &sender);
         }
         Frame::Request(mut request) => {
             let mut requests = node.peer_requests.borrow_mut();
-            let delay = requests.observe_delay(incarnation, request.sent_ms, BootClock.now());
+            let delay =
+                requests.observe_delay(process.incarnation, request.sent_ms, BootClock.now());
             drop(requests);
             request.subtract_delay(delay);
-            on_request(&node, incarnation, *request, &sender);
+            on_request(&node, process, *request, &sender);
         }
         Frame::Cancel { id } => {
             // A non-idempotent request that the back end runs goes on.
             let mut requests = node.peer_requests.borrow_mut();
-            requests.cancel((incarnation, id), BootClock.now());
+            requests.cancel((process.incarnation, id), BootClock.now());
         }
         Frame::StoreRequest { id, request } => {
             // Sent over this process's own connection to the store, never through another peer.
@@ -67,8 +75,13 @@
     }
 }
 
-fn on_request(node: &Rc<Node>, incarnation: u64, request: ForwardedRequest, sender: &FrameSender) {
-    let id = (incarnation, request.id);
+fn on_request(
+    node: &Rc<Node>,
+    process: PeerProcess,
+    request: ForwardedRequest,
+    sender: &FrameSender,
+) {
+    let id = (process.incarnation, request.id);
     let now = BootClock.now();
     // An idempotent request may run again.
     let copies_until = if request.idempotent {
@@ -83,22 +96,23 @@
     if !is_first {
         return;
     }
-    let task = tokio::task::spawn_local(run_request(Rc::clone(node), id, request));
+    let task = tokio::task::spawn_local(run_request(Rc::clone(node), process, request));
     let mut requests = node.peer_requests.borrow_mut();
     requests.set_task(id, task.abort_handle());
 }
 
-async fn run_request(node: Rc<Node>, id: PeerRequestId, request: ForwardedRequest) {
+async fn run_request(node: Rc<Node>, process: PeerProcess, request: ForwardedRequest) {
+    let id = request.id;
     let outcome = back_end_proxy::submit(&node, Rc::new(request)).await;
     let response = Frame::Response {
-        id: id.1,
-        outcome,
+        id,
+        outcome: outcome.for_features(process.features),
         load: node.proxy.load(),
     };
     match frame::encode(&response) {
         Ok(bytes) => {
             let mut requests = node.peer_requests.borrow_mut();
-            requests.on_response(id, bytes, BootClock.now());
+            requests.on_response((process.incarnation, id), bytes, BootClock.now());
         }
         Err(error) => log::error!(event = "frame-not-sent", error:% = error; ""),
     }
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Notify;
 use world::instant::BootInstant;
 
-use crate::frame::{ForwardedRequest, Frame, RejectReason};
+use crate::frame::{ForwardedRequest, RejectReason};
 use crate::node::Node;
 
 /// What a process knows about a request, as peers receive it.
@@ -243,9 +243,7 @@
     let report =
         |(fingerprint, record): &(Fingerprint, Record)| CrashReport::new(*fingerprint, record, now);
     let reports: Vec<CrashReport> = changed.iter().map(report).collect();
-    if !reports.is_empty() {
-        node.broadcast(&Frame::CrashReports(reports));
-    }
+    node.broadcast_crashes(&reports);
 }
 
 /// Clears a request that the local back end has completed, if it is a suspect, and reports it.
@@ -270,7 +268,7 @@
         node.suspects.save(fingerprint);
     }
     let report = CrashReport::new(fingerprint, &record, now);
-    node.broadcast(&Frame::CrashReports(vec![report]));
+    node.broadcast_crashes(&[report]);
 }
 
 /// Adds what a peer or the store knows about a request.
--- /dev/null
+++ b/components/node/tests/frames.rs
@@ -0,0 +1,76 @@
+//! Frames between processes of this version and of versions without features.
+
+use bytes::{BufMut, BytesMut};
+use node::frame::{self, Features, Frame, NodeStatus, RejectReason, RequestOutcome};
+use rstest::rstest;
+use world::name::{MachineName, RegionName, ServiceName, ZoneName};
+
+fn hello(features: Features) -> Frame {
+    Frame::Hello(Box::new(NodeStatus {
+        machine: MachineName::new("m"),
+        region: RegionName::new("r"),
+        zone: ZoneName::new("z"),
+        service: ServiceName::new("s"),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 7,
+        version: 1,
+        back_end: None,
+        lease: None,
+        catalog_revision: 0,
+        store_reachable: true,
+        leaving: false,
+        utilization_eighths: 3,
+        features,
+    }))
+}
+
+fn decode_hello(bytes: &[u8]) -> NodeStatus {
+    match frame::decode(&mut BytesMut::from(bytes)) {
+        Ok(Some(Frame::Hello(status))) => *status,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_hello_tells_the_features_of_its_sender() {
+    let bytes = frame::encode(&hello(Features::SUPPORTED)).expect("a short frame");
+    let status = decode_hello(&bytes);
+    assert_eq!(status.features, Features::SUPPORTED);
+    assert_eq!(status.utilization_eighths, 3);
+}
+
+// Guards against links between two versions that break as soon as one sends what the other does not
+// decode.
+#[test]
+fn a_hello_without_features_is_decoded_as_one_of_an_earlier_version() {
+    let body = postcard::to_stdvec(&hello(Features::default())).expect("an encodable frame");
+    let mut bytes = BytesMut::new();
+    bytes.put_u32(u32::try_from(body.len()).expect("a short frame"));
+    bytes.extend_from_slice(&body);
+    assert_eq!(decode_hello(&bytes).features, Features::default());
+}
+
+#[test]
+fn an_earlier_version_decodes_a_hello_with_features() {
+    let bytes = frame::encode(&hello(Features::SUPPORTED)).expect("a short frame");
+    let decoded: Frame = postcard::from_bytes(&bytes[4..]).expect("bytes after it are ignored");
+    assert!(matches!(decoded, Frame::Hello(status) if status.incarnation == 7));
+}
+
+#[rstest]
+#[case::blocked(RejectReason::Blocked, RejectReason::Expired)]
+#[case::isolated(RejectReason::Isolated, RejectReason::Full)]
+#[case::common(RejectReason::NotHolder, RejectReason::NotHolder)]
+fn an_earlier_version_gets_reasons_that_it_knows(
+    #[case] reason: RejectReason,
+    #[case] expected: RejectReason,
+) {
+    let outcome = RequestOutcome::NotRun {
+        reason,
+        retry_ms: 5,
+    };
+    let unchanged = outcome.clone().for_features(Features::SUPPORTED);
+    assert!(matches!(unchanged, RequestOutcome::NotRun { reason: r, .. } if r == reason));
+    let converted = outcome.for_features(Features::default());
+    assert!(matches!(converted, RequestOutcome::NotRun { reason: r, .. } if r == expected));
+}
--- a/components/node/tests/whole_path/delayed_peer.rs
+++ b/components/node/tests/whole_path/delayed_peer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use node::frame::{self, Frame, NodeStatus};
+use node::frame::{self, Features, Frame, NodeStatus};
 use world::name::{MachineName, RegionName, ServiceName, ZoneName};
 
 /// Accepts connections and sends `Hello` on each only after `delay`.
@@ -63,5 +63,6 @@
         store_reachable: true,
         leaving: false,
         utilization_eighths: 0,
+        features: Features::default(),
     }
 }
