Count crashes also for the request of any caller

Counted by that service alone, a request that several services send crashes three back ends for each of them.

Change: a fingerprint has the digest of all but the caller, and a short hash of the caller or of none. Each crash counts for both; either blocks. A completed run clears both, so that a request that crashes back ends only as one caller sends it is still blocked for that caller. Besides, a report goes ahead of a lost outcome on its own connection, so that the process that retries the request always knows of the crash before.

--- a/components/node/src/crash_watch.rs
+++ b/components/node/src/crash_watch.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use quarantine::fingerprint::{self, Fingerprint};
-use quarantine::interrupted::{InterruptedRequest, InterruptedRequests};
+use quarantine::interrupted::{InterruptedRequest, InterruptedRequests, KnownCrashes};
 use shards::incarnation::BackEndIncarnation;
 use timer::{BootClock, Clock};
 use tokio::sync::Mutex;
@@ -116,17 +116,17 @@
     }
 }
 
-/// Describes a request that was sent at `sent`, when `known_crashes` were attributed to it, and is
-/// interrupted now.
+/// Describes a request that was sent at `sent`, when the crashes `known` were attributed to it, and
+/// is interrupted now.
 #[must_use]
 pub fn interrupted_now(
     request: &ForwardedRequest,
-    known_crashes: u32,
+    known: KnownCrashes,
     sent: BootInstant,
 ) -> InterruptedRequest {
     InterruptedRequest {
         fingerprint: suspects::fingerprint(request),
-        known_crashes,
+        known,
         sent,
         at: BootClock.now(),
     }
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -539,9 +539,7 @@
         let id = request.id;
         loop {
             // Arrives before the request, in case the peer has not learned of a crash yet.
-            if let Some(report) = self.node.suspects.report(&request) {
-                peer.send_crashes(&[report]);
-            }
+            peer.send_crashes(&self.node.suspects.reports_on(&request));
             request.remaining_ms = millis(self.remaining());
             request.sent_ms = BootClock.now().as_millis();
             let frame = Frame::Request(Box::new(request.clone()));
--- a/components/node/src/peer_requests.rs
+++ b/components/node/src/peer_requests.rs
@@ -97,6 +97,12 @@
         true
     }
 
+    /// Returns the connection over which a request arrived last.
+    #[must_use]
+    pub fn reply_to(&self, id: PeerRequestId) -> Option<&FrameSender> {
+        self.requests.get(&id)?.reply_to.as_ref()
+    }
+
     /// Records the task that runs a request.
     pub fn set_task(&mut self, id: PeerRequestId, task: AbortHandle) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-use crate::frame::{self, Features, ForwardedRequest, Frame};
+use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
 use crate::link::{FrameSender, KEEPALIVE_IDLE, read_frames, send_frame, write_frames};
 use crate::node::Node;
 use crate::{accept, back_end_proxy};
@@ -103,7 +103,14 @@
 
 async fn run_request(node: Rc<Node>, process: PeerProcess, request: ForwardedRequest) {
     let id = request.id;
-    let outcome = back_end_proxy::submit(&node, Rc::new(request)).await;
+    let request = Rc::new(request);
+    let outcome = back_end_proxy::submit(&node, Rc::clone(&request)).await;
+    let crashes = match outcome {
+        RequestOutcome::Lost(_) if process.features.crash_reports => {
+            node.suspects.reports_on(&request)
+        }
+        _ => Vec::new(),
+    };
     let response = Frame::Response {
         id,
         outcome: outcome.for_features(process.features),
@@ -112,6 +119,12 @@
     match frame::encode(&response) {
         Ok(bytes) => {
             let mut requests = node.peer_requests.borrow_mut();
+            // Arrives before the response, so that the peer knows of a crash when it retries.
+            if let Some(sender) = requests.reply_to((process.incarnation, id))
+                && !crashes.is_empty()
+            {
+                send_frame(sender, &Frame::CrashReports(crashes));
+            }
             requests.on_response((process.incarnation, id), bytes, BootClock.now());
         }
         Err(error) => log::error!(event = "frame-not-sent", error:% = error; ""),
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -11,7 +11,7 @@
 use platform::message;
 use quarantine::crash_count::CrashCount;
 use quarantine::fingerprint::{self, Fingerprint, RequestIdentity};
-use quarantine::interrupted::InterruptedRequest;
+use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
 use quarantine::quarantine::{MAX_CRASHES, Quarantine, Record};
 use serde::{Deserialize, Serialize};
 use shards::incarnation::BackEndIncarnation;
@@ -97,15 +97,11 @@
 }
 
 impl Suspects {
-    /// Returns the record of a request, if crashes are attributed to it.
-    fn find(&self, request: &ForwardedRequest) -> Option<(Fingerprint, Record)> {
-        let quarantine = self.quarantine.borrow();
-        if !quarantine.may_contain(fingerprint::target_hash(&request.target)) {
-            return None;
-        }
-        let fingerprint = fingerprint(request);
-        let record = quarantine.record(&fingerprint)?;
-        Some((fingerprint, record))
+    /// Returns the fingerprint of a request that may be a suspect; computes none for others.
+    fn find(&self, request: &ForwardedRequest) -> Option<Fingerprint> {
+        let target = fingerprint::target_hash(&request.target);
+        let may_be_suspect = self.quarantine.borrow().may_contain(target);
+        may_be_suspect.then(|| fingerprint(request))
     }
 
     /// Returns the number of requests that are blocked now.
@@ -114,12 +110,21 @@
         self.quarantine.borrow().blocked_count(BootClock.now())
     }
 
-    /// Returns what is known about a request if it is a suspect.
+    /// Returns the crashes attributed to a request, empty if it is no suspect.
     #[must_use]
-    pub fn report(&self, request: &ForwardedRequest) -> Option<CrashReport> {
-        let (fingerprint, record) = self.find(request)?;
-        let is_suspect = record.count.unresolved() > 0;
-        is_suspect.then(|| CrashReport::new(fingerprint, &record, BootClock.now()))
+    pub fn reports_on(&self, request: &ForwardedRequest) -> Vec<CrashReport> {
+        let Some(fingerprint) = self.find(request) else {
+            return Vec::new();
+        };
+        let now = BootClock.now();
+        let quarantine = self.quarantine.borrow();
+        let report = |fingerprint: Fingerprint| {
+            let record = quarantine.record(&fingerprint)?;
+            let is_suspect = record.count.unresolved() > 0;
+            is_suspect.then(|| CrashReport::new(fingerprint, &record, now))
+        };
+        let scopes = [fingerprint, fingerprint.any_caller()];
+        scopes.into_iter().filter_map(report).collect()
     }
 
     /// Returns what is known about all suspects.
@@ -162,12 +167,13 @@
 /// # Errors
 /// Returns for how long it is blocked.
 pub fn check(node: &Node, request: &ForwardedRequest) -> Result<(), Duration> {
-    let Some((fingerprint, record)) = node.suspects.find(request) else {
+    let Some(fingerprint) = node.suspects.find(request) else {
         return Ok(());
     };
-    match record.blocked_for(BootClock.now()) {
+    let quarantine = node.suspects.quarantine.borrow();
+    match quarantine.blocked_for(&fingerprint, BootClock.now()) {
         Some(remaining) => {
-            log_refusal(node, request, fingerprint, &record, "blocked");
+            log_refusal(node, request, fingerprint, &quarantine, "blocked");
             Err(remaining)
         }
         None => Ok(()),
@@ -175,26 +181,25 @@
 }
 
 /// Checks whether the local back end may run a request now, beside those that it runs already;
-/// returns the number of the last crash attributed to it, 0 for none.
+/// returns the crashes attributed to it.
 ///
 /// # Errors
 /// Returns why it may not, and the time until it may if that is known.
 pub fn admit(
     node: &Node,
     request: &ForwardedRequest,
-) -> Result<u32, (RejectReason, Option<Duration>)> {
+) -> Result<KnownCrashes, (RejectReason, Option<Duration>)> {
     check(node, request).map_err(|remaining| (RejectReason::Blocked, Some(remaining)))?;
-    let Some((fingerprint, record)) = node.suspects.find(request) else {
-        return Ok(0);
+    let Some(fingerprint) = node.suspects.find(request) else {
+        return Ok(KnownCrashes::default());
     };
     let running = node.proxy.running();
-    let suspects = running.iter().filter_map(|r| node.suspects.find(r));
     let quarantine = node.suspects.quarantine.borrow();
-    let mut others = suspects.map(|(other, _)| other);
-    if others.all(|other| quarantine.may_run_beside(&fingerprint, &other)) {
-        return Ok(record.count.crashes);
+    let mut suspects = running.iter().filter_map(|r| node.suspects.find(r));
+    if suspects.all(|other| quarantine.may_run_beside(&fingerprint, &other)) {
+        return Ok(quarantine.known_crashes(&fingerprint));
     }
-    log_refusal(node, request, fingerprint, &record, "isolated");
+    log_refusal(node, request, fingerprint, &quarantine, "isolated");
     Err((RejectReason::Isolated, None))
 }
 
@@ -202,17 +207,20 @@
     node: &Node,
     request: &ForwardedRequest,
     fingerprint: Fingerprint,
-    record: &Record,
+    quarantine: &Quarantine,
     cause: &'static str,
 ) {
     node.metrics.on_quarantine(cause);
+    let own = quarantine.record(&fingerprint);
+    let record = own.or_else(|| quarantine.record(&fingerprint.any_caller()));
+    let age = record.map(|r| BootClock.now().since(r.changed_at));
     log::warn!(
         event = "quarantine-refuse",
         id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
         digest:% = fingerprint,
         cause,
-        crashes = record.count.unresolved(),
-        age_ms = BootClock.now().since(record.changed_at).as_millis() as u64;
+        crashes = quarantine.unresolved(&fingerprint),
+        age_ms = age.unwrap_or_default().as_millis() as u64;
         ""
     );
 }
@@ -220,55 +228,70 @@
 /// Attributes the exit of a back end to the requests that it interrupted, and reports it.
 pub fn on_exit(node: &Node, incarnation: &BackEndIncarnation, interrupted: &[InterruptedRequest]) {
     let now = BootClock.now();
-    let changed = node
-        .suspects
-        .quarantine
-        .borrow_mut()
-        .on_exit(interrupted, now);
+    let mut quarantine = node.suspects.quarantine.borrow_mut();
+    let changed = quarantine.on_exit(interrupted, now);
+    drop(quarantine);
     for (fingerprint, record) in &changed {
-        node.metrics.on_quarantine("suspected");
-        log::warn!(
-            event = "crash-suspect",
-            digest:% = fingerprint,
-            crashes = record.count.unresolved(),
-            back_end = incarnation.id.as_str(),
-            born = incarnation.born;
-            ""
-        );
+        if !fingerprint.is_any_caller() {
+            log_suspect(node, *fingerprint, record, incarnation);
+        }
         if record.count.unresolved() >= MAX_CRASHES {
             log_block(node, *fingerprint, record, Source::BackEnd);
             node.suspects.save(*fingerprint);
         }
     }
-    let report =
-        |(fingerprint, record): &(Fingerprint, Record)| CrashReport::new(*fingerprint, record, now);
-    let reports: Vec<CrashReport> = changed.iter().map(report).collect();
-    node.broadcast_crashes(&reports);
+    node.broadcast_crashes(&to_reports(&changed, now));
+}
+
+fn log_suspect(
+    node: &Node,
+    fingerprint: Fingerprint,
+    record: &Record,
+    incarnation: &BackEndIncarnation,
+) {
+    node.metrics.on_quarantine("suspected");
+    log::warn!(
+        event = "crash-suspect",
+        digest:% = fingerprint,
+        crashes = record.count.unresolved(),
+        back_end = incarnation.id.as_str(),
+        born = incarnation.born;
+        ""
+    );
+}
+
+fn to_reports(records: &[(Fingerprint, Record)], now: BootInstant) -> Vec<CrashReport> {
+    let reports = records
+        .iter()
+        .map(|(fingerprint, record)| CrashReport::new(*fingerprint, record, now));
+    reports.collect()
 }
 
 /// Clears a request that the local back end has completed, if it is a suspect, and reports it.
 pub fn on_completion(node: &Node, request: &ForwardedRequest) {
-    let Some((fingerprint, before)) = node.suspects.find(request) else {
+    let Some(fingerprint) = node.suspects.find(request) else {
         return;
     };
     let now = BootClock.now();
     let mut quarantine = node.suspects.quarantine.borrow_mut();
-    let record = quarantine.on_completion(fingerprint, now);
+    let crashes = quarantine.unresolved(&fingerprint);
+    let changed = quarantine.on_completion(fingerprint, now);
     drop(quarantine);
-    let Some(record) = record else { return };
+    if changed.is_empty() {
+        return;
+    }
     node.metrics.on_quarantine("cleared");
     log::info!(
         event = "crash-suspect-cleared",
         id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
         digest:% = fingerprint,
-        crashes = before.count.unresolved();
+        crashes;
         ""
     );
-    if before.count.unresolved() >= MAX_CRASHES {
-        node.suspects.save(fingerprint);
+    if crashes >= MAX_CRASHES {
+        changed.iter().for_each(|(f, _)| node.suspects.save(*f));
     }
-    let report = CrashReport::new(fingerprint, &record, now);
-    node.broadcast_crashes(&[report]);
+    node.broadcast_crashes(&to_reports(&changed, now));
 }
 
 /// Adds what a peer or the store knows about a request.
--- a/components/node/tests/whole_path/crash_causing_requests.rs
+++ b/components/node/tests/whole_path/crash_causing_requests.rs
@@ -13,8 +13,10 @@
 
 /// Number of machines; every third one serves `orders`, so that its back ends are four.
 const MACHINES: usize = 10;
-/// Machines whose callers send the request: all of one service, as a back end sees the caller.
+/// Machines of one service; a back end sees the service of the machine as the caller.
 const SENDERS: [usize; 6] = [1, 2, 4, 5, 7, 8];
+/// Machines of two services.
+const MIXED_SENDERS: [usize; 6] = [0, 1, 2, 3, 5, 6];
 /// Time from the crash of a back end to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(800);
 /// Time between two attempts of the callers.
@@ -36,22 +38,31 @@
     method: &'static str,
     path: &'static str,
     key: Option<u16>,
+    /// Machines whose callers send it.
+    senders: [usize; 6],
 }
 
 const IDEMPOTENT: CrashingRequest = CrashingRequest {
     method: "GET",
     path: "/added/crash/",
     key: None,
+    senders: SENDERS,
 };
 const ORDER: CrashingRequest = CrashingRequest {
     method: "POST",
     path: "/orders/crash/",
     key: None,
+    senders: SENDERS,
 };
 const KEYED: CrashingRequest = CrashingRequest {
     method: "GET",
     path: "/list/crash/",
     key: Some(30_000),
+    senders: SENDERS,
+};
+const OF_TWO_CALLERS: CrashingRequest = CrashingRequest {
+    senders: MIXED_SENDERS,
+    ..IDEMPOTENT
 };
 
 /// Idempotent requests that run for long, so that they are in flight when back ends crash.
@@ -113,8 +124,13 @@
 
     /// Sends the request once, then waits for [`SEND_INTERVAL`].
     fn send(&mut self, deployment: &mut Deployment) {
-        let machine = *SENDERS.choose(&mut self.rng).expect("not empty");
-        let CrashingRequest { method, path, key } = self.request;
+        let CrashingRequest {
+            method,
+            path,
+            key,
+            senders,
+        } = self.request;
+        let machine = *senders.choose(&mut self.rng).expect("not empty");
         deployment.request_with_prefix(CRASH_PREFIX, machine, method, path, key);
         self.restarts.poll(deployment);
         std::thread::sleep(SEND_INTERVAL);
@@ -154,6 +170,7 @@
 #[case::idempotent(30, 1, IDEMPOTENT)]
 #[case::order(31, 2, ORDER)]
 #[case::keyed(32, 3, KEYED)]
+#[case::of_two_callers(41, 10, OF_TWO_CALLERS)]
 fn a_request_that_has_crashed_three_back_ends_is_stopped_at_every_machine(
     #[case] net: u8,
     #[case] seed: u64,
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -9,8 +9,11 @@
 
 /// Length of a digest in bytes: too long for a request to be made that has the digest of another.
 const DIGEST_BYTES: usize = 16;
-/// Length of a fingerprint as text: eight hexadecimal digits of the target, then the digest.
-const TEXT_LENGTH: usize = 8 + 2 * DIGEST_BYTES;
+/// Length of a fingerprint as text: eight hexadecimal digits of the target, the digest, and eight of
+/// the caller.
+const TEXT_LENGTH: usize = 8 + 2 * DIGEST_BYTES + 8;
+/// Hash of the caller in a fingerprint that stands for the request of any caller.
+const ANY_CALLER: u32 = 0;
 
 /// The parts of a request that its attempts have in common.
 #[derive(Clone, Copy, Debug)]
@@ -27,7 +30,7 @@
     pub body: &'a [u8],
 }
 
-/// Fingerprint of a request.
+/// Fingerprint of a request of one caller or of any.
 ///
 /// The digest is not keyed, as the machines share no secret; it is not reversible, but a body that
 /// can be guessed can be confirmed from it.
@@ -35,7 +38,10 @@
 pub struct Fingerprint {
     /// Short hash of the path and query, from [`target_hash`].
     target: u32,
+    /// Digest of all but the caller.
     digest: [u8; DIGEST_BYTES],
+    /// Short hash of the caller, or [`ANY_CALLER`].
+    caller: u32,
 }
 
 /// Returns the part of a fingerprint that depends only on the path and query.
@@ -51,13 +57,7 @@
     #[must_use]
     pub fn new(request: &RequestIdentity) -> Self {
         let mut hasher = blake3::Hasher::new();
-        let parts = [
-            request.method,
-            request.host,
-            request.target,
-            request.caller,
-            request.body,
-        ];
+        let parts = [request.method, request.host, request.target, request.body];
         for part in parts {
             // With its length before it, no part can be taken for the end of another.
             hasher.update(&(part.len() as u64).to_be_bytes());
@@ -68,9 +68,25 @@
         Self {
             target: target_hash(request.target),
             digest,
+            caller: (xxh3::xxh3_64(request.caller) as u32).max(ANY_CALLER + 1),
         }
     }
 
+    /// Returns the fingerprint of the same request of any caller.
+    #[must_use]
+    pub fn any_caller(&self) -> Self {
+        Self {
+            caller: ANY_CALLER,
+            ..*self
+        }
+    }
+
+    /// Returns whether it stands for the request of any caller.
+    #[must_use]
+    pub fn is_any_caller(&self) -> bool {
+        self.caller == ANY_CALLER
+    }
+
     /// Returns the part that depends only on the path and query.
     #[must_use]
     pub fn target(&self) -> u32 {
@@ -83,7 +99,8 @@
         write!(f, "{:08x}", self.target)?;
         self.digest
             .iter()
-            .try_for_each(|byte| write!(f, "{byte:02x}"))
+            .try_for_each(|byte| write!(f, "{byte:02x}"))?;
+        write!(f, "{:08x}", self.caller)
     }
 }
 
@@ -104,16 +121,18 @@
             FingerprintSnafu { text }
         );
         let (target, rest) = text.split_at(8);
+        let (digest_text, caller) = rest.split_at(2 * DIGEST_BYTES);
         let mut digest = [0; DIGEST_BYTES];
-        for (byte, pair) in digest.iter_mut().zip(rest.as_bytes().chunks(2)) {
+        for (byte, pair) in digest.iter_mut().zip(digest_text.as_bytes().chunks(2)) {
             let pair = std::str::from_utf8(pair).ok();
             let value = pair.and_then(|p| u8::from_str_radix(p, 16).ok());
             *byte = value.context(FingerprintSnafu { text })?;
         }
-        let target = u32::from_str_radix(target, 16).ok();
+        let number = |digits| u32::from_str_radix(digits, 16).ok();
         Ok(Self {
-            target: target.context(FingerprintSnafu { text })?,
+            target: number(target).context(FingerprintSnafu { text })?,
             digest,
+            caller: number(caller).context(FingerprintSnafu { text })?,
         })
     }
 }
--- a/components/quarantine/src/interrupted.rs
+++ b/components/quarantine/src/interrupted.rs
@@ -15,13 +15,22 @@
 /// Time for which a request is kept; longer than a back end takes to come back after a crash.
 const RETENTION: Duration = Duration::from_secs(20);
 
+/// Numbers of the last crashes attributed to a request; 0 for none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownCrashes {
+    /// Of this caller.
+    pub own: u32,
+    /// Of any caller.
+    pub any_caller: u32,
+}
+
 /// A request whose connection to the back end broke while it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InterruptedRequest {
     /// What it is.
     pub fingerprint: Fingerprint,
     /// Crashes attributed to it that were known when it was sent.
-    pub known_crashes: u32,
+    pub known: KnownCrashes,
     /// When it was sent.
     pub sent: BootInstant,
     /// When its connection broke.
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -4,6 +4,10 @@
 //! cleared; one that has been in [`MAX_CRASHES`] crashes without that is blocked for a time that
 //! doubles with each further crash. From [`ISOLATED_CRASHES`] on it runs beside no other suspect, so
 //! that a request which happened to run beside a crash-causing one is not blocked with it.
+//!
+//! Crashes are counted for the request of its caller and besides for the same request of any caller:
+//! a request that crashes back ends may come from many services, or crash them only as one of them
+//! sends it.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -12,7 +16,7 @@
 
 use crate::crash_count::CrashCount;
 use crate::fingerprint::Fingerprint;
-use crate::interrupted::InterruptedRequest;
+use crate::interrupted::{InterruptedRequest, KnownCrashes};
 
 /// Crashes after which a request is blocked.
 pub const MAX_CRASHES: u32 = 3;
@@ -84,31 +88,41 @@
         self.targets.contains_key(&target)
     }
 
-    /// Returns what is known about a request.
+    /// Returns what is known about a request of one caller, or of any.
     #[must_use]
     pub fn record(&self, fingerprint: &Fingerprint) -> Option<Record> {
         self.records.get(fingerprint).copied()
     }
 
-    /// Returns the number of the last crash attributed to a request; 0 for none.
+    /// Returns the numbers of the last crashes attributed to a request.
     #[must_use]
-    pub fn crashes(&self, fingerprint: &Fingerprint) -> u32 {
-        self.record(fingerprint).map_or(0, |r| r.count.crashes)
+    pub fn known_crashes(&self, fingerprint: &Fingerprint) -> KnownCrashes {
+        KnownCrashes {
+            own: self.count(fingerprint).crashes,
+            any_caller: self.count(&fingerprint.any_caller()).crashes,
+        }
     }
 
     /// Returns the time until a request may be sent again; `None` if it is not blocked.
     #[must_use]
     pub fn blocked_for(&self, fingerprint: &Fingerprint, now: BootInstant) -> Option<Duration> {
-        self.record(fingerprint)?.blocked_for(now)
+        let blocked = |f| self.record(f)?.blocked_for(now);
+        blocked(fingerprint).max(blocked(&fingerprint.any_caller()))
+    }
+
+    /// Returns the crashes since a request was last completed.
+    #[must_use]
+    pub fn unresolved(&self, fingerprint: &Fingerprint) -> u32 {
+        let own = self.count(fingerprint).unresolved();
+        own.max(self.count(&fingerprint.any_caller()).unresolved())
     }
 
     /// Returns whether a request may start while its back end runs another one.
     #[must_use]
     pub fn may_run_beside(&self, fingerprint: &Fingerprint, other: &Fingerprint) -> bool {
-        let unresolved = |f| self.record(f).map_or(0, |r| r.count.unresolved());
-        let (own, others) = (unresolved(fingerprint), unresolved(other));
-        let isolated = own.max(others) >= ISOLATED_CRASHES;
-        fingerprint == other || !isolated || own.min(others) == 0
+        let (own, others) = (self.unresolved(fingerprint), self.unresolved(other));
+        let is_copy = fingerprint.any_caller() == other.any_caller();
+        is_copy || own.max(others) < ISOLATED_CRASHES || own.min(others) == 0
     }
 
     /// Returns the suspects, blocked ones included.
@@ -117,34 +131,55 @@
         records.filter(|(_, r)| r.count.unresolved() > 0)
     }
 
-    /// Returns the number of requests that are blocked now.
+    /// Returns the number of requests that are blocked now; for any caller counts once.
     #[must_use]
     pub fn blocked_count(&self, now: BootInstant) -> usize {
-        let records = self.records.values();
-        records.filter(|r| r.blocked_for(now).is_some()).count()
+        let is_blocked = |f: &Fingerprint| {
+            let record = self.record(f);
+            record.is_some_and(|r| r.blocked_for(now).is_some())
+        };
+        let counts = |f: &&Fingerprint| f.is_any_caller() || !is_blocked(&f.any_caller());
+        self.records
+            .keys()
+            .filter(counts)
+            .filter(|f| is_blocked(f))
+            .count()
     }
 
-    /// Attributes the exit of a back end to the requests that it interrupted; returns those whose
-    /// record has changed.
+    /// Attributes the exit of a back end to the requests that it interrupted; returns the records
+    /// that have changed.
     pub fn on_exit(
         &mut self,
         interrupted: &[InterruptedRequest],
         now: BootInstant,
     ) -> Vec<(Fingerprint, Record)> {
-        let attribute = |request: &InterruptedRequest| {
-            let fingerprint = request.fingerprint;
-            let count = self.count(&fingerprint);
-            let record = self.change(fingerprint, count.after_crash(request.known_crashes), now)?;
-            Some((fingerprint, record))
-        };
-        interrupted.iter().filter_map(attribute).collect()
+        let mut changed = Vec::new();
+        for request in interrupted {
+            let own = (request.fingerprint, request.known.own);
+            let any_caller = (request.fingerprint.any_caller(), request.known.any_caller);
+            for (fingerprint, known) in [own, any_caller] {
+                let count = self.count(&fingerprint).after_crash(known);
+                let record = self.change(fingerprint, count, now);
+                changed.extend(record.map(|r| (fingerprint, r)));
+            }
+        }
+        changed
     }
 
-    /// Records that a back end has completed a request; returns the new record, `None` if it was no
-    /// suspect.
-    pub fn on_completion(&mut self, fingerprint: Fingerprint, now: BootInstant) -> Option<Record> {
-        let count = self.count(&fingerprint).after_completion();
-        self.change(fingerprint, count, now)
+    /// Clears a request that a back end has completed; returns the records that have changed, none
+    /// if it was no suspect.
+    pub fn on_completion(
+        &mut self,
+        fingerprint: Fingerprint,
+        now: BootInstant,
+    ) -> Vec<(Fingerprint, Record)> {
+        let mut changed = Vec::new();
+        for fingerprint in [fingerprint, fingerprint.any_caller()] {
+            let count = self.count(&fingerprint).after_completion();
+            let record = self.change(fingerprint, count, now);
+            changed.extend(record.map(|r| (fingerprint, r)));
+        }
+        changed
     }
 
     /// Adds what another machine or the store knows, the last change of which was `age` ago; returns
--- a/components/quarantine/tests/fleet.rs
+++ b/components/quarantine/tests/fleet.rs
@@ -9,8 +9,8 @@
 use proptest::prelude::*;
 use quarantine::crash_count::CrashCount;
 use quarantine::fingerprint::{Fingerprint, RequestIdentity};
-use quarantine::interrupted::InterruptedRequest;
-use quarantine::quarantine::Quarantine;
+use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
+use quarantine::quarantine::{Quarantine, Record};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use world::instant::BootInstant;
@@ -50,7 +50,7 @@
     /// A report arrives.
     Report {
         machine: usize,
-        request: usize,
+        fingerprint: Fingerprint,
         count: (u32, u32),
     },
 }
@@ -59,7 +59,7 @@
 struct Run {
     id: u64,
     request: usize,
-    known: u32,
+    known: KnownCrashes,
     attempts: usize,
 }
 
@@ -166,14 +166,14 @@
             Event::Forget { machine } => self.forget(machine),
             Event::Report {
                 machine,
-                request,
+                fingerprint,
                 count,
             } => {
                 let (crashes, cleared) = count;
                 let now = self.instant();
                 let count = CrashCount { crashes, cleared };
                 let quarantine = &mut self.machines[machine].quarantine;
-                quarantine.merge(fingerprint(request), count, Duration::ZERO, now);
+                quarantine.merge(fingerprint, count, Duration::ZERO, now);
             }
         }
     }
@@ -194,13 +194,13 @@
         }
         let m = up[self.rng.random_range(0..up.len())];
         // The entry's knowledge arrives before the request.
-        let known_at_entry = self.machines[entry].quarantine.record(&fingerprint);
-        let machine = &mut self.machines[m];
-        if let Some(record) = known_at_entry {
-            machine
-                .quarantine
-                .merge(fingerprint, record.count, Duration::ZERO, now);
+        for scope in [fingerprint, fingerprint.any_caller()] {
+            if let Some(record) = self.machines[entry].quarantine.record(&scope) {
+                let quarantine = &mut self.machines[m].quarantine;
+                quarantine.merge(scope, record.count, Duration::ZERO, now);
+            }
         }
+        let machine = &mut self.machines[m];
         let is_blocked = machine.quarantine.blocked_for(&fingerprint, now).is_some();
         let runs = machine.runs.iter();
         let mut others = runs.map(|r| self::fingerprint(r.request));
@@ -212,7 +212,7 @@
         machine.runs.push(Run {
             id,
             request,
-            known: machine.quarantine.crashes(&fingerprint),
+            known: machine.quarantine.known_crashes(&fingerprint),
             attempts,
         });
         let duration = if request == 0 {
@@ -244,12 +244,9 @@
         let run = machine.runs.remove(index);
         self.completions += 1;
         let now = self.instant();
-        let record = self.machines[m]
-            .quarantine
-            .on_completion(fingerprint(run.request), now);
-        if let Some(record) = record {
-            self.broadcast(m, run.request, record.count);
-        }
+        let quarantine = &mut self.machines[m].quarantine;
+        let changed = quarantine.on_completion(fingerprint(run.request), now);
+        self.broadcast(m, &changed);
     }
 
     fn crash(&mut self, m: usize) {
@@ -269,15 +266,13 @@
         let runs = std::mem::take(&mut self.machines[m].interrupted);
         let to_interrupted = |run: &Run| InterruptedRequest {
             fingerprint: fingerprint(run.request),
-            known_crashes: run.known,
+            known: run.known,
             sent: now,
             at: now,
         };
         let interrupted: Vec<_> = runs.iter().map(to_interrupted).collect();
-        for (changed, record) in self.machines[m].quarantine.on_exit(&interrupted, now) {
-            let request = (0..REQUESTS).find(|r| fingerprint(*r) == changed);
-            self.broadcast(m, request.expect("one of the requests"), record.count);
-        }
+        let changed = self.machines[m].quarantine.on_exit(&interrupted, now);
+        self.broadcast(m, &changed);
         for run in runs {
             if run.attempts > 1 {
                 let delay = self.rng.random_range(1..40);
@@ -287,18 +282,21 @@
         }
     }
 
-    fn broadcast(&mut self, from: usize, request: usize, count: CrashCount) {
-        let count = (count.crashes, count.cleared);
+    fn broadcast(&mut self, from: usize, records: &[(Fingerprint, Record)]) {
         for machine in (0..self.machines.len()).filter(|m| *m != from) {
             let delay = self.rng.random_range(1..40);
-            self.schedule(
-                delay,
-                Event::Report {
-                    machine,
-                    request,
-                    count,
-                },
-            );
+            self.report(machine, records, delay);
+        }
+    }
+
+    fn report(&mut self, machine: usize, records: &[(Fingerprint, Record)], delay: Millis) {
+        for (fingerprint, record) in records {
+            let report = Event::Report {
+                machine,
+                fingerprint: *fingerprint,
+                count: (record.count.crashes, record.count.cleared),
+            };
+            self.schedule(delay, report);
         }
     }
 
@@ -306,20 +304,8 @@
         self.machines[m].quarantine = Quarantine::default();
         self.machines[m].started = self.now;
         let peer = (m + 1) % self.machines.len();
-        for request in 0..REQUESTS {
-            if let Some(record) = self.machines[peer].quarantine.record(&fingerprint(request)) {
-                let count = (record.count.crashes, record.count.cleared);
-                let machine = m;
-                self.schedule(
-                    SYNC_DELAY,
-                    Event::Report {
-                        machine,
-                        request,
-                        count,
-                    },
-                );
-            }
-        }
+        let known: Vec<_> = self.machines[peer].quarantine.suspects().collect();
+        self.report(m, &known, SYNC_DELAY);
     }
 }
 
--- a/components/quarantine/tests/interrupted.rs
+++ b/components/quarantine/tests/interrupted.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quarantine::fingerprint::{Fingerprint, RequestIdentity};
-use quarantine::interrupted::{InterruptedRequest, InterruptedRequests};
+use quarantine::interrupted::{InterruptedRequest, InterruptedRequests, KnownCrashes};
 use world::instant::BootInstant;
 
 /// A request that ran for 10 ms until it was interrupted at `at_ms`.
@@ -17,7 +17,7 @@
     };
     InterruptedRequest {
         fingerprint: Fingerprint::new(&identity),
-        known_crashes: 0,
+        known: KnownCrashes::default(),
         sent: BootInstant::from_millis(at_ms - 10),
         at: BootInstant::from_millis(at_ms),
     }
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use quarantine::crash_count::CrashCount;
 use quarantine::fingerprint::{Fingerprint, RequestIdentity, target_hash};
-use quarantine::interrupted::InterruptedRequest;
+use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
 use quarantine::quarantine::{
     FIRST_BLOCK, MAX_BLOCK, MAX_CRASHES, MAX_RECORDS, Quarantine, SUSPECT_RETENTION,
 };
@@ -15,11 +15,15 @@
 const NOW: BootInstant = BootInstant::from_millis(10_000_000);
 
 fn fingerprint(target: &str) -> Fingerprint {
+    of_caller("c", target)
+}
+
+fn of_caller(caller: &str, target: &str) -> Fingerprint {
     Fingerprint::new(&RequestIdentity {
         method: b"GET",
         host: b"h.example",
         target: target.as_bytes(),
-        caller: b"c",
+        caller: caller.as_bytes(),
         body: b"",
     })
 }
@@ -27,7 +31,10 @@
 fn interrupted(target: &str, known_crashes: u32) -> InterruptedRequest {
     InterruptedRequest {
         fingerprint: fingerprint(target),
-        known_crashes,
+        known: KnownCrashes {
+            own: known_crashes,
+            any_caller: known_crashes,
+        },
         sent: NOW,
         at: NOW,
     }
@@ -71,8 +78,8 @@
 fn a_completed_run_clears_a_suspect() {
     let mut quarantine = Quarantine::default();
     crash_up_to(&mut quarantine, "/a", MAX_CRASHES - 1, NOW);
-    assert!(quarantine.on_completion(fingerprint("/a"), NOW).is_some());
-    assert_eq!(quarantine.on_completion(fingerprint("/a"), NOW), None);
+    assert!(!quarantine.on_completion(fingerprint("/a"), NOW).is_empty());
+    assert!(quarantine.on_completion(fingerprint("/a"), NOW).is_empty());
     assert_eq!(quarantine.suspects().count(), 0);
     crash_up_to(&mut quarantine, "/a", 2 * MAX_CRASHES - 2, NOW);
     assert_eq!(blocked_for(&quarantine, "/a", NOW), None);
@@ -80,6 +87,44 @@
     assert_eq!(blocked_for(&quarantine, "/a", NOW), Some(FIRST_BLOCK));
 }
 
+fn crash(quarantine: &mut Quarantine, request: Fingerprint) {
+    let request = InterruptedRequest {
+        fingerprint: request,
+        known: quarantine.known_crashes(&request),
+        sent: NOW,
+        at: NOW,
+    };
+    quarantine.on_exit(&[request], NOW);
+}
+
+// Guards against three crashes for each service that sends a crash-causing request.
+#[test]
+fn the_third_crash_blocks_a_request_of_several_callers_for_all_of_them() {
+    let mut quarantine = Quarantine::default();
+    for caller in ["a", "b", "c"] {
+        assert_eq!(quarantine.blocked_for(&of_caller("d", "/x"), NOW), None);
+        crash(&mut quarantine, of_caller(caller, "/x"));
+    }
+    for caller in ["a", "b", "c", "d"] {
+        let blocked = quarantine.blocked_for(&of_caller(caller, "/x"), NOW);
+        assert_eq!(blocked, Some(FIRST_BLOCK));
+    }
+    assert_eq!(quarantine.blocked_count(NOW), 1);
+}
+
+// Guards against a crash-causing request that is cleared by those of other callers.
+#[test]
+fn a_request_that_only_one_caller_cannot_send_is_blocked_for_that_caller() {
+    let mut quarantine = Quarantine::default();
+    for _ in 0..MAX_CRASHES {
+        crash(&mut quarantine, of_caller("a", "/x"));
+        quarantine.on_completion(of_caller("b", "/x"), NOW);
+    }
+    let blocked = |caller| quarantine.blocked_for(&of_caller(caller, "/x"), NOW);
+    assert_eq!(blocked("a"), Some(FIRST_BLOCK));
+    assert_eq!(blocked("b"), None);
+}
+
 #[test]
 fn a_block_ends_by_itself_and_doubles_with_each_further_crash() {
     let mut quarantine = Quarantine::default();
@@ -161,7 +206,8 @@
     for i in 0..2 * MAX_RECORDS {
         crash_up_to(&mut quarantine, &format!("/{i}"), 1, NOW);
     }
-    assert_eq!(quarantine.suspects().count(), MAX_RECORDS);
+    let records = quarantine.suspects().count();
+    assert_eq!(records, MAX_RECORDS);
     assert_eq!(quarantine.blocked_count(NOW), 1);
 }
 
