--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,4 +1,4 @@
-//! A short soak of the node program; `plantaingauge-soak` runs longer ones.
+//! Short soaks of the node program; `plantaingauge-soak` runs longer ones.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -6,25 +6,65 @@
 use soak::fleet::Environment;
 use soak::run::{self, Options};
 
-/// Seed, number of machines and seconds of faults of each soak.
-const CASES: [(u64, usize, u64); 2] = [
-    (1, 4, 12),
+/// One soak.
+struct Case {
+    seed: u64,
+    machines: usize,
+    seconds: u64,
+    crashing: bool,
+}
+
+const CASES: [Case; 5] = [
+    Case {
+        seed: 1,
+        machines: 4,
+        seconds: 12,
+        crashing: false,
+    },
     // Guards against a stopping node that forwards a request to itself forever, because it rejects
     // the request each time.
-    (208, 5, 25),
+    Case {
+        seed: 208,
+        machines: 5,
+        seconds: 25,
+        crashing: false,
+    },
+    // Guards against an order that runs twice, because a copy of it arrives after its cancellation.
+    Case {
+        seed: 1,
+        machines: 7,
+        seconds: 25,
+        crashing: true,
+    },
+    // These two guard against crash-causing requests that are not recognised.
+    Case {
+        seed: 2,
+        machines: 7,
+        seconds: 25,
+        crashing: true,
+    },
+    Case {
+        seed: 6,
+        machines: 7,
+        seconds: 25,
+        crashing: true,
+    },
 ];
 
 #[test]
 fn every_promise_is_kept_under_random_faults() {
-    for (seed, machines, seconds) in CASES {
+    for (number, case) in CASES.iter().enumerate() {
         let directory = tempfile::tempdir().expect("a writable directory").keep();
         let program = PathBuf::from(env!("CARGO_BIN_EXE_plantaingauge-node"));
+        let seed = case.seed;
+        // Addresses of their own: the store of an earlier case still listens.
+        let addresses = number as u64;
         let verdict = run::run(&Options {
             seed,
-            machines,
-            duration: Duration::from_secs(seconds),
-            crashing: false,
-            environment: Environment::new(directory.clone(), program, seed),
+            machines: case.machines,
+            duration: Duration::from_secs(case.seconds),
+            crashing: case.crashing,
+            environment: Environment::new(directory.clone(), program, addresses),
         })
         .expect("the processes start");
         let logs = directory.display();
