Charge the retry budget for requests that a back end has turned away

Callers saw nothing; back ends saw more repeats than allowed.

Cause: a 421 was told to the sender as if nothing had been sent (`NotHolder`, `NoBackEnd`), and what was not sent may be sent again for nothing: to each other back end twice, or, with a key, to its owner every 200 ms for half of the route's timeout.

Change: `TurnedAway` says that a back end has received the request; sending it again then takes from the budget, and without budget it is refused as not run. Peers of earlier versions get the former reasons.

--- a/components/node/src/back_end_proxy.rs
+++ b/components/node/src/back_end_proxy.rs
@@ -462,12 +462,7 @@
         Err(_) => RequestOutcome::Lost(LossCause::TimedOut),
         Ok(Ok((response, check))) => {
             node.on_back_end_response(slot.started);
-            let outcome = classify_response(
-                response,
-                check,
-                node.shard_key(&request).is_some(),
-                default_retry_ms,
-            );
+            let outcome = classify_response(response, check, default_retry_ms);
             if let RequestOutcome::Response(response) = &outcome {
                 slot.complete();
                 if response.status < 500 {
@@ -524,7 +519,6 @@
 fn classify_response(
     response: Response,
     check: ResponseCheck,
-    keyed: bool,
     default_retry_ms: u32,
 ) -> RequestOutcome {
     match check {
@@ -538,8 +532,7 @@
             }))
         }
         ResponseCheck::NotExecuted => not_run(RejectReason::BackEndRefused, default_retry_ms),
-        ResponseCheck::WrongBackEnd if keyed => not_run(RejectReason::NotHolder, default_retry_ms),
-        ResponseCheck::WrongBackEnd => not_run(RejectReason::NoBackEnd, default_retry_ms),
+        ResponseCheck::WrongBackEnd => not_run(RejectReason::TurnedAway, default_retry_ms),
         ResponseCheck::OtherRequest | ResponseCheck::Corrupt => {
             RequestOutcome::Lost(LossCause::Spoilt)
         }
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -648,16 +648,32 @@
                     Some(self.give_up())
                 }
             }
-            RejectReason::NotHolder | RejectReason::NoBackEnd | RejectReason::Unreachable => {
-                if let (RejectReason::NotHolder, Destination::Peer(peer)) = (reason, destination) {
-                    self.request_assignments(peer);
+            RejectReason::TurnedAway => {
+                let is_keyed = self.keyed_assignment().is_some();
+                // A back end has received it, so that sending it again is a retry.
+                let is_final = (final_pass && !is_keyed) || !self.take_retry();
+                if is_final || !is_keyed {
+                    return self.on_rejection(machine, retry_ms, is_final);
                 }
+                self.on_not_holder(destination).await
+            }
+            RejectReason::NotHolder => self.on_not_holder(destination).await,
+            RejectReason::NoBackEnd | RejectReason::Unreachable => {
                 self.await_assignment_change().await;
                 self.check_handover_timeout()
             }
         }
     }
 
+    /// Waits for the key to be assigned anew after its owner did not hold it.
+    async fn on_not_holder(&mut self, destination: &Destination) -> Option<Completion> {
+        if let Destination::Peer(peer) = destination {
+            self.request_assignments(peer);
+        }
+        self.await_assignment_change().await;
+        self.check_handover_timeout()
+    }
+
     /// Records that a machine rejected the request; gives up if the rejection is final.
     fn on_rejection(
         &mut self,
@@ -712,9 +728,11 @@
         if !below_limit || !allowed || self.remaining() < Duration::from_millis(20) {
             return false;
         }
-        if self.keyed_assignment().is_some() {
-            return false;
-        }
+        self.keyed_assignment().is_none() && self.take_retry()
+    }
+
+    /// Spends retry budget on one more send to a back end; returns false if it is exhausted.
+    fn take_retry(&self) -> bool {
         let now = BootClock.now();
         let granted = self.node.with_retry_budget(&self.service, |b| b.take(now));
         if granted {
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -113,7 +113,8 @@
 /// What a process decodes beyond the frames that all versions have in common.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Features {
-    /// [`Frame::CrashReports`], [`RejectReason::Blocked`] and [`RejectReason::Isolated`].
+    /// [`Frame::CrashReports`], [`RejectReason::Blocked`], [`RejectReason::Isolated`] and
+    /// [`RejectReason::TurnedAway`].
     pub crash_reports: bool,
 }
 
@@ -267,9 +268,10 @@
 }
 
 impl RequestOutcome {
-    /// Returns the outcome as a process with these features decodes it.
+    /// Returns the outcome of a request, with a shard key or not, as a process with these features
+    /// decodes it.
     #[must_use]
-    pub fn for_features(self, features: Features) -> Self {
+    pub fn for_features(self, features: Features, keyed: bool) -> Self {
         let Self::NotRun { reason, retry_ms } = self else {
             return self;
         };
@@ -277,6 +279,8 @@
             // Both are final.
             RejectReason::Blocked if !features.crash_reports => RejectReason::Expired,
             RejectReason::Isolated if !features.crash_reports => RejectReason::Full,
+            RejectReason::TurnedAway if !features.crash_reports && keyed => RejectReason::NotHolder,
+            RejectReason::TurnedAway if !features.crash_reports => RejectReason::NoBackEnd,
             other => other,
         };
         Self::NotRun { reason, retry_ms }
@@ -315,6 +319,8 @@
     Blocked,
     /// The back end runs another request to which crashes are attributed.
     Isolated,
+    /// The back end responded that it is another one or does not hold the shard key.
+    TurnedAway,
 }
 
 /// Reason why there is no response to a request that may have run.
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -113,7 +113,7 @@
     };
     let response = Frame::Response {
         id,
-        outcome: outcome.for_features(process.features),
+        outcome: outcome.for_features(process.features, node.shard_key(&request).is_some()),
         load: node.proxy.load(),
     };
     match frame::encode(&response) {
--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -58,19 +58,22 @@
 }
 
 #[rstest]
-#[case::blocked(RejectReason::Blocked, RejectReason::Expired)]
-#[case::isolated(RejectReason::Isolated, RejectReason::Full)]
-#[case::common(RejectReason::NotHolder, RejectReason::NotHolder)]
+#[case::blocked(RejectReason::Blocked, false, RejectReason::Expired)]
+#[case::isolated(RejectReason::Isolated, false, RejectReason::Full)]
+#[case::turned_away(RejectReason::TurnedAway, false, RejectReason::NoBackEnd)]
+#[case::turned_away_with_key(RejectReason::TurnedAway, true, RejectReason::NotHolder)]
+#[case::common(RejectReason::NotHolder, true, RejectReason::NotHolder)]
 fn an_earlier_version_gets_reasons_that_it_knows(
     #[case] reason: RejectReason,
+    #[case] keyed: bool,
     #[case] expected: RejectReason,
 ) {
     let outcome = RequestOutcome::NotRun {
         reason,
         retry_ms: 5,
     };
-    let unchanged = outcome.clone().for_features(Features::SUPPORTED);
+    let unchanged = outcome.clone().for_features(Features::SUPPORTED, keyed);
     assert!(matches!(unchanged, RequestOutcome::NotRun { reason: r, .. } if r == reason));
-    let converted = outcome.for_features(Features::default());
+    let converted = outcome.for_features(Features::default(), keyed);
     assert!(matches!(converted, RequestOutcome::NotRun { reason: r, .. } if r == expected));
 }
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -24,6 +24,9 @@
 /// Path of a request that must be executed at most once.
 pub(crate) const ORDER: &str = "/orders/new";
 
+/// Retries that all machines together may make in a window, on top of a share of the requests.
+pub(crate) const EXTRA_RETRIES: usize = 40;
+
 /// Request timeout that callers state.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest time for a process to start.
@@ -66,20 +69,27 @@
     pub(crate) at: Instant,
 }
 
-/// Records what the back ends run.
+/// Records what the back ends receive and run.
 #[derive(Default)]
-struct ExecutionLog(Mutex<Vec<Execution>>);
+struct ExecutionLog {
+    /// Ids of the requests received.
+    arrivals: Mutex<Vec<String>>,
+    executions: Mutex<Vec<Execution>>,
+}
 
 impl Observer for ExecutionLog {
+    fn on_arrival(&self, _back_end: &str, request: &str) {
+        let mut arrivals = self.arrivals.lock().expect("no panic under the lock");
+        arrivals.push(request.to_owned());
+    }
+
     fn on_execute(&self, _back_end: &str, request: &str) {
         let execution = Execution {
             request: request.to_owned(),
             at: Instant::now(),
         };
-        self.0
-            .lock()
-            .expect("no panic under the lock")
-            .push(execution);
+        let mut executions = self.executions.lock().expect("no panic under the lock");
+        executions.push(execution);
     }
 }
 
@@ -210,9 +220,19 @@
             .collect()
     }
 
+    /// Returns the ids of the requests that back ends have received and whose id begins with
+    /// `prefix`, once for each time.
+    pub(crate) fn arrivals(&self, prefix: &str) -> Vec<String> {
+        let arrivals = self.executions.arrivals.lock();
+        let arrivals = arrivals.expect("no panic under the lock");
+        let matching = arrivals.iter().filter(|r| r.starts_with(prefix));
+        matching.cloned().collect()
+    }
+
     /// Returns the executions of requests whose id begins with `prefix`, in their order.
     pub(crate) fn executions(&self, prefix: &str) -> Vec<Execution> {
-        let executions = self.executions.0.lock().expect("no panic under the lock");
+        let executions = self.executions.executions.lock();
+        let executions = executions.expect("no panic under the lock");
         let matching = executions.iter().filter(|e| e.request.starts_with(prefix));
         matching.cloned().collect()
     }
@@ -223,12 +243,13 @@
     }
 
     fn settings(&self, machine: usize) -> Settings {
-        let bounds = ["graceS=6", "holdMaxMs=10000", "budgetExtraRetries=40"];
+        let extra = format!("budgetExtraRetries={EXTRA_RETRIES}");
+        let bounds = ["graceS=6", "holdMaxMs=10000", &extra];
         let process = NodeSettings {
             name: &self.name(machine),
             back_end: self.layout.address(machine, layout::BACK_END_PORT),
             store: self.store.address,
-            bounds: &bounds.map(str::to_owned),
+            bounds: &bounds.map(ToOwned::to_owned),
         };
         let text = self.layout.settings(machine, &process);
         Settings::from_json(text.as_bytes()).expect("well-formed")
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 mod delayed_peer;
 mod deployment;
 mod late_copies;
+mod turned_away;
 
 use std::collections::HashSet;
 use std::time::Duration;
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a back end: sends heartbeats, holds keys and runs requests.
 //!
 //! The end of a request's path selects what else happens: `/slow/` and `/stuck/` run long, `/cut/`
-//! and `/late-cut/` lose their response, `/crash/` crashes the back end as it begins to run.
+//! and `/late-cut/` lose their response, `/turned-away/` is answered with 421, `/crash/` crashes the
+//! back end as it begins to run.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -48,6 +49,9 @@
 
 /// Receives the events of back ends, so that a test can check them.
 pub trait Observer: Send + Sync + 'static {
+    /// A back end receives the request with id `_request`, which it may turn away.
+    fn on_arrival(&self, _back_end: &str, _request: &str) {}
+
     /// A back end starts to run the request with id `_request`.
     fn on_execute(&self, _back_end: &str, _request: &str) {}
 
@@ -226,9 +230,11 @@
             .headers
             .text("Shard-Key")
             .and_then(|t| t.parse().ok());
+        self.observer
+            .on_arrival(&self.config.id, &header("Request-Id"));
         let wrong_instance = header("Expect-Instance") != self.config.id;
         let key_not_held = self.config.service == "lists" && !key.is_some_and(|k| self.holds(k));
-        if wrong_instance || key_not_held {
+        if wrong_instance || key_not_held || path.ends_with("/turned-away/") {
             return Some(Response::new(421).with("Not-Executed", "1"));
         }
         self.observer
