--- /dev/null
+++ b/components/node/src/dispatch/mod.rs
@@ -0,0 +1,294 @@
+//! Dispatches a caller's request to a back end and returns its final response.
+//!
+//! A request that may have run goes to another back end only if its route is idempotent. Every
+//! request gets its final response by its deadline.
+//!
+//! A request with a shard key goes to the machine that owns the key according to the assignment.
+//! The owner runs it only while its back end holds the key, that is, while its grant is in force.
+
+mod completion;
+mod outcome;
+mod selection;
+mod sending;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catalog::Route;
+use http1::request::Request;
+use http1::response::Response;
+use platform::message::{self, RequestMetadata};
+use smallvec::SmallVec;
+use timer::{BootClock, Clock};
+use world::instant::BootInstant;
+use world::name::{MachineName, ServiceName};
+use xxhash_rust::xxh3;
+
+use crate::frame::{ForwardedRequest, ForwardedResponse, pack_headers};
+use crate::link::Peer;
+use crate::low_discrepancy::LowDiscrepancySequence;
+use crate::node::{ActiveConfig, Node};
+use crate::suspects;
+
+/// Timeout of a request without a `Deadline-Ms` header.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// `Retry-After` of responses while no request can be served.
+const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of responses while the process stops: the time until it is expected to run again.
+const RESTART_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Interval between two checks for a usable back end, a reconnect or a changed assignment.
+const REROUTE_INTERVAL: Duration = Duration::from_millis(25);
+/// Share of the remaining time for which a request waits for a usable back end.
+const REROUTE_TIMEOUT_RATIO: f64 = 0.25;
+/// Priority of requests on which other requests wait; they are rejected only if they cannot meet
+/// their deadline.
+const TOP_PRIORITY: u8 = 0;
+
+/// The back end that a request is sent to.
+#[derive(Clone)]
+enum Destination {
+    Local,
+    Peer(Rc<Peer>),
+}
+
+/// State of the dispatch of one request.
+struct RequestDispatch<'a> {
+    node: &'a Rc<Node>,
+    route: &'a Route,
+    service: ServiceName,
+    /// The request to forward; each send sets its own id and times in a copy.
+    template: ForwardedRequest,
+    deadline: BootInstant,
+    /// The caller's timeout when the request arrived.
+    timeout: Duration,
+    /// Machines to which the request was sent and is not sent again, as they may have run it or
+    /// their back end rejected it.
+    attempted: SmallVec<[MachineName; 2]>,
+    /// Machines that rejected it, with their suggested time before a retry in milliseconds.
+    rejections: SmallVec<[(MachineName, u32); 4]>,
+    /// Whether a back end may have run it.
+    maybe_executed: bool,
+    /// Whether it appears to be a caller's retry, as its timeout is well below the longest on the
+    /// route.
+    is_retry: bool,
+    /// The last response with a server error, returned when no retry succeeds.
+    fallback_response: Option<Box<ForwardedResponse>>,
+    /// Machine to which it was sent last.
+    machine: Option<MachineName>,
+    /// Whether `no-place` has been logged for it.
+    no_destination_logged: bool,
+    /// When a peer first rejected it because it does not hold the key.
+    not_holder_since: Option<BootInstant>,
+    /// Whether assignments have been requested from a peer.
+    assignments_requested: bool,
+}
+
+/// Final response of a request, and the outcome for logs and metrics.
+struct Completion {
+    response: Response,
+    outcome: &'static str,
+}
+
+/// Counts a request as open until it is dropped.
+struct OpenRequest(Rc<Node>);
+
+impl OpenRequest {
+    fn new(node: &Rc<Node>) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+/// Handles a request that arrived at `received` and returns its final response.
+///
+/// The next number of `samples` picks the service if the route splits its traffic.
+pub async fn handle(
+    node: Rc<Node>,
+    samples: Rc<LowDiscrepancySequence>,
+    request: Request,
+    received: BootInstant,
+) -> Response {
+    let _open = OpenRequest::new(&node);
+    let incoming = message::decode_metadata(&request);
+    let id = incoming.id.clone();
+    if node.is_closing() {
+        node.metrics.on_request("stopping", Duration::ZERO);
+        return message::error_response(503, &id, Some(RESTART_RETRY_AFTER));
+    }
+    let Some(active_config) = node.active_config() else {
+        node.metrics.on_request("no-configuration", Duration::ZERO);
+        return message::error_response(503, &id, Some(OUTAGE_RETRY_AFTER));
+    };
+    let catalog = Rc::clone(&active_config.catalog);
+    let Some(route) = catalog.route(&incoming.host, request.path()) else {
+        node.metrics.on_request("no-route", Duration::ZERO);
+        log_completion(
+            &node,
+            &id,
+            None,
+            404,
+            "no-route",
+            received,
+            &active_config,
+            0,
+        );
+        return message::error_response(404, &id, None);
+    };
+    let Some(service) = route.pick_service(samples.next()).cloned() else {
+        return message::error_response(404, &id, None);
+    };
+    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let deadline = received + timeout.min(route.timeout);
+    node.with_retry_budget(&service, |b| b.on_request(received));
+    let mut dispatch = RequestDispatch {
+        node: &node,
+        route,
+        template: request_template(&node, &service, route, request, incoming),
+        is_retry: node.retry_detector.is_retry(route, timeout),
+        service,
+        deadline,
+        timeout,
+        attempted: SmallVec::new(),
+        rejections: SmallVec::new(),
+        maybe_executed: false,
+        fallback_response: None,
+        machine: None,
+        no_destination_logged: false,
+        not_holder_since: None,
+        assignments_requested: false,
+    };
+    let remaining = deadline.since(BootClock.now());
+    let ended = tokio::select! {
+        completion = dispatch.run() => Some(completion),
+        () = tokio::time::sleep(remaining) => None,
+        () = node.abort_requests.notified() => None,
+    };
+    let completion = ended.unwrap_or_else(|| dispatch.time_out());
+    node.metrics
+        .on_request(completion.outcome, BootClock.now().since(received));
+    log_completion(
+        &node,
+        &id,
+        dispatch.machine.as_ref(),
+        completion.response.status,
+        completion.outcome,
+        received,
+        &active_config,
+        dispatch.attempted.len(),
+    );
+    completion.response
+}
+
+#[allow(clippy::too_many_arguments)]
+fn log_completion(
+    node: &Node,
+    id: &Bytes,
+    machine: Option<&MachineName>,
+    status: u16,
+    outcome: &str,
+    received: BootInstant,
+    active_config: &ActiveConfig,
+    attempts: usize,
+) {
+    let ms = BootClock.now().since(received).as_millis() as u64;
+    log::info!(
+        event = "request",
+        id = std::str::from_utf8(id).unwrap_or("?"),
+        machine = machine.map_or("-", |m| m.as_str()),
+        status,
+        outcome,
+        ms,
+        tried = attempts,
+        version = active_config.catalog.version,
+        stopping = node.is_stopping();
+        ""
+    );
+}
+
+/// Builds the request to forward, with its id and times still 0.
+fn request_template(
+    node: &Node,
+    service: &ServiceName,
+    route: &Route,
+    request: Request,
+    incoming: RequestMetadata,
+) -> ForwardedRequest {
+    let mut headers = request.headers;
+    message::strip_headers(&mut headers);
+    // A request that the back end runs waits for this one, so it goes before new requests.
+    let nested = incoming
+        .parent
+        .as_ref()
+        .is_some_and(|id| node.proxy.is_running(id));
+    let class = xxh3::xxh3_64(route.name.as_bytes()) as u32;
+    ForwardedRequest {
+        id: 0,
+        service: service.clone(),
+        method: request.method,
+        target: request.target,
+        headers: pack_headers(&headers),
+        body: request.body,
+        request_id: incoming.id,
+        sent_ms: 0,
+        remaining_ms: 0,
+        missed_target: false,
+        target_ms: 0,
+        idempotent: route.idempotent,
+        priority: if nested { TOP_PRIORITY } else { route.priority },
+        class,
+        key: incoming.key,
+        caller: node.service(),
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl RequestDispatch<'_> {
+    fn remaining(&self) -> Duration {
+        self.deadline.since(BootClock.now())
+    }
+
+    /// Tries back ends one after another and returns the final response.
+    ///
+    /// The first pass asks each for a response well before the latency target; if all reject the
+    /// request, the final pass tries once more with the whole target and gives up on a rejection.
+    async fn run(&mut self) -> Completion {
+        let timeout = self.remaining();
+        let reroute_until = BootClock.now() + timeout.mul_f64(REROUTE_TIMEOUT_RATIO);
+        let mut final_pass = false;
+        loop {
+            if let Err(remaining) = suspects::check(self.node, &self.template) {
+                return self.quarantined(remaining);
+            }
+            let Some((machine, destination)) = self.select_destination(final_pass) else {
+                if !self.rejections.is_empty() && !final_pass {
+                    final_pass = true;
+                    continue;
+                }
+                self.log_no_destination();
+                if self.rejections.is_empty() && BootClock.now() < reroute_until {
+                    tokio::time::sleep(REROUTE_INTERVAL).await;
+                    continue;
+                }
+                return self.give_up();
+            };
+            self.machine = Some(machine.clone());
+            let outcome = self.send(&destination, final_pass).await;
+            if let Some(completion) = self
+                .on_outcome(&machine, &destination, outcome, final_pass)
+                .await
+            {
+                return completion;
+            }
+        }
+    }
+}
