--- /dev/null
+++ b/components/node/src/node/mod.rs
@@ -0,0 +1,204 @@
+//! State of the process, shared by its tasks on one thread.
+//!
+//! Configurations and assignments only move to higher revisions. A change of state that peers
+//! depend on is announced to them; one that affects the keys wakes [`Node::keys_changed`].
+
+mod keys;
+mod local;
+mod peers;
+mod retries;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::link_delay::LinkDelay;
+use balance::retry_budget::RetryBudget;
+use catalog::Catalog;
+use platform::bounds::Bounds;
+use platform::configuration;
+use platform::settings::Settings;
+use platform::store::DirectTransport;
+use serde_json::Value;
+use shards::assignment::Assignment;
+use shards::manager::{ShardManager, Timing, Versioned};
+use timer::{BootClock, Clock};
+use tokio::sync::Notify;
+use world::instant::BootInstant;
+use world::name::{MachineName, RegionName, ServiceName};
+
+use crate::back_end::ConnectionPool;
+use crate::back_end_proxy::BackEndProxy;
+use crate::failure_rate::FailureRate;
+use crate::frame::{ForwardedRequest, NodeStatus};
+use crate::link::Peer;
+use crate::metrics::Metrics;
+use crate::peer_requests::PeerRequests;
+use crate::pending_changes::PendingChanges;
+use crate::retry_detector::RetryDetector;
+use crate::suspects::Suspects;
+
+pub(crate) use local::UTILIZATION_STEPS;
+
+/// Time after the start of the process within which a back end that refuses connections counts as
+/// still starting, not as exited.
+pub(crate) const BACK_END_START_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The configuration in force.
+#[derive(Clone, Debug)]
+pub struct ActiveConfig {
+    /// Revision of the stored object.
+    pub revision: u64,
+    /// The decoded document.
+    pub catalog: Rc<Catalog>,
+    /// The document as stored, to send to peers.
+    pub document: Rc<Value>,
+}
+
+/// State of the process.
+pub struct Node {
+    /// Settings read at the start.
+    pub settings: Settings,
+    /// Random number that identifies this run of the process.
+    pub incarnation: u64,
+    /// Start of the process.
+    pub started: BootInstant,
+    /// Direct connections to the store.
+    pub direct: DirectTransport,
+    /// Sends requests to the local back end.
+    pub proxy: BackEndProxy,
+    /// Decides which keys of the service this machine grants, and holds its lease.
+    pub shard_manager: RefCell<ShardManager>,
+    /// Requests that peers have forwarded to this machine.
+    pub peer_requests: RefCell<PeerRequests>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Recognises callers' retries by their shorter timeouts.
+    pub retry_detector: RetryDetector,
+    /// Number of local callers' requests without a response yet.
+    pub open_requests: Cell<usize>,
+    /// Sequence number of the last heartbeat of the current back end.
+    pub last_sequence: Cell<u64>,
+    /// Share of requests that fail at the local back end.
+    pub local_failures: FailureRate,
+    /// Requests that may have crashed back ends.
+    pub suspects: Suspects,
+    /// Notified when the shard manager may have something to do.
+    pub keys_changed: Notify,
+    /// Notified shortly before the process exits: callers get their final responses at once.
+    pub abort_requests: Notify,
+    active_config: RefCell<Option<ActiveConfig>>,
+    assignments: RefCell<HashMap<ServiceName, Rc<Versioned<Assignment>>>>,
+    peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
+    retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    stopping: Cell<bool>,
+    closing: Cell<bool>,
+    store_reachable: Cell<bool>,
+    /// Version of the status announced last; 0 before the first.
+    announced_version: Cell<u64>,
+    last_announced: RefCell<Option<NodeStatus>>,
+    /// Id of the back end that last deregistered, and when, in Unix milliseconds. Covers every
+    /// incarnation with this id born until then, also one whose first heartbeat comes later.
+    deregistered: RefCell<Option<(String, u64)>>,
+    /// Assignment changes whose base revision has not arrived yet.
+    pending_changes: RefCell<PendingChanges>,
+    /// Delay of the links to each remote region.
+    link_delays: RefCell<BTreeMap<RegionName, LinkDelay>>,
+    /// Bounds of the deployment in force, such as its drain time, longest grant and retry budget;
+    /// `settings` has those read at the start.
+    bounds: Cell<Bounds>,
+    /// Whether the member records have been listed since the start.
+    members_listed: Cell<bool>,
+}
+
+impl Node {
+    /// Creates the state of a process without configuration, back end or peers.
+    #[must_use]
+    pub fn new(settings: Settings, incarnation: u64) -> Self {
+        let now = BootClock.now();
+        let timing = Timing {
+            max_grant: settings.bounds.hold_max,
+            ..Timing::default()
+        };
+        Self {
+            incarnation,
+            started: now,
+            direct: DirectTransport::new(settings.store_address),
+            proxy: BackEndProxy::new(ConnectionPool::new(settings.back_end_address)),
+            shard_manager: RefCell::new(ShardManager::new(settings.machine.clone(), timing, now)),
+            peer_requests: RefCell::default(),
+            metrics: Metrics::default(),
+            retry_detector: RetryDetector::default(),
+            open_requests: Cell::new(0),
+            last_sequence: Cell::new(0),
+            local_failures: FailureRate::default(),
+            suspects: Suspects::default(),
+            keys_changed: Notify::new(),
+            abort_requests: Notify::new(),
+            active_config: RefCell::default(),
+            assignments: RefCell::default(),
+            peers: RefCell::default(),
+            retry_budgets: RefCell::default(),
+            stopping: Cell::new(false),
+            closing: Cell::new(false),
+            store_reachable: Cell::new(true),
+            announced_version: Cell::new(0),
+            last_announced: RefCell::default(),
+            deregistered: RefCell::default(),
+            pending_changes: RefCell::default(),
+            link_delays: RefCell::default(),
+            bounds: Cell::new(settings.bounds),
+            members_listed: Cell::new(false),
+            settings,
+        }
+    }
+
+    /// Returns the configuration in force, `None` until the first one arrives.
+    #[must_use]
+    pub fn active_config(&self) -> Option<ActiveConfig> {
+        self.active_config.borrow().clone()
+    }
+
+    /// Puts a configuration in force if it is valid and newer than the current one; returns whether
+    /// it did. `source` is logged.
+    pub fn on_configuration(&self, revision: u64, document: Value, source: &str) -> bool {
+        let current = self.active_config.borrow().as_ref().map(|c| c.revision);
+        if current >= Some(revision) {
+            return false;
+        }
+        let catalog = match configuration::decode(&document) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log::error!(event = "configuration-refused", revision, source, error:% = error; "");
+                return false;
+            }
+        };
+        log::info!(event = "configuration-in-force", revision, version = catalog.version, source; "");
+        *self.active_config.borrow_mut() = Some(ActiveConfig {
+            revision,
+            catalog: Rc::new(catalog),
+            document: Rc::new(document),
+        });
+        self.keys_changed.notify_one();
+        self.announce();
+        true
+    }
+
+    /// Returns whether the service of this machine is divided by key.
+    #[must_use]
+    pub fn is_keyed(&self) -> bool {
+        let service = self.service();
+        self.active_config()
+            .is_some_and(|c| c.catalog.is_keyed(&service))
+    }
+
+    /// Returns the key of a request, `None` if its service is not divided by key.
+    #[must_use]
+    pub fn shard_key(&self, request: &ForwardedRequest) -> Option<u16> {
+        let keyed = self
+            .active_config()
+            .is_some_and(|c| c.catalog.is_keyed(&request.service));
+        request.key.filter(|_| keyed)
+    }
+}
--- /dev/null
+++ b/components/node/src/node/peers.rs
@@ -0,0 +1,206 @@
+//! Peers: their connections, frames and distances.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use balance::choice::Distance;
+use platform::bounds::Bounds;
+use rand::seq::IteratorRandom;
+use shards::manager::Versioned;
+use timer::{BootClock, Clock};
+use world::instant::BootInstant;
+use world::name::{MachineName, RegionName, ServiceName};
+
+use super::Node;
+use super::keys::assignment_frame;
+use crate::frame::{Frame, NodeStatus};
+use crate::link::{FrameSender, Peer, keep_connected, send_frame};
+use crate::suspects::{self, CrashReport, Source};
+
+impl Node {
+    /// Returns all known peers, connected or not.
+    #[must_use]
+    pub fn peers(&self) -> Vec<Rc<Peer>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// Returns the peer on a machine, if it is known.
+    #[must_use]
+    pub fn peer(&self, machine: &MachineName) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(machine).cloned()
+    }
+
+    /// Returns a random connected peer whose status matches `predicate`.
+    #[must_use]
+    pub fn random_peer(&self, predicate: impl Fn(&NodeStatus) -> bool) -> Option<Rc<Peer>> {
+        let peers = self.peers.borrow();
+        let candidates = peers
+            .values()
+            .filter(|p| p.is_connected() && p.with_status(&predicate) == Some(true));
+        candidates.choose(&mut rand::rng()).cloned()
+    }
+
+    /// Sends a frame to every connected peer.
+    pub fn broadcast(&self, frame: &Frame) {
+        for peer in self.peers.borrow().values() {
+            peer.send(frame);
+        }
+    }
+
+    /// Sends reports of crashes to every connected peer that decodes them.
+    pub fn broadcast_crashes(&self, reports: &[CrashReport]) {
+        for peer in self.peers.borrow().values() {
+            peer.send_crashes(reports);
+        }
+    }
+
+    /// Adds the peer on a machine and keeps a connection to it open; updates the address of a known
+    /// peer. Does nothing for this machine itself.
+    pub fn add_peer(self: &Rc<Self>, machine: &MachineName, address: std::net::SocketAddr) {
+        if *machine == self.settings.machine {
+            return;
+        }
+        if let Some(peer) = self.peer(machine) {
+            peer.set_listed_address(address);
+            return;
+        }
+        log::info!(event = "peer-found", machine = machine.as_str(), address:% = address; "");
+        let peer = Rc::new(Peer::new(machine.clone(), address));
+        self.peers
+            .borrow_mut()
+            .insert(machine.clone(), Rc::clone(&peer));
+        tokio::task::spawn_local(keep_connected(Rc::clone(self), peer));
+    }
+
+    /// Returns the bounds in force.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Handles a connection to a peer that was opened or lost.
+    pub fn on_link_change(&self) {
+        self.keys_changed.notify_one();
+    }
+
+    /// Handles a frame from a peer that is not part of a request; replies go to `sender`.
+    pub fn on_frame(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
+        match frame {
+            Frame::Hello(status) => self.on_hello(*status),
+            Frame::Catalog { revision, document } => match serde_json::from_slice(&document) {
+                Ok(document) => {
+                    self.on_configuration(revision, document, "peer");
+                }
+                Err(error) => {
+                    log::warn!(event = "configuration-refused", revision, error:% = error; "");
+                }
+            },
+            Frame::CatalogRequest => {
+                if let Some(c) = self.active_config() {
+                    send_frame(
+                        sender,
+                        &Frame::Catalog {
+                            revision: c.revision,
+                            document: c.document.to_string().into_bytes(),
+                        },
+                    );
+                }
+            }
+            Frame::Assignment {
+                service,
+                revision,
+                assignment,
+            } => {
+                let value = *assignment;
+                self.on_assignment(&service, Versioned { revision, value });
+            }
+            Frame::AssignmentChange {
+                service,
+                base,
+                revision,
+                change,
+            } => self.on_assignment_change(&service, base, revision, *change),
+            Frame::AssignmentsRequest { known } => {
+                for (service, stored) in self.assignments.borrow().iter() {
+                    let up_to_date = |(s, revision): &(ServiceName, u64)| {
+                        s == service && *revision >= stored.revision
+                    };
+                    if !known.iter().any(up_to_date) {
+                        send_frame(sender, &assignment_frame(service, stored));
+                    }
+                }
+            }
+            Frame::CrashReports(reports) => {
+                for report in &reports {
+                    suspects::on_report(self, report, Source::Peer);
+                }
+            }
+            Frame::Ping { probe } => {
+                send_frame(sender, &Frame::Pong { probe });
+            }
+            Frame::Pong { .. } => {}
+            Frame::Request(_)
+            | Frame::Response { .. }
+            | Frame::Cancel { .. }
+            | Frame::StoreRequest { .. }
+            | Frame::StoreResponse { .. } => {
+                log::warn!(event = "frame-unexpected"; "");
+            }
+        }
+    }
+
+    fn on_hello(self: &Rc<Self>, status: NodeStatus) {
+        self.add_peer(&status.machine, status.address);
+        if let Some(peer) = self.peer(&status.machine)
+            && peer.update(status)
+        {
+            self.keys_changed.notify_one();
+        }
+    }
+
+    /// Returns the regions of the deployment without that of this machine.
+    #[must_use]
+    pub fn other_regions(&self) -> BTreeSet<RegionName> {
+        let regions = self.settings.zones.values().cloned();
+        regions.filter(|r| *r != self.settings.region).collect()
+    }
+
+    /// Starts a delay probe of a region and returns its number, `None` while an earlier probe is
+    /// in flight.
+    pub fn start_probe(&self, region: &RegionName, now: BootInstant) -> Option<u64> {
+        let mut delays = self.link_delays.borrow_mut();
+        delays.entry(region.clone()).or_default().start_probe(now)
+    }
+
+    /// Records the reply to a delay probe.
+    pub fn on_pong(&self, peer: &Peer, probe: u64) {
+        let mut delays = self.link_delays.borrow_mut();
+        let delay = peer.with_status(|s| delays.get_mut(&s.region));
+        if let Some(delay) = delay.flatten() {
+            delay.on_probe_reply(probe, BootClock.now());
+        }
+    }
+
+    /// Returns the round-trip queueing delay of frames to a region, 0 if it is unknown.
+    #[must_use]
+    pub fn link_delay(&self, region: &RegionName) -> Duration {
+        let delays = self.link_delays.borrow();
+        let delay = delays
+            .get(region)
+            .map(|d| d.queueing_delay(BootClock.now()));
+        delay.unwrap_or_default()
+    }
+
+    /// Returns how far a machine is from this one.
+    #[must_use]
+    pub fn distance(&self, status: &NodeStatus) -> Distance {
+        if status.zone == self.settings.zone {
+            Distance::Zone
+        } else if status.region == self.settings.region {
+            Distance::Region
+        } else {
+            Distance::Remote
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/node/retries.rs
@@ -0,0 +1,55 @@
+//! Retry budgets and the bounds of the deployment.
+
+use balance::retry_budget::{RetryBudget, RetryLimit};
+use platform::bounds::Bounds;
+use world::name::ServiceName;
+
+use super::Node;
+
+impl Node {
+    /// Calls `work` with the retry budget of a service.
+    pub fn with_retry_budget<R>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryBudget) -> R,
+    ) -> R {
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(self.retry_limit()));
+        work(budget)
+    }
+
+    /// Puts changed bounds in force.
+    pub fn on_bounds(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+        self.shard_manager
+            .borrow_mut()
+            .set_max_grant(bounds.hold_max);
+        self.update_budgets();
+    }
+
+    /// Records that all member records have been listed, which makes the number of machines known.
+    pub fn on_members_listed(&self) {
+        self.members_listed.set(true);
+        self.update_budgets();
+    }
+
+    fn update_budgets(&self) {
+        let limit = self.retry_limit();
+        for budget in self.retry_budgets.borrow_mut().values_mut() {
+            budget.set_limit(limit);
+        }
+    }
+
+    fn retry_limit(&self) -> RetryLimit {
+        let bounds = self.bounds.get();
+        let total = RetryLimit {
+            ratio: bounds.retry_ratio,
+            extra: bounds.retry_extra,
+            window: bounds.retry_window,
+        };
+        let machines = self.peers.borrow().len() + 1;
+        total.per_machine(self.members_listed.get().then_some(machines))
+    }
+}
