--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use balance::choice::Distance;
-use platform::bounds::Bounds;
 use rand::seq::IteratorRandom;
 use shards::manager::Versioned;
 use timer::{BootClock, Clock};
@@ -73,12 +72,6 @@
         tokio::task::spawn_local(keep_connected(Rc::clone(self), peer));
     }
 
-    /// Returns the bounds in force.
-    #[must_use]
-    pub fn bounds(&self) -> Bounds {
-        self.bounds.get()
-    }
-
     /// Handles a connection to a peer that was opened or lost.
     pub fn on_link_change(&self) {
         self.keys_changed.notify_one();
--- a/components/node/src/node/retries.rs
+++ b/components/node/src/node/retries.rs
@@ -20,6 +20,12 @@
         work(budget)
     }
 
+    /// Returns the bounds in force.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
     /// Puts changed bounds in force.
     pub fn on_bounds(&self, bounds: Bounds) {
         self.bounds.set(bounds);
