Test that a block reaches machines that are cut off from all others

Machines that reach the store and none of each other: a request blocked at one is blocked at the other, which has seen no crash. Fails without the watch of the stored records.

--- a/components/node/tests/whole_path/crash_causing_requests.rs
+++ b/components/node/tests/whole_path/crash_causing_requests.rs
@@ -292,6 +292,23 @@
     deployment.await_serving(SETTLE_TIMEOUT);
 }
 
+// Guards against machines that learn of each other's crashes only over their links.
+#[test]
+fn a_block_reaches_machines_that_are_cut_off_from_all_others() {
+    let mut deployment = Deployment::start_isolated(44, 4);
+    for machine in [0, 3] {
+        deployment.await_status(machine, "/added/", 200, SETTLE_TIMEOUT);
+    }
+    let mut attempts = Attempts::new(IDEMPOTENT, 11);
+    attempts.request.senders = [0; 6];
+    let give_up = Instant::now() + THIRD_CRASH_LIMIT;
+    while !is_blocked(&deployment, 0) {
+        assert!(Instant::now() < give_up, "the request is not blocked");
+        attempts.send(&mut deployment);
+    }
+    await_blocked(&deployment, 3);
+}
+
 fn await_blocked(deployment: &Deployment, machine: usize) {
     let deadline = Instant::now() + SETTLE_TIMEOUT;
     while !is_blocked(deployment, machine) {
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -29,6 +29,8 @@
 
 /// Request timeout that callers state.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Port on which nobody listens.
+const UNUSED_PORT: u16 = 7_099;
 /// Longest time for a process to start.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two attempts while a test waits for an outcome.
@@ -116,6 +118,8 @@
     next_id: AtomicU64,
     /// Machines whose process was replaced by another one at the same address.
     replaced: Vec<usize>,
+    /// Whether no process reaches another one.
+    isolated: bool,
 }
 
 /// Second byte of the addresses of these tests.
@@ -174,8 +178,23 @@
         Self::start_with_store(net, machines, store)
     }
 
+    /// Starts machines with a configuration that reach the store, but not each other.
+    pub(crate) fn start_isolated(net: u8, machines: usize) -> Self {
+        let mut deployment = Self::new(net, start_store(net));
+        deployment.isolated = true;
+        deployment.store.write_config(1, &["/added/"]);
+        deployment.start_machines(machines);
+        deployment
+    }
+
     fn start_with_store(net: u8, machines: usize, store: Store) -> Self {
-        let mut deployment = Self {
+        let mut deployment = Self::new(net, store);
+        deployment.start_machines(machines);
+        deployment
+    }
+
+    fn new(net: u8, store: Store) -> Self {
+        Self {
             layout: Layout::new(ADDRESS_BLOCK, net),
             store,
             processes: Vec::new(),
@@ -184,15 +203,16 @@
             last_born: 1,
             next_id: AtomicU64::new(1),
             replaced: Vec::new(),
-        };
+            isolated: false,
+        }
+    }
+
+    fn start_machines(&mut self, machines: usize) {
         for machine in 0..machines {
-            deployment.processes.push(None);
-            deployment.start_process(machine);
-            deployment
-                .back_ends
-                .push(deployment.start_back_end(machine, 1));
+            self.processes.push(None);
+            self.start_process(machine);
+            self.back_ends.push(self.start_back_end(machine, 1));
         }
-        deployment
     }
 
     fn start_back_end(&self, machine: usize, born: u64) -> BackEnd {
@@ -252,7 +272,11 @@
             bounds: &bounds.map(ToOwned::to_owned),
         };
         let text = self.layout.settings(machine, &process);
-        Settings::from_json(text.as_bytes()).expect("well-formed")
+        let mut settings = Settings::from_json(text.as_bytes()).expect("well-formed");
+        if self.isolated {
+            settings.advertised_address = self.layout.address(machine, UNUSED_PORT);
+        }
+        settings
     }
 
     /// Starts a machine's process.
