Show that copies of a crash-causing request go on after its third crash

Copies that run at several back ends at once and crash them all count as one crash. All senders in the earlier tests waited for one attempt before the next, so that copies never overlapped.

--- a/components/node/tests/whole_path/crash_causing_requests.rs
+++ b/components/node/tests/whole_path/crash_causing_requests.rs
@@ -12,25 +12,25 @@
 use crate::deployment::{Deployment, Execution};
 
 /// Number of machines; every third one serves `orders`, so that its back ends are four.
-const MACHINES: usize = 10;
+pub(crate) const MACHINES: usize = 10;
 /// Machines of one service; a back end sees the service of the machine as the caller.
-const SENDERS: [usize; 6] = [1, 2, 4, 5, 7, 8];
+pub(crate) const SENDERS: [usize; 6] = [1, 2, 4, 5, 7, 8];
 /// Machines of two services.
 const MIXED_SENDERS: [usize; 6] = [0, 1, 2, 3, 5, 6];
 /// Time from the crash of a back end to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(800);
 /// Time between two attempts of the callers.
-const SEND_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const SEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the third crash in which the machines learn of it (`stabilityWindowMs`).
-const LEARNING_TIME: Duration = Duration::from_secs(3);
+pub(crate) const LEARNING_TIME: Duration = Duration::from_secs(3);
 /// Time after that for which the executions are counted.
-const COUNTED_TIME: Duration = Duration::from_secs(6);
+pub(crate) const COUNTED_TIME: Duration = Duration::from_secs(6);
 /// Executions that the platform's rules allow in that time.
-const MAX_EXECUTIONS: usize = 3;
+pub(crate) const MAX_EXECUTIONS: usize = 3;
 /// Longest time until the third crash.
-const THIRD_CRASH_LIMIT: Duration = Duration::from_secs(60);
+pub(crate) const THIRD_CRASH_LIMIT: Duration = Duration::from_secs(60);
 /// Prefix of the ids of the crash-causing requests.
-const CRASH_PREFIX: &str = "crash-";
+pub(crate) const CRASH_PREFIX: &str = "crash-";
 
 /// A request that crashes back ends.
 #[derive(Clone, Copy, Debug)]
@@ -73,16 +73,16 @@
     "/added/slow/?4",
 ];
 
-/// Restarts the back ends that have been down for [`RESTART_DELAY`].
+/// Restarts the back ends that have been down for a time.
 #[derive(Default)]
-struct Restarts(Vec<(usize, Instant)>);
+pub(crate) struct Restarts(Vec<(usize, Instant)>);
 
 impl Restarts {
-    fn poll(&mut self, deployment: &mut Deployment) {
+    pub(crate) fn poll(&mut self, deployment: &mut Deployment, delay: Duration) {
         let now = Instant::now();
         for machine in deployment.crashed_back_ends() {
             if !self.0.iter().any(|(m, _)| *m == machine) {
-                self.0.push((machine, now + RESTART_DELAY));
+                self.0.push((machine, now + delay));
             }
         }
         let due: Vec<usize> = self
@@ -96,7 +96,7 @@
     }
 }
 
-fn start(net: u8) -> Deployment {
+pub(crate) fn start(net: u8) -> Deployment {
     let deployment = Deployment::start(net, MACHINES);
     deployment.store.write_config(2, &["/added/"]);
     deployment.await_serving(SETTLE_TIMEOUT);
@@ -132,7 +132,7 @@
         } = self.request;
         let machine = *senders.choose(&mut self.rng).expect("not empty");
         deployment.request_with_prefix(CRASH_PREFIX, machine, method, path, key);
-        self.restarts.poll(deployment);
+        self.restarts.poll(deployment, RESTART_DELAY);
         std::thread::sleep(SEND_INTERVAL);
     }
 
@@ -150,7 +150,7 @@
             self.send(deployment);
         }
         while !deployment.crashed_back_ends().is_empty() {
-            self.restarts.poll(deployment);
+            self.restarts.poll(deployment, RESTART_DELAY);
             std::thread::sleep(SEND_INTERVAL);
         }
     }
@@ -161,10 +161,24 @@
     metrics.contains("plantaingauge_quarantined_requests 1\n")
 }
 
-fn third_crash(executions: &[Execution]) -> Option<Instant> {
+pub(crate) fn third_crash(executions: &[Execution]) -> Option<Instant> {
     executions.get(2).map(|e| e.at)
 }
 
+/// Panics if more executions than allowed began later than [`LEARNING_TIME`] after the third crash.
+pub(crate) fn assert_stopped(executions: &[Execution]) {
+    let third = third_crash(executions).expect("the request crashes three back ends");
+    let late = executions
+        .iter()
+        .filter(|e| e.at.duration_since(third) > LEARNING_TIME);
+    let late_count = late.count();
+    assert!(
+        late_count <= MAX_EXECUTIONS,
+        "{late_count} executions later than {LEARNING_TIME:?} after the third crash, {} in all",
+        executions.len()
+    );
+}
+
 // Guards against crash-causing requests that are not recognised and crash back ends for ever.
 #[rstest]
 #[case::idempotent(30, 1, IDEMPOTENT)]
@@ -190,16 +204,7 @@
             break executions;
         }
     };
-    let third = third_crash(&executions).expect("the request crashes three back ends");
-    let late = executions
-        .iter()
-        .filter(|e| e.at.duration_since(third) > LEARNING_TIME);
-    let late_count = late.count();
-    assert!(
-        late_count <= MAX_EXECUTIONS,
-        "{late_count} executions later than {LEARNING_TIME:?} after the third crash, {} in all",
-        executions.len()
-    );
+    assert_stopped(&executions);
 }
 
 // Guards against refusing requests that only ran beside the crash-causing one.
--- a/components/quarantine/tests/fleet.rs
+++ b/components/quarantine/tests/fleet.rs
@@ -311,12 +311,43 @@
 
 /// Plans the callers' attempts at `request`, one after another with gaps of up to `max_gap`.
 fn plan_sends(fleet: &mut Fleet, request: usize, max_gap: Millis) {
+    plan_copies(fleet, request, max_gap, 1);
+}
+
+/// Plans the callers' attempts at `request`, `copies` of them within some milliseconds, with gaps of
+/// up to `max_gap`.
+fn plan_copies(fleet: &mut Fleet, request: usize, max_gap: Millis, copies: u64) {
     let mut at = 0;
     while at < TOTAL {
         at += fleet.rng.random_range(1..=max_gap);
         let attempts = ATTEMPTS;
-        fleet.schedule(at, Event::Send { request, attempts });
+        for copy in 0..copies {
+            fleet.schedule(at + copy, Event::Send { request, attempts });
+        }
+    }
+}
+
+/// Plans the attempts at all requests, at the first one in `copies` at the same time.
+fn plan_all(fleet: &mut Fleet, crash_gap: Millis, other_gap: Millis, copies: u64) {
+    plan_copies(fleet, 0, crash_gap, copies);
+    for request in 1..REQUESTS {
+        plan_sends(fleet, request, other_gap);
+    }
+}
+
+/// Checks that few executions of the first request began late after its third crash.
+fn check_stopped(fleet: &Fleet) -> Result<(), TestCaseError> {
+    let executions = &fleet.executions;
+    if let Some((third, _)) = executions.get(2) {
+        let is_late = |(at, settled): &&(Millis, bool)| *settled && *at > third + LEARNING_TIME;
+        let late = executions.iter().filter(is_late).count();
+        prop_assert!(
+            late <= MAX_LATE,
+            "{late} late executions, {} in all",
+            executions.len()
+        );
     }
+    Ok(())
 }
 
 proptest! {
@@ -331,10 +362,7 @@
         seed in any::<u64>(),
     ) {
         let mut fleet = Fleet::new(machines, StdRng::seed_from_u64(seed));
-        plan_sends(&mut fleet, 0, crash_gap);
-        for request in 1..REQUESTS {
-            plan_sends(&mut fleet, request, other_gap);
-        }
+        plan_all(&mut fleet, crash_gap, other_gap, 1);
         fleet.run(|fleet| fleet.check_only_first_is_blocked())?;
         prop_assert!(fleet.completions > 0);
     }
@@ -350,10 +378,7 @@
         seed in any::<u64>(),
     ) {
         let mut fleet = Fleet::new(machines, StdRng::seed_from_u64(seed));
-        plan_sends(&mut fleet, 0, crash_gap);
-        for request in 1..REQUESTS {
-            plan_sends(&mut fleet, request, other_gap);
-        }
+        plan_all(&mut fleet, crash_gap, other_gap, 1);
         for (machine, at) in crashes {
             fleet.schedule(at, Event::Crash { machine: machine % machines });
         }
@@ -361,11 +386,40 @@
             fleet.schedule(at, Event::Forget { machine: machine % machines });
         }
         fleet.run(|_| Ok(()))?;
-        let executions = &fleet.executions;
-        if let Some((third, _)) = executions.get(2) {
-            let is_late = |(at, settled): &&(Millis, bool)| *settled && *at > third + LEARNING_TIME;
-            let late = executions.iter().filter(is_late).count();
-            prop_assert!(late <= MAX_LATE, "{late} late executions, {} in all", executions.len());
+        check_stopped(&fleet)?;
+    }
+
+    // Guards against copies that crash several back ends at once and are counted as one crash.
+    #[test]
+    fn copies_of_a_crash_causing_request_at_the_same_time_are_stopped_everywhere(
+        machines in 2usize..8,
+        copies in 2u64..6,
+        crash_gap in 20u64..1_500,
+        other_gap in 50u64..800,
+        crashes in proptest::collection::vec((0usize..8, 0..TOTAL), 0..8),
+        seed in any::<u64>(),
+    ) {
+        let mut fleet = Fleet::new(machines, StdRng::seed_from_u64(seed));
+        plan_all(&mut fleet, crash_gap, other_gap, copies);
+        for (machine, at) in crashes {
+            fleet.schedule(at, Event::Crash { machine: machine % machines });
         }
+        fleet.run(|_| Ok(()))?;
+        check_stopped(&fleet)?;
+    }
+
+    // Guards against blocking a request that only ran beside copies of a crash-causing one.
+    #[test]
+    fn requests_beside_copies_of_a_crash_causing_one_are_never_blocked(
+        machines in 2usize..8,
+        copies in 2u64..6,
+        crash_gap in 20u64..1_500,
+        other_gap in 50u64..800,
+        seed in any::<u64>(),
+    ) {
+        let mut fleet = Fleet::new(machines, StdRng::seed_from_u64(seed));
+        plan_all(&mut fleet, crash_gap, other_gap, copies);
+        fleet.run(|fleet| fleet.check_only_first_is_blocked())?;
+        prop_assert!(fleet.completions > 0);
     }
 }
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -2,7 +2,7 @@
 //!
 //! The end of a request's path selects what else happens: `/slow/` and `/stuck/` run long, `/cut/`
 //! and `/late-cut/` lose their response, `/turned-away/` is answered with 421, `/crash/` crashes the
-//! back end as it begins to run.
+//! back end as it begins to run, `/late-crash/` a moment later.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -21,6 +21,8 @@
 const SLOW_DURATION: Duration = Duration::from_millis(1_500);
 /// Running time of a request to a stuck path, longer than any caller's timeout.
 const STUCK_DURATION: Duration = Duration::from_secs(30);
+/// Time from the start of a request to a late-crash path to the crash.
+const LATE_CRASH_DELAY: Duration = Duration::from_millis(100);
 /// Number of requests that a back end announces it can run at once.
 const SLOTS: u32 = 8;
 
@@ -242,7 +244,10 @@
         if path.starts_with("/orders/") {
             self.order_count.fetch_add(1, Ordering::SeqCst);
         }
-        if path.ends_with("/crash/") {
+        if path.ends_with("/late-crash/") {
+            std::thread::sleep(LATE_CRASH_DELAY);
+        }
+        if path.ends_with("/crash/") || path.ends_with("/late-crash/") {
             self.crash();
             return None;
         }
