Run copies of a crash-causing request one at a time after the third exit

Cause: crashes are numbered after the last one known when the request was sent, so that back ends which end at once under copies of it count as one. Copies that come together at several machines crash up to all back ends of the service a round, and three rounds are needed until the block.

A rack that fails under a popular request looks the same, so counting each exit would refuse the innocent.

Change: the count also keeps which back ends exited, as a set that merges like the count. From the third on, until it is cleared or blocked, a request is on trial: all machines send it to the same one, chosen by its fingerprint, where a copy waits for the end of the other; an attempt is not repeated elsewhere. Two single runs more and it is blocked; one that completes clears it. Frames with the exits go only to peers that announce that they decode them.

Failed on the way: a hash of id and start as seed gave equal hashes for short ids (the simulation found it), and the request on trial counted itself as its copy (the test of the failed rack found it).

--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod outcome;
 mod selection;
 mod sending;
+mod trial;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     /// The request to forward; each send sets its own id and times in a copy.
     template: ForwardedRequest,
     deadline: BootInstant,
+    /// Until when it waits for a usable back end, or for the end of a copy of it.
+    reroute_until: BootInstant,
     /// The caller's timeout when the request arrived.
     timeout: Duration,
     /// Machines to which the request was sent and is not sent again, as they may have run it or
@@ -147,6 +150,7 @@
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = received + timeout.min(route.timeout);
     node.with_retry_budget(&service, |b| b.on_request(received));
+    let now = BootClock.now();
     let mut dispatch = RequestDispatch {
         node: &node,
         route,
@@ -154,6 +158,7 @@
         is_retry: node.retry_detector.is_retry(route, timeout),
         service,
         deadline,
+        reroute_until: now + deadline.since(now).mul_f64(REROUTE_TIMEOUT_RATIO),
         timeout,
         attempted: SmallVec::new(),
         rejections: SmallVec::new(),
@@ -262,8 +267,6 @@
     /// The first pass asks each for a response well before the latency target; if all reject the
     /// request, the final pass tries once more with the whole target and gives up on a rejection.
     async fn run(&mut self) -> Completion {
-        let timeout = self.remaining();
-        let reroute_until = BootClock.now() + timeout.mul_f64(REROUTE_TIMEOUT_RATIO);
         let mut final_pass = false;
         loop {
             if let Err(remaining) = suspects::check(self.node, &self.template) {
@@ -275,7 +278,7 @@
                     continue;
                 }
                 self.log_no_destination();
-                if self.rejections.is_empty() && BootClock.now() < reroute_until {
+                if self.rejections.is_empty() && BootClock.now() < self.reroute_until {
                     tokio::time::sleep(REROUTE_INTERVAL).await;
                     continue;
                 }
--- a/components/node/src/dispatch/outcome.rs
+++ b/components/node/src/dispatch/outcome.rs
@@ -75,6 +75,11 @@
                 let remaining = Duration::from_millis(u64::from(retry_ms));
                 Some(self.quarantined(remaining))
             }
+            RejectReason::Isolated if self.is_on_trial() => self.await_copy().await,
+            // At another back end it could run beside a copy.
+            RejectReason::Full | RejectReason::Delayed if self.is_on_trial() => {
+                self.on_rejection(machine, retry_ms, true)
+            }
             RejectReason::Full | RejectReason::Delayed | RejectReason::Isolated => {
                 self.on_rejection(machine, retry_ms, final_pass)
             }
@@ -169,6 +174,9 @@
     /// Returns whether the request may go to one more back end, and spends retry budget on it if
     /// so.
     fn may_retry(&mut self) -> bool {
+        if self.is_on_trial() {
+            return false;
+        }
         let below_limit = self.attempted.len() < usize::from(self.route.max_attempts);
         let allowed = self.route.idempotent || !self.maybe_executed;
         if !below_limit || !allowed || self.remaining() < Duration::from_millis(20) {
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -67,6 +67,9 @@
             let machine = assignment.value.range(key)?.machine.clone();
             return self.keyed_destination(machine, final_pass);
         }
+        if let Some(fingerprint) = self.node.suspects.on_trial(&self.template) {
+            return self.trial_destination(&fingerprint, final_pass);
+        }
         let usable = self.candidates(final_pass);
         let candidates: SmallVec<[Candidate; 16]> = usable.iter().map(|p| p.2).collect();
         let mut rng = rand::rng();
@@ -105,14 +108,17 @@
         usable.then_some((machine, Destination::Peer(peer)))
     }
 
+    /// Returns whether a machine may be tried in this pass.
+    pub(super) fn is_untried(&self, machine: &MachineName, final_pass: bool) -> bool {
+        let is_rejected = self.rejections.iter().any(|(m, _)| m == machine);
+        !self.attempted.contains(machine) && (final_pass || !is_rejected)
+    }
+
     /// Returns the back ends of the service to which the request can be sent.
     fn candidates(&self, final_pass: bool) -> Vec<(MachineName, Destination, Candidate)> {
         let now = BootClock.now();
         let mut candidates = Vec::new();
-        let usable = |m: &MachineName| {
-            !self.attempted.contains(m)
-                && (final_pass || !self.rejections.iter().any(|(r, _)| r == m))
-        };
+        let usable = |m: &MachineName| self.is_untried(m, final_pass);
         let own = &self.node.settings.machine;
         if let Some(b) = self.node.proxy.ready_for(&self.service)
             && usable(own)
--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -13,6 +13,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http1::headers::Headers;
 use platform::store::{RequestError, StoreRequest, StoreResponse};
+use quarantine::exits::Exits;
 use serde::{Deserialize, Serialize};
 use shards::assignment::{Assignment, Change};
 use shards::incarnation::BackEndIncarnation;
@@ -108,6 +109,8 @@
     },
     /// Crashes attributed to requests, and suspects that were cleared.
     CrashReports(Vec<CrashReport>),
+    /// The same, each with the back ends that exited.
+    CrashReportsWithExits(Vec<(CrashReport, Exits)>),
 }
 
 /// What a process decodes beyond the frames that all versions have in common.
@@ -116,21 +119,26 @@
     /// [`Frame::CrashReports`], [`RejectReason::Blocked`], [`RejectReason::Isolated`] and
     /// [`RejectReason::TurnedAway`].
     pub crash_reports: bool,
+    /// [`Frame::CrashReportsWithExits`].
+    pub crash_exits: bool,
 }
 
 impl Features {
     /// Features of this version.
     pub const SUPPORTED: Self = Self {
         crash_reports: true,
+        crash_exits: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
+    const CRASH_EXITS_BIT: u32 = 1 << 1;
 
     fn encode(self) -> Result<Vec<u8>, postcard::Error> {
-        let bits = if self.crash_reports {
-            Self::CRASH_REPORTS_BIT
-        } else {
-            0
-        };
+        let flags = [
+            (self.crash_reports, Self::CRASH_REPORTS_BIT),
+            (self.crash_exits, Self::CRASH_EXITS_BIT),
+        ];
+        let set = flags.iter().filter(|(is_set, _)| *is_set);
+        let bits: u32 = set.map(|(_, bit)| bit).sum();
         postcard::to_stdvec(&bits)
     }
 
@@ -142,6 +150,7 @@
         let bits: u32 = postcard::from_bytes(bytes)?;
         Ok(Self {
             crash_reports: bits & Self::CRASH_REPORTS_BIT != 0,
+            crash_exits: bits & Self::CRASH_EXITS_BIT != 0,
         })
     }
 }
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -21,7 +21,7 @@
 use crate::failure_rate::FailureRate;
 use crate::frame::{self, Features, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome};
 use crate::node::Node;
-use crate::suspects::CrashReport;
+use crate::suspects::{self, CrashReport};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -198,8 +198,8 @@
 
     /// Sends reports of crashes, if there are any and its process decodes them.
     pub fn send_crashes(&self, reports: &[CrashReport]) {
-        if !reports.is_empty() && self.features().crash_reports {
-            self.send(&Frame::CrashReports(reports.to_vec()));
+        if let Some(frame) = suspects::report_frame(reports, self.features()) {
+            self.send(&frame);
         }
     }
 
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -129,6 +129,12 @@
                     suspects::on_report(self, report, Source::Peer);
                 }
             }
+            Frame::CrashReportsWithExits(reports) => {
+                for (mut report, exits) in reports {
+                    report.count.exits = exits;
+                    suspects::on_report(self, &report, Source::Peer);
+                }
+            }
             Frame::Ping { probe } => {
                 send_frame(sender, &Frame::Pong { probe });
             }
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -13,7 +13,7 @@
 use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
 use crate::link::{FrameSender, KEEPALIVE_IDLE, read_frames, send_frame, write_frames};
 use crate::node::Node;
-use crate::{accept, back_end_proxy};
+use crate::{accept, back_end_proxy, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -106,9 +106,7 @@
     let request = Rc::new(request);
     let outcome = back_end_proxy::submit(&node, Rc::clone(&request)).await;
     let crashes = match outcome {
-        RequestOutcome::Lost(_) if process.features.crash_reports => {
-            node.suspects.reports_on(&request)
-        }
+        RequestOutcome::Lost(_) => node.suspects.reports_on(&request),
         _ => Vec::new(),
     };
     let response = Frame::Response {
@@ -121,9 +119,9 @@
             let mut requests = node.peer_requests.borrow_mut();
             // Arrives before the response, so that the peer knows of a crash when it retries.
             if let Some(sender) = requests.reply_to((process.incarnation, id))
-                && !crashes.is_empty()
+                && let Some(reports) = suspects::report_frame(&crashes, process.features)
             {
-                send_frame(sender, &Frame::CrashReports(crashes));
+                send_frame(sender, &reports);
             }
             requests.on_response((process.incarnation, id), bytes, BootClock.now());
         }
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -10,6 +10,7 @@
 
 use platform::message;
 use quarantine::crash_count::CrashCount;
+use quarantine::exits::BackEndHash;
 use quarantine::fingerprint::{self, Fingerprint, RequestIdentity};
 use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
 use quarantine::quarantine::{MAX_CRASHES, Quarantine, Record};
@@ -19,7 +20,7 @@
 use tokio::sync::Notify;
 use world::instant::BootInstant;
 
-use crate::frame::{ForwardedRequest, RejectReason};
+use crate::frame::{Features, ForwardedRequest, Frame, RejectReason};
 use crate::node::Node;
 
 /// What a process knows about a request, as peers receive it.
@@ -53,6 +54,20 @@
     }
 }
 
+/// Returns the frame with reports for a process with these features, `None` if there is nothing to
+/// send or it decodes none.
+#[must_use]
+pub fn report_frame(reports: &[CrashReport], features: Features) -> Option<Frame> {
+    if reports.is_empty() || !features.crash_reports {
+        return None;
+    }
+    if !features.crash_exits {
+        return Some(Frame::CrashReports(reports.to_vec()));
+    }
+    let with_exits = reports.iter().map(|r| (*r, r.count.exits));
+    Some(Frame::CrashReportsWithExits(with_exits.collect()))
+}
+
 /// Where a process learns of a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -138,6 +153,14 @@
             .collect()
     }
 
+    /// Returns the fingerprint of a request whose copies must run one at a time, `None` for others.
+    #[must_use]
+    pub fn on_trial(&self, request: &ForwardedRequest) -> Option<Fingerprint> {
+        let fingerprint = self.find(request)?;
+        let needs_trial = self.quarantine.borrow().needs_trial(&fingerprint);
+        needs_trial.then_some(fingerprint)
+    }
+
     /// Returns what is known about a request for its record in the store.
     #[must_use]
     pub fn report_of(&self, fingerprint: &Fingerprint) -> Option<CrashReport> {
@@ -195,7 +218,10 @@
     };
     let running = node.proxy.running();
     let quarantine = node.suspects.quarantine.borrow();
-    let mut suspects = running.iter().filter_map(|r| node.suspects.find(r));
+    let others = running
+        .iter()
+        .filter(|r| r.request_id != request.request_id);
+    let mut suspects = others.filter_map(|r| node.suspects.find(r));
     if suspects.all(|other| quarantine.may_run_beside(&fingerprint, &other)) {
         return Ok(quarantine.known_crashes(&fingerprint));
     }
@@ -229,7 +255,8 @@
 pub fn on_exit(node: &Node, incarnation: &BackEndIncarnation, interrupted: &[InterruptedRequest]) {
     let now = BootClock.now();
     let mut quarantine = node.suspects.quarantine.borrow_mut();
-    let changed = quarantine.on_exit(interrupted, now);
+    let back_end = BackEndHash::new(incarnation.id.as_str(), incarnation.born);
+    let changed = quarantine.on_exit(back_end, interrupted, now);
     drop(quarantine);
     for (fingerprint, record) in &changed {
         if !fingerprint.is_any_caller() {
@@ -254,6 +281,7 @@
         event = "crash-suspect",
         digest:% = fingerprint,
         crashes = record.count.unresolved(),
+        exits = record.count.exits.count(),
         back_end = incarnation.id.as_str(),
         born = incarnation.born;
         ""
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -87,6 +87,12 @@
         self.caller == ANY_CALLER
     }
 
+    /// Returns a hash of the request that is the same for all callers.
+    #[must_use]
+    pub(crate) fn short_hash(&self) -> u64 {
+        xxh3::xxh3_64(&self.digest)
+    }
+
     /// Returns the part that depends only on the path and query.
     #[must_use]
     pub fn target(&self) -> u32 {
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -15,6 +15,7 @@
 use world::instant::BootInstant;
 
 use crate::crash_count::CrashCount;
+use crate::exits::BackEndHash;
 use crate::fingerprint::Fingerprint;
 use crate::interrupted::{InterruptedRequest, KnownCrashes};
 
@@ -117,12 +118,21 @@
         own.max(self.count(&fingerprint.any_caller()).unresolved())
     }
 
+    /// Returns whether the copies of a request must run one at a time.
+    #[must_use]
+    pub fn needs_trial(&self, fingerprint: &Fingerprint) -> bool {
+        let any_caller = self.count(&fingerprint.any_caller());
+        self.count(fingerprint).needs_trial() || any_caller.needs_trial()
+    }
+
     /// Returns whether a request may start while its back end runs another one.
     #[must_use]
     pub fn may_run_beside(&self, fingerprint: &Fingerprint, other: &Fingerprint) -> bool {
         let (own, others) = (self.unresolved(fingerprint), self.unresolved(other));
-        let is_copy = fingerprint.any_caller() == other.any_caller();
-        is_copy || own.max(others) < ISOLATED_CRASHES || own.min(others) == 0
+        if fingerprint.any_caller() == other.any_caller() {
+            return !self.needs_trial(fingerprint);
+        }
+        own.max(others) < ISOLATED_CRASHES || own.min(others) == 0
     }
 
     /// Returns the suspects, blocked ones included.
@@ -150,6 +160,7 @@
     /// that have changed.
     pub fn on_exit(
         &mut self,
+        back_end: BackEndHash,
         interrupted: &[InterruptedRequest],
         now: BootInstant,
     ) -> Vec<(Fingerprint, Record)> {
@@ -158,7 +169,7 @@
             let own = (request.fingerprint, request.known.own);
             let any_caller = (request.fingerprint.any_caller(), request.known.any_caller);
             for (fingerprint, known) in [own, any_caller] {
-                let count = self.count(&fingerprint).after_crash(known);
+                let count = self.count(&fingerprint).after_crash(back_end, known);
                 let record = self.change(fingerprint, count, now);
                 changed.extend(record.map(|r| (fingerprint, r)));
             }
--- a/components/quarantine/tests/fleet.rs
+++ b/components/quarantine/tests/fleet.rs
@@ -8,12 +8,15 @@
 
 use proptest::prelude::*;
 use quarantine::crash_count::CrashCount;
+use quarantine::exits::BackEndHash;
 use quarantine::fingerprint::{Fingerprint, RequestIdentity};
 use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
 use quarantine::quarantine::{Quarantine, Record};
+use quarantine::trial;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use world::instant::BootInstant;
+use world::name::MachineName;
 
 /// Time in milliseconds.
 type Millis = u64;
@@ -30,6 +33,10 @@
 const ATTEMPTS: usize = 2;
 /// Time from the crash of a back end until the process beside it knows of it.
 const PROOF_DELAY: Millis = 1;
+/// Longest time from the crash of a back end to its restart.
+const MAX_DOWNTIME: Millis = 2_000;
+/// The same for back ends that are slow to restart, so that crashes at once are far apart.
+const SLOW_DOWNTIME: Millis = 5_000;
 /// Time from the start of a process until its first peer has sent it what it knows.
 const SYNC_DELAY: Millis = 40;
 
@@ -51,7 +58,7 @@
     Report {
         machine: usize,
         fingerprint: Fingerprint,
-        count: (u32, u32),
+        count: CrashCount,
     },
 }
 
@@ -78,10 +85,13 @@
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
     event_count: u64,
     machines: Vec<Machine>,
+    max_downtime: Millis,
     rng: StdRng,
     /// Times at which the crash-causing request began to run, and whether the process beside the
     /// back end had been running for [`LEARNING_TIME`].
     executions: Vec<(Millis, bool)>,
+    /// Times at which back ends crashed while they ran it.
+    crashes: Vec<Millis>,
     completions: usize,
 }
 
@@ -101,6 +111,10 @@
     FINGERPRINTS[request]
 }
 
+fn machine_name(machine: usize) -> MachineName {
+    MachineName::new(&format!("m-{machine}"))
+}
+
 impl Fleet {
     fn new(machines: usize, rng: StdRng) -> Self {
         Self {
@@ -108,8 +122,10 @@
             events: BinaryHeap::new(),
             event_count: 0,
             machines: (0..machines).map(|_| Machine::default()).collect(),
+            max_downtime: MAX_DOWNTIME,
             rng,
             executions: Vec::new(),
+            crashes: Vec::new(),
             completions: 0,
         }
     }
@@ -169,9 +185,7 @@
                 fingerprint,
                 count,
             } => {
-                let (crashes, cleared) = count;
                 let now = self.instant();
-                let count = CrashCount { crashes, cleared };
                 let quarantine = &mut self.machines[machine].quarantine;
                 quarantine.merge(fingerprint, count, Duration::ZERO, now);
             }
@@ -192,7 +206,14 @@
         if up.is_empty() {
             return;
         }
-        let m = up[self.rng.random_range(0..up.len())];
+        let m = if self.machines[entry].quarantine.needs_trial(&fingerprint) {
+            let names: Vec<MachineName> = up.iter().map(|m| machine_name(*m)).collect();
+            let chosen = trial::choose(&fingerprint, &names);
+            let position = names.iter().position(|name| Some(name) == chosen);
+            up[position.expect("one is chosen")]
+        } else {
+            up[self.rng.random_range(0..up.len())]
+        };
         // The entry's knowledge arrives before the request.
         for scope in [fingerprint, fingerprint.any_caller()] {
             if let Some(record) = self.machines[entry].quarantine.record(&scope) {
@@ -255,9 +276,12 @@
             return;
         }
         machine.is_down = true;
+        if machine.runs.iter().any(|r| r.request == 0) {
+            self.crashes.push(self.now);
+        }
         machine.interrupted.append(&mut machine.runs);
         self.schedule(PROOF_DELAY, Event::Proof { machine: m });
-        let downtime = self.rng.random_range(300..2_000);
+        let downtime = self.rng.random_range(300..self.max_downtime);
         self.schedule(downtime, Event::Restart { machine: m });
     }
 
@@ -271,7 +295,9 @@
             at: now,
         };
         let interrupted: Vec<_> = runs.iter().map(to_interrupted).collect();
-        let changed = self.machines[m].quarantine.on_exit(&interrupted, now);
+        let back_end = BackEndHash::new(machine_name(m).as_str(), self.now);
+        let quarantine = &mut self.machines[m].quarantine;
+        let changed = quarantine.on_exit(back_end, &interrupted, now);
         self.broadcast(m, &changed);
         for run in runs {
             if run.attempts > 1 {
@@ -294,7 +320,7 @@
             let report = Event::Report {
                 machine,
                 fingerprint: *fingerprint,
-                count: (record.count.crashes, record.count.cleared),
+                count: record.count,
             };
             self.schedule(delay, report);
         }
@@ -335,10 +361,11 @@
     }
 }
 
-/// Checks that few executions of the first request began late after its third crash.
-fn check_stopped(fleet: &Fleet) -> Result<(), TestCaseError> {
+/// Checks that few executions of the first request began late after `third`, the time of its third
+/// crash.
+fn check_stopped(fleet: &Fleet, third: Option<Millis>) -> Result<(), TestCaseError> {
     let executions = &fleet.executions;
-    if let Some((third, _)) = executions.get(2) {
+    if let Some(third) = third {
         let is_late = |(at, settled): &&(Millis, bool)| *settled && *at > third + LEARNING_TIME;
         let late = executions.iter().filter(is_late).count();
         prop_assert!(
@@ -386,7 +413,7 @@
             fleet.schedule(at, Event::Forget { machine: machine % machines });
         }
         fleet.run(|_| Ok(()))?;
-        check_stopped(&fleet)?;
+        check_stopped(&fleet, fleet.executions.get(2).map(|(at, _)| *at))?;
     }
 
     // Guards against copies that crash several back ends at once and are counted as one crash.
@@ -400,12 +427,13 @@
         seed in any::<u64>(),
     ) {
         let mut fleet = Fleet::new(machines, StdRng::seed_from_u64(seed));
+        fleet.max_downtime = SLOW_DOWNTIME;
         plan_all(&mut fleet, crash_gap, other_gap, copies);
         for (machine, at) in crashes {
             fleet.schedule(at, Event::Crash { machine: machine % machines });
         }
         fleet.run(|_| Ok(()))?;
-        check_stopped(&fleet)?;
+        check_stopped(&fleet, fleet.crashes.get(2).copied())?;
     }
 
     // Guards against blocking a request that only ran beside copies of a crash-causing one.
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use quarantine::crash_count::CrashCount;
+use quarantine::exits::{BackEndHash, Exits, MAX_EXITS};
 use quarantine::fingerprint::{Fingerprint, RequestIdentity, target_hash};
 use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
 use quarantine::quarantine::{
@@ -14,6 +15,10 @@
 
 const NOW: BootInstant = BootInstant::from_millis(10_000_000);
 
+fn back_end(number: u64) -> BackEndHash {
+    BackEndHash::new("b", number)
+}
+
 fn fingerprint(target: &str) -> Fingerprint {
     of_caller("c", target)
 }
@@ -44,7 +49,11 @@
 fn crash_up_to(quarantine: &mut Quarantine, target: &str, crashes: u32, now: BootInstant) {
     let known = quarantine.record(&fingerprint(target));
     for crash in known.map_or(0, |r| r.count.crashes)..crashes {
-        quarantine.on_exit(&[interrupted(target, crash)], now);
+        quarantine.on_exit(
+            back_end(u64::from(crash)),
+            &[interrupted(target, crash)],
+            now,
+        );
     }
 }
 
@@ -68,8 +77,9 @@
 #[test]
 fn back_ends_that_exit_at_once_count_as_one_crash() {
     let mut quarantine = Quarantine::default();
-    for _ in 0..10 {
-        quarantine.on_exit(&[interrupted("/a", 0), interrupted("/a", 0)], NOW);
+    for number in 0..10 {
+        let copies = [interrupted("/a", 0), interrupted("/a", 0)];
+        quarantine.on_exit(back_end(number), &copies, NOW);
     }
     assert_eq!(blocked_for(&quarantine, "/a", NOW), None);
 }
@@ -94,7 +104,7 @@
         sent: NOW,
         at: NOW,
     };
-    quarantine.on_exit(&[request], NOW);
+    quarantine.on_exit(back_end(0), &[request], NOW);
 }
 
 // Guards against three crashes for each service that sends a crash-causing request.
@@ -165,6 +175,7 @@
     let count = CrashCount {
         crashes: MAX_CRASHES,
         cleared: 0,
+        exits: Exits::default(),
     };
     let age = FIRST_BLOCK / 3;
     let record = quarantine.merge(fingerprint("/a"), count, age, NOW);
@@ -211,13 +222,51 @@
     assert_eq!(quarantine.blocked_count(NOW), 1);
 }
 
+fn exits() -> impl Strategy<Value = Exits> {
+    let exit = (0u64..8, 1u32..6);
+    proptest::collection::vec(exit, 0..5).prop_map(|exits| {
+        let add = |all: Exits, (number, crash)| all.with(back_end(number), crash);
+        exits.into_iter().fold(Exits::default(), add)
+    })
+}
+
 fn count() -> impl Strategy<Value = CrashCount> {
-    (0u32..6, 0u32..6).prop_map(|(a, b)| CrashCount {
+    (0u32..6, 0u32..6, exits()).prop_map(|(a, b, exits)| CrashCount {
         crashes: a.max(b),
         cleared: a.min(b),
+        exits: exits.after(a.min(b)),
     })
 }
 
+fn exit_at_once(quarantine: &mut Quarantine, target: &str, back_ends: u64) {
+    for number in 0..back_ends {
+        quarantine.on_exit(back_end(number), &[interrupted(target, 0)], NOW);
+    }
+}
+
+// Guards against copies that go on crashing several back ends at once, as these count as one crash.
+#[test]
+fn copies_run_one_at_a_time_once_three_back_ends_have_exited_at_once() {
+    let mut quarantine = Quarantine::default();
+    let a = fingerprint("/a");
+    exit_at_once(&mut quarantine, "/a", MAX_EXITS as u64 - 1);
+    assert!(quarantine.may_run_beside(&a, &a));
+    exit_at_once(&mut quarantine, "/a", MAX_EXITS as u64);
+    assert!(quarantine.needs_trial(&a));
+    assert!(!quarantine.may_run_beside(&a, &a));
+    assert!(quarantine.may_run_beside(&a, &fingerprint("/b")));
+    quarantine.on_completion(a, NOW);
+    assert!(quarantine.may_run_beside(&a, &a));
+}
+
+#[test]
+fn a_back_end_counts_once_as_exited() {
+    let twice = Exits::default().with(back_end(1), 1).with(back_end(1), 2);
+    assert_eq!(twice.count(), 1);
+    assert_eq!(twice.after(1).count(), 1);
+    assert_eq!(twice.after(2).count(), 0);
+}
+
 proptest! {
     #[test]
     fn counts_merge_in_any_order_and_any_number_of_times(
@@ -234,5 +283,6 @@
         others.reverse();
         prop_assert_eq!(merge_all(&others), merged);
         prop_assert!(merged.cleared <= merged.crashes);
+        prop_assert_eq!(merged.exits.after(merged.cleared), merged.exits);
     }
 }
