Let the reports of a crash arrive before an isolated request runs again

Callers would have seen an innocent request refused for 60 s.

Cause: the innocent was interrupted beside three copies within 15 ms, at three machines. It is kept apart from other suspects from its second crash on, but it came to the third machine before that machine had learned, over the links, that the request running there was a suspect too.

Change: a request with two crashes in a row is sent again only after 200 ms, in which reports reach every connected machine; the process beside the back end refuses it until then as well.

Why it works: whatever else the second back end ran is in the reports of its exit, and the machines that run copies of it know them after that time, so that the rule that keeps suspects apart has what it needs. It costs only requests that crashed twice in a row.

--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -272,6 +272,10 @@
             if let Err(remaining) = suspects::check(self.node, &self.template) {
                 return self.quarantined(remaining);
             }
+            if let Some(remaining) = self.node.suspects.reports_due_in(&self.template) {
+                tokio::time::sleep(remaining).await;
+                continue;
+            }
             let Some((machine, destination)) = self.select_destination(final_pass) else {
                 if !self.rejections.is_empty() && !final_pass {
                     final_pass = true;
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -153,6 +153,15 @@
             .collect()
     }
 
+    /// Returns the time until the reports of the last crash under an isolated request have arrived
+    /// everywhere; `None` if it need not wait for them.
+    #[must_use]
+    pub fn reports_due_in(&self, request: &ForwardedRequest) -> Option<Duration> {
+        let fingerprint = self.find(request)?;
+        let quarantine = self.quarantine.borrow();
+        quarantine.reports_due_in(&fingerprint, BootClock.now())
+    }
+
     /// Returns the fingerprint of a request whose copies must run one at a time, `None` for others.
     #[must_use]
     pub fn on_trial(&self, request: &ForwardedRequest) -> Option<Fingerprint> {
@@ -222,11 +231,13 @@
         .iter()
         .filter(|r| r.request_id != request.request_id);
     let mut suspects = others.filter_map(|r| node.suspects.find(r));
-    if suspects.all(|other| quarantine.may_run_beside(&fingerprint, &other)) {
+    let reports_due = quarantine.reports_due_in(&fingerprint, BootClock.now());
+    let is_apart = suspects.all(|other| quarantine.may_run_beside(&fingerprint, &other));
+    if is_apart && reports_due.is_none() {
         return Ok(quarantine.known_crashes(&fingerprint));
     }
     log_refusal(node, request, fingerprint, &quarantine, "isolated");
-    Err((RejectReason::Isolated, None))
+    Err((RejectReason::Isolated, reports_due))
 }
 
 fn log_refusal(
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -23,6 +23,9 @@
 pub const MAX_CRASHES: u32 = 3;
 /// Crashes after which a request runs beside no other suspect.
 pub const ISOLATED_CRASHES: u32 = 2;
+/// Time in which the reports of a crash reach every connected machine. An isolated request is not
+/// sent earlier after a crash, as its next back end may not know yet which of the others ran there.
+pub const REPORT_TIME: Duration = Duration::from_millis(200);
 /// Time for which a request is blocked after [`MAX_CRASHES`]; doubles with each further crash.
 pub const FIRST_BLOCK: Duration = Duration::from_secs(60);
 /// Longest time for which a request is blocked.
@@ -118,6 +121,19 @@
         own.max(self.count(&fingerprint.any_caller()).unresolved())
     }
 
+    /// Returns the time until the reports of an isolated request's last crash have arrived
+    /// everywhere; `None` if it need not wait for them.
+    #[must_use]
+    pub fn reports_due_in(&self, fingerprint: &Fingerprint, now: BootInstant) -> Option<Duration> {
+        let due = |f| {
+            let record = self.record(f)?;
+            let is_isolated = record.count.unresolved() >= ISOLATED_CRASHES;
+            let remaining = REPORT_TIME.saturating_sub(now.since(record.changed_at));
+            (is_isolated && !remaining.is_zero()).then_some(remaining)
+        };
+        due(fingerprint).max(due(&fingerprint.any_caller()))
+    }
+
     /// Returns whether the copies of a request must run one at a time.
     #[must_use]
     pub fn needs_trial(&self, fingerprint: &Fingerprint) -> bool {
--- a/components/quarantine/tests/fleet.rs
+++ b/components/quarantine/tests/fleet.rs
@@ -200,6 +200,11 @@
         if entry_quarantine.blocked_for(&fingerprint, now).is_some() {
             return;
         }
+        if let Some(remaining) = entry_quarantine.reports_due_in(&fingerprint, now) {
+            let delay = Millis::try_from(remaining.as_millis()).expect("a short time");
+            self.schedule(delay, Event::Send { request, attempts });
+            return;
+        }
         let up: Vec<usize> = (0..self.machines.len())
             .filter(|m| !self.machines[*m].is_down)
             .collect();
@@ -222,7 +227,11 @@
             }
         }
         let machine = &mut self.machines[m];
-        let is_blocked = machine.quarantine.blocked_for(&fingerprint, now).is_some();
+        let is_blocked = machine.quarantine.blocked_for(&fingerprint, now).is_some()
+            || machine
+                .quarantine
+                .reports_due_in(&fingerprint, now)
+                .is_some();
         let runs = machine.runs.iter();
         let mut others = runs.map(|r| self::fingerprint(r.request));
         if is_blocked || others.any(|o| !machine.quarantine.may_run_beside(&fingerprint, &o)) {
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use quarantine::fingerprint::{Fingerprint, RequestIdentity, target_hash};
 use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
 use quarantine::quarantine::{
-    FIRST_BLOCK, MAX_BLOCK, MAX_CRASHES, MAX_RECORDS, Quarantine, SUSPECT_RETENTION,
+    FIRST_BLOCK, MAX_BLOCK, MAX_CRASHES, MAX_RECORDS, Quarantine, REPORT_TIME, SUSPECT_RETENTION,
 };
 use rstest::rstest;
 use world::instant::BootInstant;
@@ -169,6 +169,19 @@
     assert!(quarantine.may_run_beside(&a, &a));
 }
 
+// Guards against a request that meets the same crash-causing one at back end after back end, faster
+// than the reports of the crashes travel.
+#[test]
+fn an_isolated_request_waits_for_the_reports_of_its_last_crash() {
+    let mut quarantine = Quarantine::default();
+    let a = fingerprint("/a");
+    crash_up_to(&mut quarantine, "/a", 1, NOW);
+    assert_eq!(quarantine.reports_due_in(&a, NOW), None);
+    crash_up_to(&mut quarantine, "/a", 2, NOW);
+    assert_eq!(quarantine.reports_due_in(&a, NOW), Some(REPORT_TIME));
+    assert_eq!(quarantine.reports_due_in(&a, NOW + REPORT_TIME), None);
+}
+
 #[test]
 fn a_report_counts_from_the_crash_and_not_from_its_arrival() {
     let mut quarantine = Quarantine::default();
