Show that limits and leaving that back ends name in responses are not kept

The new rules of the users' pages on Server-Limit and Server-Leaving have no mechanism: neither header is read.

--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -71,18 +71,33 @@
     pub(crate) at: Instant,
 }
 
+/// The arrival of a request at a back end.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    /// Id of the back end.
+    pub(crate) back_end: String,
+    /// Id of the request.
+    pub(crate) request: String,
+    /// When it arrived.
+    pub(crate) at: Instant,
+}
+
 /// Records what the back ends receive and run.
 #[derive(Default)]
 struct ExecutionLog {
-    /// Ids of the requests received.
-    arrivals: Mutex<Vec<String>>,
+    arrivals: Mutex<Vec<Arrival>>,
     executions: Mutex<Vec<Execution>>,
 }
 
 impl Observer for ExecutionLog {
-    fn on_arrival(&self, _back_end: &str, request: &str) {
+    fn on_arrival(&self, back_end: &str, request: &str) {
+        let arrival = Arrival {
+            back_end: back_end.to_owned(),
+            request: request.to_owned(),
+            at: Instant::now(),
+        };
         let mut arrivals = self.arrivals.lock().expect("no panic under the lock");
-        arrivals.push(request.to_owned());
+        arrivals.push(arrival);
     }
 
     fn on_execute(&self, _back_end: &str, request: &str) {
@@ -240,15 +255,29 @@
             .collect()
     }
 
-    /// Returns the ids of the requests that back ends have received and whose id begins with
-    /// `prefix`, once for each time.
-    pub(crate) fn arrivals(&self, prefix: &str) -> Vec<String> {
+    /// Returns the arrivals at back ends of requests whose id begins with `prefix`.
+    pub(crate) fn arrivals(&self, prefix: &str) -> Vec<Arrival> {
         let arrivals = self.executions.arrivals.lock();
         let arrivals = arrivals.expect("no panic under the lock");
-        let matching = arrivals.iter().filter(|r| r.starts_with(prefix));
+        let matching = arrivals.iter().filter(|a| a.request.starts_with(prefix));
         matching.cloned().collect()
     }
 
+    /// Returns when requests arrived at the back end of a machine.
+    pub(crate) fn arrivals_at(&self, machine: usize) -> Vec<Instant> {
+        let id = self.layout.back_end_config(machine).id;
+        let arrivals = self.arrivals("").into_iter();
+        arrivals
+            .filter(|a| a.back_end == id)
+            .map(|a| a.at)
+            .collect()
+    }
+
+    /// Returns the back end of a machine.
+    pub(crate) fn back_end(&self, machine: usize) -> &BackEnd {
+        &self.back_ends[machine]
+    }
+
     /// Returns the executions of requests whose id begins with `prefix`, in their order.
     pub(crate) fn executions(&self, prefix: &str) -> Vec<Execution> {
         let executions = self.executions.executions.lock();
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -5,6 +5,7 @@
 mod delayed_peer;
 mod deployment;
 mod late_copies;
+mod named_limits;
 mod turned_away;
 
 use std::collections::HashSet;
--- a/components/node/tests/whole_path/turned_away.rs
+++ b/components/node/tests/whole_path/turned_away.rs
@@ -40,7 +40,7 @@
         }
     });
     let arrivals = deployment.arrivals("away-");
-    let requests: HashSet<&String> = arrivals.iter().collect();
+    let requests: HashSet<&String> = arrivals.iter().map(|a| &a.request).collect();
     let repeated = arrivals.len() - requests.len();
     let allowed = (REQUESTS as f64 * RETRY_RATIO) as usize + EXTRA_RETRIES;
     assert!(
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -108,6 +108,9 @@
     draining: AtomicBool,
     drain_confirmed: AtomicBool,
     order_count: AtomicU64,
+    /// Value of the header with its limit; `None` leaves the header out.
+    limit: Mutex<Option<String>>,
+    leaving: AtomicBool,
     keys: Mutex<HeldKeys>,
     server: OnceLock<http::Acceptor>,
 }
@@ -130,6 +133,8 @@
             draining: AtomicBool::new(false),
             drain_confirmed: AtomicBool::new(false),
             order_count: AtomicU64::new(0),
+            limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
             keys: Mutex::default(),
             server: OnceLock::new(),
         });
@@ -186,6 +191,17 @@
         }
     }
 
+    /// Sets the limit in requests a second that its responses name, as text; `None` names none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        let mut current = self.state.limit.lock().expect("no panic under the lock");
+        *current = limit.map(ToOwned::to_owned);
+    }
+
+    /// Sets whether its responses say that it leaves; its heartbeats do not say it.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.leaving.store(leaving, Ordering::SeqCst);
+    }
+
     /// Returns the number of orders started so far.
     #[must_use]
     pub fn order_count(&self) -> u64 {
@@ -223,6 +239,18 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Response> {
+        let mut response = self.respond(request)?;
+        let limit = self.limit.lock().expect("no panic under the lock").clone();
+        if let Some(limit) = limit {
+            response = response.with("Server-Limit", limit);
+        }
+        if self.leaving.load(Ordering::SeqCst) {
+            response = response.with("Server-Leaving", "1");
+        }
+        Some(response)
+    }
+
+    fn respond(&self, request: &Request) -> Option<Response> {
         if self.is_halted() {
             return None;
         }
