Keep the limit of requests a second that a back end names in its responses

Cause: nothing read the header. Each entry chose back ends by load and distance, and sent keyed requests to the owner whatever it took; the proxy beside the back end bounded what runs at once, not what starts. Every request to a back end passes the proxy beside it, so that place exists.

Change: the proxy's queue has a token bucket beside its slots; requests start in the order of their urgency as there are tokens, and what would wait for too long is refused at once with the time until there is room. Load reports and utilization state the capacity under the limit, so other machines choose other back ends and keys move away, without a change of frames. A limit belongs to an incarnation and ends with a response that names none.

Why it works: burst plus rate times window is below one and a half times the limit plus five for any limit.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -1,7 +1,9 @@
 //! Admission control in front of one back end: which requests run, wait or are rejected.
 //!
 //! The queue is bounded by time: a request waits only while it is expected to finish before its
-//! deadline. Requests are ordered by priority, then by arrival.
+//! deadline. Requests are ordered by priority, then by arrival. A back end may also limit how many
+//! start in a second.
 
 pub mod estimate;
 pub mod queue;
+pub mod rate_limit;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use world::instant::BootInstant;
+use world::rate::RequestRate;
 
 use crate::estimate::ServiceTimeEstimate;
+use crate::rate_limit::RateLimit;
 
 /// Share of a request's slack (time to its target less its expected service time) for which it may
 /// wait; the rest covers requests that take longer than expected.
@@ -67,6 +69,8 @@
     running: usize,
     waiting: Vec<QueuedJob>,
     estimate: ServiceTimeEstimate,
+    /// Limit on the requests that start in a second, besides the slots.
+    rate_limit: Option<RateLimit>,
 }
 
 impl Queue {
@@ -78,6 +82,7 @@
             running: 0,
             waiting: Vec::new(),
             estimate: ServiceTimeEstimate::default(),
+            rate_limit: None,
         }
     }
 
@@ -86,6 +91,20 @@
         self.slots = slots;
     }
 
+    /// Changes how many requests may start in a second; `None` for any number.
+    pub fn set_rate(&mut self, rate: Option<RequestRate>, now: BootInstant) {
+        match (&mut self.rate_limit, rate) {
+            (Some(limit), Some(rate)) => limit.set_rate(rate, now),
+            (limit, rate) => *limit = rate.map(|r| RateLimit::new(r, now)),
+        }
+    }
+
+    /// Number of requests that may start in a second, `None` for any number.
+    #[must_use]
+    pub fn rate(&self) -> Option<f64> {
+        self.rate_limit.as_ref().map(RateLimit::rate)
+    }
+
     /// Number of requests that may run at once.
     #[must_use]
     pub fn slots(&self) -> usize {
@@ -118,23 +137,44 @@
     /// Expected wait of a request that arrives now, behind the requests that would run before it.
     #[must_use]
     pub fn expected_wait(&self, priority: u8, missed_target: bool) -> Duration {
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|w| (w.job.priority, w.job.missed_target) <= (priority, missed_target))
-            .count();
+        let ahead = self.ahead_of(priority, missed_target);
         let backlog = (self.running + ahead + 1).saturating_sub(self.slots);
         let rounds = backlog as f64 / self.slots.max(1) as f64;
         self.estimate.mean_or_default().mul_f64(rounds)
     }
 
+    /// Expected wait of a request that arrives now until it may start by the limit on requests per
+    /// second; zero without one.
+    #[must_use]
+    pub fn rate_wait(&self, now: BootInstant, priority: u8, missed_target: bool) -> Duration {
+        let ahead = self.ahead_of(priority, missed_target);
+        let limit = self.rate_limit.as_ref();
+        limit.map_or(Duration::ZERO, |l| l.wait(now, ahead))
+    }
+
+    fn ahead_of(&self, priority: u8, missed_target: bool) -> usize {
+        let rank = (priority, missed_target);
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|w| (w.job.priority, w.job.missed_target) <= rank);
+        ahead.count()
+    }
+
+    /// Takes the token of a request that starts; returns false if the limit has none left.
+    fn take_token(&mut self, now: BootInstant) -> bool {
+        self.rate_limit.as_mut().is_none_or(|l| l.take(now))
+    }
+
     /// Decides whether a request that arrives starts, waits or is rejected.
     pub fn admit(&mut self, now: BootInstant, job: Job) -> Admission {
-        if self.running < self.slots && self.waiting.is_empty() {
+        if self.running < self.slots && self.waiting.is_empty() && self.take_token(now) {
             self.running += 1;
             return Admission::Admitted;
         }
-        let wait = self.expected_wait(job.priority, job.missed_target);
+        let wait = self
+            .expected_wait(job.priority, job.missed_target)
+            .max(self.rate_wait(now, job.priority, job.missed_target));
         let finishes_at = now + wait + self.estimate.for_class(job.class);
         let until_target = job.target.since(now);
         let max_wait = until_target
@@ -190,6 +230,9 @@
             let w = &self.waiting[*i];
             (w.job.priority, w.job.missed_target, w.queued_at)
         })?;
+        if !self.take_token(now) {
+            return None;
+        }
         let chosen = self.waiting.remove(index);
         self.running += 1;
         Some(Dequeued::Started(chosen.job.id))
--- a/components/node/src/back_end_proxy.rs
+++ b/components/node/src/back_end_proxy.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use world::instant::BootInstant;
 use world::name::ServiceName;
+use world::rate::RequestRate;
 
 use crate::back_end::{ConnectionPool, ExchangeError};
 use crate::crash_watch::{self, CrashWatch};
@@ -25,6 +26,7 @@
     ForwardedRequest, ForwardedResponse, LoadReport, LossCause, RejectReason, RequestOutcome,
     pack_headers, unpack_headers,
 };
+use crate::named_limit::{self, NamedLimit};
 use crate::node::Node;
 use crate::suspects;
 
@@ -36,6 +38,8 @@
 const HANDOVER_TIMEOUT_RATIO: f64 = 0.4;
 /// Interval between two checks whether the back end holds a key.
 const KEY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Lowest limit in requests per second that is reported as capacity.
+const MIN_REPORTED_RATE: f64 = 0.1;
 /// Time without a heartbeat or response after which a back end with in-flight requests is taken to
 /// be down.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_600);
@@ -79,6 +83,8 @@
     pub connections: ConnectionPool,
     /// Exits of the back end, and what they interrupted.
     pub crash_watch: CrashWatch,
+    /// Limit in requests a second that the back end names.
+    pub named_limit: NamedLimit,
     /// The back end, once it has sent a heartbeat.
     pub back_end: RefCell<Option<LocalBackEnd>>,
     utilization: Cell<f64>,
@@ -100,6 +106,7 @@
             running: RefCell::default(),
             connections,
             crash_watch: CrashWatch::default(),
+            named_limit: NamedLimit::default(),
             back_end: RefCell::new(None),
             utilization: Cell::new(0.0),
             arrivals: Cell::new(0),
@@ -111,12 +118,16 @@
     #[must_use]
     pub fn load(&self) -> LoadReport {
         let queue = self.queue.borrow();
-        let service_us = queue.estimate().mean().unwrap_or_default().as_micros();
+        let service_time = queue.estimate().mean().unwrap_or_default();
+        let (slots, service_time) = match self.named_limit.named() {
+            Some(rate) => limited_capacity(queue.slots(), service_time, rate),
+            None => (queue.slots(), service_time),
+        };
         LoadReport {
             running: saturating_u32(queue.running()),
             waiting: saturating_u32(queue.waiting()),
-            slots: saturating_u32(queue.slots()),
-            service_us: u32::try_from(service_us).unwrap_or(u32::MAX),
+            slots: saturating_u32(slots),
+            service_us: u32::try_from(service_time.as_micros()).unwrap_or(u32::MAX),
         }
     }
 
@@ -136,8 +147,12 @@
             return;
         }
         let queue = self.queue.borrow();
-        let service_time = queue.estimate().mean_or_default().as_secs_f64();
-        let offered = arrivals / elapsed * service_time / queue.slots().max(1) as f64;
+        let service_time = queue.estimate().mean_or_default();
+        let (slots, service_time) = match self.named_limit.named() {
+            Some(rate) => limited_capacity(queue.slots(), service_time, rate),
+            None => (queue.slots(), service_time),
+        };
+        let offered = arrivals / elapsed * service_time.as_secs_f64() / slots.max(1) as f64;
         let gain = (elapsed / UTILIZATION_WINDOW.as_secs_f64()).min(1.0);
         self.utilization
             .set(self.utilization.get() + gain * (offered - self.utilization.get()));
@@ -174,9 +189,18 @@
             queue.reset_estimate();
         }
         queue.set_slots(back_end.slots as usize);
+        drop(queue);
+        self.named_limit.on_heartbeat(&back_end.incarnation);
+        self.apply_limit();
         *self.back_end.borrow_mut() = Some(back_end);
     }
 
+    /// Lets as many requests start in a second as the back end's limit allows.
+    pub fn apply_limit(&self) {
+        let rate = self.named_limit.rate();
+        self.queue.borrow_mut().set_rate(rate, BootClock.now());
+    }
+
     /// Sets whether the back end takes requests; if not, queued requests are rejected as expired.
     pub fn set_availability(&self, availability: Availability) {
         if let Some(b) = self.back_end.borrow_mut().as_mut() {
@@ -233,6 +257,17 @@
     }
 }
 
+/// Returns the slots and the service time of a back end without a limit that has the capacity of one
+/// that takes `rate` requests a second.
+fn limited_capacity(slots: usize, service_time: Duration, rate: RequestRate) -> (usize, Duration) {
+    let rate = rate.as_per_second().max(MIN_REPORTED_RATE);
+    let needed = (rate * service_time.as_secs_f64()).ceil().max(1.0);
+    if needed >= slots as f64 {
+        return (slots, service_time);
+    }
+    (needed as usize, Duration::from_secs_f64(needed / rate))
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
@@ -348,6 +383,14 @@
         Admission::Admitted => {}
         Admission::Rejected(wait) => {
             log_decision(proxy, &request, "refuse", wait);
+            let queue = proxy.queue.borrow();
+            let is_limited = queue.rate_wait(now, request.priority, request.missed_target) >= wait;
+            let cause = if queue.rate().is_some() && is_limited {
+                "limit"
+            } else {
+                "full"
+            };
+            node.metrics.on_rejection(cause);
             return not_run(RejectReason::Full, proxy.retry_ms(wait));
         }
         Admission::Queued => {
@@ -423,6 +466,7 @@
         running = queue.running(),
         waiting = queue.waiting(),
         slots = queue.slots(),
+        limit:? = queue.rate(),
         expected_ms = queue.estimate().for_class(request.class).as_millis() as u64;
         ""
     );
@@ -449,6 +493,7 @@
             return not_run(reason, remaining.map_or(default_retry_ms, millis));
         }
     };
+    node.metrics.on_back_end_send();
     let remaining = deadline.since(BootClock.now());
     let head = encode_head(&request, &back_end, remaining);
     let connections = &node.proxy.connections;
@@ -462,6 +507,9 @@
         Err(_) => RequestOutcome::Lost(LossCause::TimedOut),
         Ok(Ok((response, check))) => {
             node.on_back_end_response(slot.started);
+            if matches!(check, ResponseCheck::Valid | ResponseCheck::NotExecuted) {
+                named_limit::on_response(&node, &back_end.incarnation, &response, slot.started);
+            }
             let outcome = classify_response(response, check, default_retry_ms);
             if let RequestOutcome::Response(response) = &outcome {
                 slot.complete();
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod low_discrepancy;
 pub mod members;
 pub mod metrics;
+pub mod named_limit;
 pub mod node;
 pub mod pause;
 pub mod peer_requests;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -30,6 +30,8 @@
     requests: LabelledCounter,
     sends: LabelledCounter,
     retries: Cell<u64>,
+    back_end_sends: Cell<u64>,
+    rejections: LabelledCounter,
     store_requests: LabelledCounter,
     back_end_exits: LabelledCounter,
     quarantine: LabelledCounter,
@@ -42,6 +44,8 @@
             requests: LabelledCounter::default(),
             sends: LabelledCounter::default(),
             retries: Cell::new(0),
+            back_end_sends: Cell::new(0),
+            rejections: LabelledCounter::default(),
             store_requests: LabelledCounter::default(),
             back_end_exits: LabelledCounter::default(),
             quarantine: LabelledCounter::default(),
@@ -71,6 +75,16 @@
         self.retries.set(self.retries.get() + 1);
     }
 
+    /// Counts a request that is sent to the local back end.
+    pub fn on_back_end_send(&self) {
+        self.back_end_sends.set(self.back_end_sends.get() + 1);
+    }
+
+    /// Counts a request that the local back end's queue rejected, by its cause.
+    pub fn on_rejection(&self, cause: &'static str) {
+        self.rejections.increment(cause);
+    }
+
     /// Counts a request to the store by its outcome.
     pub fn on_store_request(&self, outcome: &'static str) {
         self.store_requests.increment(outcome);
@@ -93,6 +107,7 @@
         for (name, label, counts) in [
             ("plantaingauge_requests_total", "outcome", &self.requests),
             ("plantaingauge_sends_total", "outcome", &self.sends),
+            ("plantaingauge_rejections_total", "cause", &self.rejections),
             (
                 "plantaingauge_store_calls_total",
                 "outcome",
@@ -114,8 +129,13 @@
                 let _ = writeln!(out, "{name}{{{label}=\"{value}\"}} {n}");
             }
         }
-        let _ = writeln!(out, "# TYPE plantaingauge_retries_total counter");
-        let _ = writeln!(out, "plantaingauge_retries_total {}", self.retries.get());
+        let counters = [
+            ("plantaingauge_retries_total", &self.retries),
+            ("plantaingauge_back_end_sends_total", &self.back_end_sends),
+        ];
+        for (name, count) in counters {
+            let _ = writeln!(out, "# TYPE {name} counter\n{name} {}", count.get());
+        }
         for (name, value) in gauges {
             let _ = writeln!(out, "# TYPE {name} gauge\n{name} {value}");
         }
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -15,6 +15,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
+use world::rate::RequestRate;
 
 use crate::back_end_proxy::{Availability, LocalBackEnd};
 use crate::node::Node;
@@ -199,7 +200,8 @@
 fn metrics(node: &Node) -> Response {
     let load = node.proxy.load();
     let connected = node.peers().iter().filter(|p| p.is_connected()).count();
-    let text = node.metrics.render(&[
+    let limit = node.proxy.named_limit.named();
+    let gauges = [
         ("plantaingauge_back_end_running", f64::from(load.running)),
         ("plantaingauge_back_end_waiting", f64::from(load.waiting)),
         ("plantaingauge_back_end_slots", f64::from(load.slots)),
@@ -212,7 +214,12 @@
             "plantaingauge_back_end_connections_opened",
             node.proxy.connections.opened() as f64,
         ),
-    ]);
+        (
+            "plantaingauge_back_end_limit_per_second",
+            limit.map_or(f64::INFINITY, RequestRate::as_per_second),
+        ),
+    ];
+    let text = node.metrics.render(&gauges);
     let mut response = Response::new(200).with("Content-Type", "text/plain; version=0.0.4");
     response.body = text.into();
     response
--- a/components/world/src/lib.rs
+++ b/components/world/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod key;
 pub mod machine;
 pub mod name;
+pub mod rate;
