Send nothing to a back end that says in its responses that it leaves

Cause: the header was not read. A back end that had deregistered with no node, or whose heartbeats say "ready", stayed in use until it ended.

Change: the process beside it takes it out with the first such response, of its current incarnation, as if it had deregistered: queued requests are refused as not run, peers learn it, its keys move. That process may restart and forget, so each machine that has seen such a response from a peer's back end remembers the incarnation and chooses others.

Keys of such a back end are served by others. Not covered: after such a restart, keys of a back end that says it only in responses stay with it until it is asked once or ends.

--- a/components/node/src/back_end_proxy.rs
+++ b/components/node/src/back_end_proxy.rs
@@ -28,7 +28,7 @@
 };
 use crate::named_limit::{self, NamedLimit};
 use crate::node::Node;
-use crate::suspects;
+use crate::{leaving, suspects};
 
 /// Time after the deadline in which the back end's own timeout response is still accepted.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
@@ -508,7 +508,12 @@
         Ok(Ok((response, check))) => {
             node.on_back_end_response(slot.started);
             if matches!(check, ResponseCheck::Valid | ResponseCheck::NotExecuted) {
-                named_limit::on_response(&node, &back_end.incarnation, &response, slot.started);
+                let incarnation = &back_end.incarnation;
+                named_limit::on_response(&node, incarnation, &response, slot.started);
+                let headers = response.headers.iter().map(|h| (&h.name, &h.value));
+                if leaving::on_response(&node, incarnation, headers) {
+                    node.on_back_end_leaving(incarnation);
+                }
             }
             let outcome = classify_response(response, check, default_retry_ms);
             if let RequestOutcome::Response(response) = &outcome {
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -20,17 +20,18 @@
 use http1::request::Request;
 use http1::response::Response;
 use platform::message::{self, RequestMetadata};
+use shards::incarnation::BackEndIncarnation;
 use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use world::instant::BootInstant;
 use world::name::{MachineName, ServiceName};
 use xxhash_rust::xxh3;
 
-use crate::frame::{ForwardedRequest, ForwardedResponse, pack_headers};
+use crate::frame::{ForwardedRequest, ForwardedResponse, RequestOutcome, pack_headers};
 use crate::link::Peer;
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::{ActiveConfig, Node};
-use crate::suspects;
+use crate::{leaving, suspects};
 
 /// Timeout of a request without a `Deadline-Ms` header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -53,6 +54,16 @@
     Peer(Rc<Peer>),
 }
 
+impl Destination {
+    /// Returns the back end of a peer as its status names it; `None` for the local one, of which the
+    /// proxy knows.
+    fn back_end(&self) -> Option<BackEndIncarnation> {
+        let Self::Peer(peer) = self else { return None };
+        let back_end = peer.with_status(|s| s.back_end.as_ref().map(|b| b.incarnation.clone()));
+        back_end.flatten()
+    }
+}
+
 /// State of the dispatch of one request.
 struct RequestDispatch<'a> {
     node: &'a Rc<Node>,
@@ -289,7 +300,12 @@
                 return self.give_up();
             };
             self.machine = Some(machine.clone());
+            let back_end = destination.back_end();
             let outcome = self.send(&destination, final_pass).await;
+            if let (Some(back_end), RequestOutcome::Response(response)) = (&back_end, &outcome) {
+                let headers = response.headers.iter().map(|(name, value)| (name, value));
+                leaving::on_response(self.node, back_end, headers);
+            }
             if let Some(completion) = self
                 .on_outcome(&machine, &destination, outcome, final_pass)
                 .await
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -104,10 +104,21 @@
             return Some((machine, Destination::Local));
         }
         let peer = self.node.peer(&machine)?;
-        let usable = peer.is_connected() && peer.with_status(|s| s.back_end.is_some())?;
+        let usable = peer.is_connected() && peer.with_status(|s| self.takes_requests(s))?;
         usable.then_some((machine, Destination::Peer(peer)))
     }
 
+    /// Returns whether a machine has a back end that takes requests.
+    fn takes_requests(&self, status: &NodeStatus) -> bool {
+        let back_end = status.back_end.as_ref();
+        back_end.is_some_and(|b| !self.node.leaving.contains(&b.incarnation))
+    }
+
+    /// Returns whether a machine has a back end of the request's service that takes requests.
+    pub(super) fn offers_service(&self, status: &NodeStatus) -> bool {
+        status.service == self.service && !status.leaving && self.takes_requests(status)
+    }
+
     /// Returns whether a machine may be tried in this pass.
     pub(super) fn is_untried(&self, machine: &MachineName, final_pass: bool) -> bool {
         let is_rejected = self.rejections.iter().any(|(m, _)| m == machine);
@@ -140,7 +151,7 @@
             }
             let candidate = peer.with_status(|status| {
                 let back_end = status.back_end.as_ref()?;
-                if status.service != self.service || status.leaving {
+                if !self.offers_service(status) {
                     return None;
                 }
                 let idle = LoadReport {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod failure_rate;
 pub mod frame;
+pub mod leaving;
 pub mod link;
 pub mod log_queue;
 pub mod low_discrepancy;
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -185,6 +185,22 @@
         }
     }
 
+    /// Takes an incarnation of the local back end that has said that it leaves out of use, as if it
+    /// had deregistered; its keys move.
+    pub fn on_back_end_leaving(&self, incarnation: &BackEndIncarnation) {
+        let is_current = {
+            let back_end = self.proxy.back_end.borrow();
+            let current = back_end.as_ref().map(|b| &b.incarnation);
+            current == Some(incarnation)
+        };
+        if is_current {
+            self.shard_manager
+                .borrow_mut()
+                .on_deregistered(&incarnation.id);
+            self.set_availability(Availability::Leaving);
+        }
+    }
+
     /// Records that a back end has deregistered at `unix_ms` (Unix time in milliseconds).
     pub fn on_deregistered(&self, id: &str, unix_ms: u64) {
         *self.deregistered.borrow_mut() = Some((id.to_owned(), unix_ms));
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -32,6 +32,7 @@
 use crate::back_end_proxy::BackEndProxy;
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
+use crate::leaving::LeavingBackEnds;
 use crate::link::Peer;
 use crate::metrics::Metrics;
 use crate::peer_requests::PeerRequests;
@@ -84,6 +85,8 @@
     pub local_failures: FailureRate,
     /// Requests that may have crashed back ends.
     pub suspects: Suspects,
+    /// Back ends that have said in a response that they leave.
+    pub leaving: LeavingBackEnds,
     /// Notified when the shard manager may have something to do.
     pub keys_changed: Notify,
     /// Notified shortly before the process exits: callers get their final responses at once.
@@ -134,6 +137,7 @@
             last_sequence: Cell::new(0),
             local_failures: FailureRate::default(),
             suspects: Suspects::default(),
+            leaving: LeavingBackEnds::default(),
             keys_changed: Notify::new(),
             abort_requests: Notify::new(),
             active_config: RefCell::default(),
