--- a/soak/src/crashing.rs
+++ b/soak/src/crashing.rs
@@ -18,10 +18,14 @@
 const MAX_CRASHES: usize = 3;
 /// Time after the last of these crashes in which undisturbed machines learn of it.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
+/// Time in which executions at one back end are of one incarnation, as it takes longer to restart.
+const SAME_RUN_TIME: Duration = Duration::from_millis(300);
 /// Executions at undisturbed machines that are allowed after that.
 const MAX_LATE_EXECUTIONS: usize = 3;
 /// Most such requests in one soak.
 const MAX_REQUESTS: u64 = 3;
+/// Most copies of one such request that are sent at the same time.
+const MAX_COPIES: u64 = 4;
 /// Range of the time between two attempts of one such request in milliseconds.
 const INTERVAL_MS: std::ops::Range<u64> = 20..500;
 /// Mixed into the seed of a soak for the draws of this module, so that they differ from the others.
@@ -58,10 +62,16 @@
     #[must_use]
     pub fn path(&self) -> String {
         let number = self.number;
+        // Copies run at the same time only if they take a moment.
+        let end = if self.copies() > 1 {
+            "late-crash"
+        } else {
+            "crash"
+        };
         match self.target {
-            Target::Order => format!("/orders/crash/?{number}"),
-            Target::Idempotent => format!("/v/1/crash/?{number}"),
-            Target::Keyed(_) => format!("/list/crash/?{number}"),
+            Target::Order => format!("/orders/{end}/?{number}"),
+            Target::Idempotent => format!("/v/1/{end}/?{number}"),
+            Target::Keyed(_) => format!("/list/{end}/?{number}"),
         }
     }
 
@@ -78,14 +88,24 @@
         of_service.collect()
     }
 
+    /// Returns how many copies of it are sent at the same time.
+    fn copies(&self) -> u64 {
+        1 + self.seed % MAX_COPIES
+    }
+
     /// Sends it until [`SharedState::faulty`] is cleared.
     pub fn send_repeatedly(&self, shared: &Arc<SharedState>) {
         let mut rng = StdRng::seed_from_u64(self.seed);
         let machines = self.machines(shared.fleet().len());
         std::thread::sleep(self.start);
         while shared.faulty.load(Ordering::SeqCst) {
-            let machine = *machines.choose(&mut rng).expect("at least the caller's");
-            Caller::new(Arc::clone(shared), machine).request(RequestKind::Crashing(*self));
+            std::thread::scope(|scope| {
+                for _ in 0..self.copies() {
+                    let machine = *machines.choose(&mut rng).expect("at least the caller's");
+                    let mut caller = Caller::new(Arc::clone(shared), machine);
+                    scope.spawn(move || caller.request(RequestKind::Crashing(*self)));
+                }
+            });
             let pause = rng.random_range(INTERVAL_MS);
             std::thread::sleep(Duration::from_millis(pause));
         }
@@ -132,6 +152,17 @@
     number.parse().ok()
 }
 
+/// Returns when back ends crashed, from the executions in their order: copies that begin to run at
+/// one back end at the same time crash it once.
+fn crash_times(executions: &[&Crash]) -> impl Iterator<Item = Instant> {
+    let mut last: BTreeMap<usize, Instant> = BTreeMap::new();
+    executions.iter().filter_map(move |c| {
+        let previous = last.insert(c.machine, c.at);
+        let is_copy = previous.is_some_and(|at| c.at.duration_since(at) < SAME_RUN_TIME);
+        (!is_copy).then_some(c.at)
+    })
+}
+
 /// Returns a violation for each request that reached more than [`MAX_LATE_EXECUTIONS`] back ends
 /// beside undisturbed machines later than [`LEARNING_TIME`] after its third crash.
 #[must_use]
@@ -144,7 +175,7 @@
     }
     let describe = |(number, mut crashes): (u64, Vec<&Crash>)| {
         crashes.sort_by_key(|c| c.at);
-        let third = crashes.get(MAX_CRASHES - 1)?.at;
+        let third = crash_times(&crashes).nth(MAX_CRASHES - 1)?;
         let is_late = |c: &&&Crash| {
             let from = c.at.checked_sub(LEARNING_TIME);
             let undisturbed = from.is_some_and(|f| disturbances.is_free(c.machine, f, c.at));
--- a/soak/tests/crashing.rs
+++ b/soak/tests/crashing.rs
@@ -52,6 +52,17 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+// Guards against a check that counts copies at one back end as crashes of several.
+#[test]
+fn copies_that_crash_one_back_end_count_as_one_crash() {
+    let start = Instant::now();
+    let mut copies = crashes(start, &[0, 0, 0, 4, 5, 6, 7, 8]);
+    assert!(crashing::violations(&copies, &Disturbances::default()).is_empty());
+    copies.extend(crashes(start, &[9, 10, 11, 12]));
+    let violations = crashing::violations(&copies, &Disturbances::default());
+    assert_eq!(violations.len(), 1, "{violations:?}");
+}
+
 #[test]
 fn crashes_beside_a_disturbed_machine_are_not_counted() {
     let start = Instant::now();
