--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -158,10 +158,14 @@
         if kind.is_order() {
             self.shared.checker.on_order(&id);
         }
+        self.shared.checker.on_send(&id, self.machine);
         let sent_at = Instant::now();
         let response = connection.call(&encode(&id, kind), TIMEOUT + TIMEOUT_SLACK);
         let outcome = match &response {
-            Ok(response) => check_response(&id, response, &self.shared.checker),
+            Ok(response) => {
+                self.record_notices(response);
+                check_response(&id, response, &self.shared.checker)
+            }
             Err(error) => {
                 self.check_lost_response(&id, error, sent_at, last_used);
                 ReportedOutcome::Unknown
@@ -178,6 +182,20 @@
         response.status
     }
 
+    /// Records what a back end says about itself in a response.
+    fn record_notices(&self, response: &Response) {
+        let Some(back_end) = response.headers.text("X-Back-End") else {
+            return;
+        };
+        for (header, is_limit) in [("Server-Limit", true), ("Server-Leaving", false)] {
+            if response.headers.get(header).is_some() {
+                self.shared
+                    .checker
+                    .on_told(self.machine, back_end, is_limit);
+            }
+        }
+    }
+
     fn take_connection(&mut self) -> Option<(Connection, Instant)> {
         if let Some(connection) = self.connection.take() {
             return Some(connection);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -16,6 +16,7 @@
 use stand_ins::store::Store;
 
 use crate::invariants::InvariantChecker;
+use crate::notices::Notice;
 use crate::plan::Link;
 use crate::proxy::{LinkFault, Proxy};
 
@@ -146,6 +147,12 @@
     last_fault_at: Instant,
 }
 
+impl Machine {
+    fn is_halted(&self) -> bool {
+        self.paused || !matches!(self.process, Process::Running(_))
+    }
+}
+
 /// All machines of the deployment.
 pub struct Fleet {
     environment: Environment,
@@ -343,6 +350,37 @@
         }
     }
 
+    /// Lets the back end of a machine say something in its responses; returns which incarnation that
+    /// is, `None` if there is none.
+    pub fn begin_notice(&self, machine: usize, notice: Notice) -> Option<u64> {
+        let m = &self.machines[machine];
+        let back_end = m.back_end.as_ref()?;
+        let id = self.environment.layout.back_end_config(machine).id;
+        self.checker.on_notice_begin(&id, notice);
+        match notice {
+            Notice::Limit(rate) => back_end.set_limit(Some(&rate.to_string())),
+            Notice::Leaving => back_end.set_leaving(true),
+        }
+        Some(m.born)
+    }
+
+    /// Ends what an incarnation of a machine's back end says in its responses: a limit is withdrawn, a
+    /// back end that leaves exits. No effect on a later incarnation.
+    pub fn end_notice(&mut self, machine: usize, born: u64, notice: Notice) {
+        let m = &self.machines[machine];
+        let Some(back_end) = m.back_end.as_ref().filter(|_| m.born == born) else {
+            return;
+        };
+        match notice {
+            Notice::Limit(_) => {
+                let id = self.environment.layout.back_end_config(machine).id;
+                self.checker.on_notice_end(&id);
+                back_end.set_limit(None);
+            }
+            Notice::Leaving => self.crash_back_end(machine),
+        }
+    }
+
     /// Replaces the fault of one kind of connections of a machine.
     pub fn set_link_fault(&self, machine: usize, link: Link, fault: LinkFault) {
         self.machines[machine].proxies[&link].set_fault(fault);
@@ -365,13 +403,20 @@
     /// Returns the machines whose node or one of its connections is under a fault.
     #[must_use]
     pub fn disturbed(&self) -> Vec<usize> {
-        let is_disturbed = |m: &Machine| {
-            let links = m.proxies.values().any(|p| p.fault() != LinkFault::None);
-            m.paused || links || !matches!(m.process, Process::Running(_))
-        };
+        let has_link_fault = |m: &Machine| m.proxies.values().any(|p| p.fault() != LinkFault::None);
+        self.select(|m| m.is_halted() || has_link_fault(m))
+    }
+
+    /// Returns the machines whose process does not run or is to stop.
+    #[must_use]
+    pub fn halted(&self) -> Vec<usize> {
+        self.select(Machine::is_halted)
+    }
+
+    fn select(&self, predicate: impl Fn(&Machine) -> bool) -> Vec<usize> {
         let machines = self.machines.iter().enumerate();
         machines
-            .filter(|(_, m)| is_disturbed(m))
+            .filter(|(_, m)| predicate(m))
             .map(|(machine, _)| machine)
             .collect()
     }
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -3,6 +3,7 @@
 //! - An order runs at most once, and a request reported as not run never runs.
 //! - A response comes from a back end that ran the request.
 //! - A request that has crashed three back ends is stopped.
+//! - A back end gets no more requests than it names, and none once it has said that it leaves.
 //! - No two incarnations of back ends hold a key at once, and the fencing token of a key increases
 //!   with each change of holder.
 
@@ -15,6 +16,7 @@
 
 use crate::crashing::{self, Crash};
 use crate::disturbances::Disturbances;
+use crate::notices::{Notice, Notices};
 
 /// Number of keys.
 const KEYS: usize = 65_536;
@@ -52,6 +54,9 @@
     incarnations: Vec<Incarnation>,
     crashes: Vec<Crash>,
     disturbances: Disturbances,
+    /// Times at which a process did not run.
+    halts: Disturbances,
+    notices: Notices,
     counts: Counts,
 }
 
@@ -81,6 +86,8 @@
             incarnations: Vec::new(),
             crashes: Vec::new(),
             disturbances: Disturbances::default(),
+            halts: Disturbances::default(),
+            notices: Notices::default(),
             counts: Counts::default(),
         }))
     }
@@ -96,13 +103,45 @@
         self.state().violations.push(violation);
     }
 
-    /// Records that these machines are under a fault at this moment.
-    pub fn on_disturbed(&self, machines: impl IntoIterator<Item = usize>) {
+    /// Records that these machines are under a fault at this moment, and that the processes of those
+    /// in `halted` do not run.
+    pub fn on_disturbed(
+        &self,
+        machines: impl IntoIterator<Item = usize>,
+        halted: impl IntoIterator<Item = usize>,
+    ) {
         let mut state = self.state();
         let now = Instant::now();
         for machine in machines {
             state.disturbances.record(machine, now);
         }
+        for machine in halted {
+            state.halts.record(machine, now);
+        }
+    }
+
+    /// Records that a caller sends a request at a machine.
+    pub fn on_send(&self, request: &str, machine: usize) {
+        let now = Instant::now();
+        self.state().notices.on_send(request, machine, now);
+    }
+
+    /// Records that a back end begins to say something in its responses.
+    pub fn on_notice_begin(&self, back_end: &str, notice: Notice) {
+        let now = Instant::now();
+        self.state().notices.begin(back_end, notice, now);
+    }
+
+    /// Records that a back end says nothing any more.
+    pub fn on_notice_end(&self, back_end: &str) {
+        self.state().notices.end(back_end, Instant::now());
+    }
+
+    /// Records that a response told a caller of a machine that a back end has a limit, or leaves.
+    pub fn on_told(&self, machine: usize, back_end: &str, is_limit: bool) {
+        let now = Instant::now();
+        let mut state = self.state();
+        state.notices.on_told(machine, back_end, is_limit, now);
     }
 
     /// Records that a request must run at most once.
@@ -143,6 +182,7 @@
             }
         }
         violations.extend(crashing::violations(&state.crashes, &state.disturbances));
+        violations.extend(state.notices.violations(&state.disturbances, &state.halts));
         (violations, state.counts)
     }
 }
@@ -188,8 +228,16 @@
 }
 
 impl Observer for InvariantChecker {
+    fn on_arrival(&self, back_end: &str, request: &str) {
+        let now = Instant::now();
+        let mut state = self.state();
+        state.notices.on_arrival(back_end, request, false, now);
+    }
+
     fn on_execute(&self, back_end: &str, request: &str) {
+        let now = Instant::now();
         let mut state = self.state();
+        state.notices.on_arrival(back_end, request, true, now);
         if crashing::number_of(request).is_some() {
             let machine = layout::machine_of(back_end);
             state.crashes.push(Crash {
@@ -232,8 +280,8 @@
     }
 
     fn on_exit(&self, back_end: &str, born: u64) {
-        self.state()
-            .held_grants
-            .remove(&(back_end.to_owned(), born));
+        let mut state = self.state();
+        state.held_grants.remove(&(back_end.to_owned(), born));
+        state.notices.end(back_end, Instant::now());
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod disturbances;
 pub mod fleet;
 pub mod invariants;
+pub mod notices;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,6 +26,8 @@
     seconds: u64,
     /// Leave out requests that crash back ends
     no_crashing: bool,
+    /// Leave out back ends that name limits and say that they leave
+    no_notices: bool,
     /// Program to soak; plantaingauge-node beside this program if left out
     #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
@@ -64,6 +66,7 @@
             machines: arguments.machines,
             duration: Duration::from_secs(arguments.seconds),
             crashing: !arguments.no_crashing,
+            notices: !arguments.no_notices,
             environment: Environment::new(directory, program.clone(), seed),
         };
         let verdict = run::run(&options)?;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -13,6 +13,7 @@
 use crate::crashing::{self, CrashingRequest};
 use crate::fleet::{Environment, Fleet, FleetError};
 use crate::invariants::{Counts, InvariantChecker};
+use crate::notices::{self, ScheduledNotice};
 use crate::plan::{self, Fault, Link, ScheduledFault};
 use crate::proxy::LinkFault;
 
@@ -38,6 +39,8 @@
     pub duration: Duration,
     /// Whether requests that crash back ends are among them.
     pub crashing: bool,
+    /// Whether back ends name limits and say that they leave.
+    pub notices: bool,
     /// Addresses, files and the program to run.
     pub environment: Environment,
 }
@@ -86,7 +89,8 @@
     let shared = Arc::new(SharedState::new(environment, fleet, checker));
     await_served(&shared)?;
     let faults = plan::generate(options.seed, options.machines, options.duration);
-    let senders = start_crashing_requests(&shared, options);
+    let mut senders = start_crashing_requests(&shared, options);
+    senders.extend(start_notices(&shared, options));
     let callers: Vec<_> = (0..options.machines)
         .flat_map(|machine| (0..CALLERS_PER_MACHINE).map(move |n| (machine, n)))
         .map(|(machine, n)| {
@@ -126,6 +130,18 @@
     requests.into_iter().map(start).collect()
 }
 
+fn start_notices(shared: &Arc<SharedState>, options: &Options) -> Vec<JoinHandle<()>> {
+    if !options.notices {
+        return Vec::new();
+    }
+    let notices = notices::generate(options.seed, options.machines, options.duration);
+    let start = |notice: ScheduledNotice| {
+        let shared = Arc::clone(shared);
+        std::thread::spawn(move || notice.run(&shared))
+    };
+    notices.into_iter().map(start).collect()
+}
+
 /// Injects the faults as scheduled and reverts each after its duration.
 fn inject_faults(
     shared: &SharedState,
@@ -165,8 +181,9 @@
         StoreFault::None => fleet.disturbed(),
         _ => (0..fleet.len()).collect(),
     };
+    let halted = fleet.halted();
     drop(fleet);
-    shared.checker.on_disturbed(disturbed);
+    shared.checker.on_disturbed(disturbed, halted);
 }
 
 fn begin_fault(
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,14 +12,16 @@
     machines: usize,
     seconds: u64,
     crashing: bool,
+    notices: bool,
 }
 
-const CASES: [Case; 5] = [
+const CASES: [Case; 6] = [
     Case {
         seed: 1,
         machines: 4,
         seconds: 12,
         crashing: false,
+        notices: false,
     },
     // Guards against a stopping node that forwards a request to itself forever, because it rejects
     // the request each time.
@@ -28,6 +30,7 @@
         machines: 5,
         seconds: 25,
         crashing: false,
+        notices: false,
     },
     // Guards against an order that runs twice, because a copy of it arrives after its cancellation.
     Case {
@@ -35,6 +38,7 @@
         machines: 7,
         seconds: 25,
         crashing: true,
+        notices: false,
     },
     // These two guard against crash-causing requests that are not recognised.
     Case {
@@ -42,12 +46,22 @@
         machines: 7,
         seconds: 25,
         crashing: true,
+        notices: false,
     },
     Case {
         seed: 6,
         machines: 7,
         seconds: 25,
         crashing: true,
+        notices: false,
+    },
+    // Guards against limits and leaving of back ends that are not kept.
+    Case {
+        seed: 3,
+        machines: 7,
+        seconds: 20,
+        crashing: false,
+        notices: true,
     },
 ];
 
@@ -64,6 +78,7 @@
             machines: case.machines,
             duration: Duration::from_secs(case.seconds),
             crashing: case.crashing,
+            notices: case.notices,
             environment: Environment::new(directory.clone(), program, addresses),
         })
         .expect("the processes start");
