Open no more connections to a back end than its service takes

A back end resets connections beyond its cap, so that requests are lost.

Cause: the process beside a back end opens a connection for each running request, up to its slots, and one for a probe, whatever the operator's configuration says of the service.

Change: the usable slots are at most the cap less the connection for a probe, at least one; a changed cap applies with the next heartbeat.

--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -57,6 +57,9 @@
     pub document: Rc<Value>,
 }
 
+/// Connections to a back end that carry no request.
+const PROBE_CONNECTIONS: usize = 1;
+
 /// State of the process.
 pub struct Node {
     /// Settings read at the start.
@@ -197,6 +200,19 @@
             .is_some_and(|c| c.catalog.is_keyed(&service))
     }
 
+    /// Returns how many requests a back end of a service can run at once with the connections that it
+    /// takes: one each, and one for a probe.
+    #[must_use]
+    pub fn usable_slots(&self, service: &ServiceName, slots: u32) -> u32 {
+        let config = self.active_config();
+        let service = config
+            .as_ref()
+            .and_then(|c| c.catalog.services.get(service));
+        let connections = service.map_or(usize::MAX, |s| s.max_connections);
+        let most = connections.saturating_sub(PROBE_CONNECTIONS).max(1);
+        slots.min(u32::try_from(most).unwrap_or(u32::MAX))
+    }
+
     /// Returns the key of a request, `None` if its service is not divided by key.
     #[must_use]
     pub fn shard_key(&self, request: &ForwardedRequest) -> Option<u16> {
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -138,9 +138,9 @@
         None
     };
     node.on_heartbeat(LocalBackEnd {
+        slots: node.usable_slots(&heartbeat.service, heartbeat.slots),
         service: heartbeat.service,
         incarnation: heartbeat.keys.incarnation.clone(),
-        slots: heartbeat.slots,
         cold_until: now + heartbeat.warm_up,
         last_contact: now,
         state,
--- a/components/node/tests/whole_path/named_limits.rs
+++ b/components/node/tests/whole_path/named_limits.rs
@@ -238,3 +238,45 @@
         deployment.await_reply(0, "/list/today", Some(key), by_other, SETTLE_TIMEOUT);
     }
 }
+
+// Guards against more connections to a back end than its service takes; it resets those beyond.
+#[test]
+fn a_back_end_gets_no_more_connections_than_it_takes() {
+    const CAP: usize = 4;
+    let deployment = start(57);
+    deployment
+        .store
+        .write_capped_config(3, &["/added/", "/capped/"], CAP);
+    for machine in 0..MACHINES {
+        deployment.await_status(machine, "/capped/", 200, SETTLE_TIMEOUT);
+    }
+    // The next heartbeat of each back end applies it.
+    let slots = Some(CAP - 1);
+    let deadline = Instant::now() + SETTLE_TIMEOUT;
+    while !ORDERS
+        .iter()
+        .all(|m| gauge(&deployment, *m, "slots") == slots)
+    {
+        assert!(Instant::now() < deadline, "the slots stay");
+        std::thread::sleep(CALLER_PAUSE);
+    }
+    let copies = (0..8).flat_map(|_| 0..MACHINES);
+    let in_flight: Vec<_> = copies
+        .map(|machine| deployment.request_in_background(machine, "GET", "/added/slow/"))
+        .collect();
+    for reply in in_flight {
+        let _ = reply.join().expect("no panic");
+    }
+    for machine in ORDERS {
+        let opened = gauge(&deployment, machine, "connections_opened");
+        assert!(opened.is_some_and(|n| n > 0 && n <= CAP), "{opened:?}");
+    }
+}
+
+/// Returns a gauge of a machine's back end.
+fn gauge(deployment: &Deployment, machine: usize, name: &str) -> Option<usize> {
+    let prefix = format!("plantaingauge_back_end_{name} ");
+    let metrics = deployment.metrics(machine);
+    let mut values = metrics.lines().filter_map(|l| l.strip_prefix(&prefix));
+    values.next()?.parse().ok()
+}
--- a/components/stand-ins/src/store.rs
+++ b/components/stand-ins/src/store.rs
@@ -11,6 +11,9 @@
 
 use crate::http;
 
+/// Connections that a back end takes if a test needs no other number.
+const DEFAULT_CONNECTION_CAP: usize = 100;
+
 /// Fault injected into the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -117,6 +120,11 @@
 
     /// Writes the configuration: the routes `list` and `order`, and one route per extra path.
     pub fn write_config(&self, version: u64, extra_paths: &[&str]) {
+        self.write_capped_config(version, extra_paths, DEFAULT_CONNECTION_CAP);
+    }
+
+    /// Writes a configuration in which back ends take at most `cap` connections.
+    pub fn write_capped_config(&self, version: u64, extra_paths: &[&str], cap: usize) {
         let mut rows = vec![
             json!([
                 "list",
@@ -163,7 +171,7 @@
             },
             "services": {
                 "columns": ["name", "healthCheckPath", "connectionCap", "sharded"],
-                "rows": [["lists", "/health", 100, true], ["orders", "/health", 100, null]]
+                "rows": [["lists", "/health", cap, true], ["orders", "/health", cap, null]]
             }
         });
         let mut state = self.lock();
