--- a/components/node/src/dispatch/sending.rs
+++ b/components/node/src/dispatch/sending.rs
@@ -6,7 +6,7 @@
 use timer::{BootClock, Clock};
 
 use super::{Destination, REROUTE_INTERVAL, RequestDispatch, millis};
-use crate::back_end_proxy;
+use crate::back_end_proxy::submission;
 use crate::frame::{ForwardedRequest, Frame, LossCause, RejectReason, RequestOutcome};
 use crate::link::Peer;
 
@@ -28,7 +28,7 @@
         request.missed_target = self.is_retry;
         request.target_ms = millis(self.target(final_pass, distance, delay));
         match destination {
-            Destination::Local => back_end_proxy::submit(self.node, Rc::new(request)).await,
+            Destination::Local => submission::submit(self.node, Rc::new(request)).await,
             Destination::Peer(peer) => {
                 request.id = peer.next_id();
                 self.send_to_peer(peer, request).await
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -10,10 +10,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+use crate::back_end_proxy::submission;
 use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
 use crate::link::{FrameSender, KEEPALIVE_IDLE, read_frames, send_frame, write_frames};
 use crate::node::Node;
-use crate::{accept, back_end_proxy, suspects};
+use crate::{accept, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -104,7 +105,7 @@
 async fn run_request(node: Rc<Node>, process: PeerProcess, request: ForwardedRequest) {
     let id = request.id;
     let request = Rc::new(request);
-    let outcome = back_end_proxy::submit(&node, Rc::clone(&request)).await;
+    let outcome = submission::submit(&node, Rc::clone(&request)).await;
     let crashes = match outcome {
         RequestOutcome::Lost(_) => node.suspects.reports_on(&request),
         _ => Vec::new(),
