Keep the time of a crash when a late report only adds a back end to it

A report of one more back end that exited in a known crash, which arrives late (a link that opens again sends all suspects), replaced the time of the last crash with its own, so that a block ended early, by up to the age of that report. The time changes now only with a new crash or completion.

--- a/components/quarantine/src/crash_count.rs
+++ b/components/quarantine/src/crash_count.rs
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Returns whether the two know of the same last crash and the same last completion.
+    #[must_use]
+    pub fn is_same_crash(self, other: Self) -> bool {
+        (self.crashes, self.cleared) == (other.crashes, other.cleared)
+    }
+
     /// Returns whether as many back ends have exited under the request as block it one after
     /// another: its copies may have run at the same time, so that only single runs show whether it
     /// crashes back ends or was only there.
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -218,8 +218,12 @@
         age: Duration,
         now: BootInstant,
     ) -> Option<Record> {
+        let known = self.record(&fingerprint);
         let merged = self.count(&fingerprint).merged(count);
-        self.change(fingerprint, merged, now - age)
+        // A late report of a back end that exited in a known crash changes nothing else.
+        let unchanged = known.filter(|k| k.count.is_same_crash(merged));
+        let changed_at = unchanged.map_or(now - age, |k| k.changed_at);
+        self.change(fingerprint, merged, changed_at)
     }
 
     /// Drops what has been remembered for long enough.
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -199,6 +199,27 @@
     assert_eq!(repeated, None);
 }
 
+// Guards against a block that ends early because a report of one more back end, which exited in an
+// earlier crash, arrives late.
+#[test]
+fn a_late_report_of_an_exit_does_not_shorten_a_block() {
+    let mut quarantine = Quarantine::default();
+    let count = CrashCount {
+        crashes: MAX_CRASHES,
+        cleared: 0,
+        exits: Exits::default().with(back_end(1), MAX_CRASHES),
+    };
+    quarantine.merge(fingerprint("/a"), count, Duration::ZERO, NOW);
+    let late = CrashCount {
+        crashes: 1,
+        cleared: 0,
+        exits: Exits::default().with(back_end(2), 1),
+    };
+    let record = quarantine.merge(fingerprint("/a"), late, FIRST_BLOCK / 2, NOW);
+    assert_eq!(record.map(|r| r.count.exits.count()), Some(2));
+    assert_eq!(blocked_for(&quarantine, "/a", NOW), Some(FIRST_BLOCK));
+}
+
 #[test]
 fn a_late_report_of_earlier_crashes_does_not_undo_a_completion() {
     let mut quarantine = Quarantine::default();
