Attribute a crash to the successor that ran the request

Cause, from the logs of m-0: i-0 born 1 exits under the request; a proxy in front of it goes on accepting, so that its exit shows only with the first heartbeat of born 2. Two copies are sent between the restart and that heartbeat; born 2, which has the same id, runs them and exits. They were attributed to the back end known when they were sent, born 1, whose exit was counted already. So one of three exits was missing, and the next round of copies ran unhindered.

Change: a request that was sent after its back end had exited is attributed to the one that sends heartbeats when its connection ends. What was sent before belongs to the exited one, however late its end shows (a process that was suspended sees a heartbeat and ended connections in any order).

--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Returns the incarnation of the back end that sent the last heartbeat.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<BackEndIncarnation> {
+        let back_end = self.back_end.borrow();
+        back_end.as_ref().map(|b| b.incarnation.clone())
+    }
+
     /// Returns the back end if it takes requests for `service`.
     #[must_use]
     pub fn ready_for(&self, service: &ServiceName) -> Option<LocalBackEnd> {
--- a/components/node/src/crash_watch.rs
+++ b/components/node/src/crash_watch.rs
@@ -62,6 +62,19 @@
         }
     }
 
+    /// Records an interrupted request for the incarnation that ran it, and returns that.
+    fn record(
+        &self,
+        sent_to: &BackEndIncarnation,
+        current: &BackEndIncarnation,
+        request: InterruptedRequest,
+    ) -> BackEndIncarnation {
+        let mut interrupted = self.interrupted.borrow_mut();
+        let incarnation = interrupted.runner(sent_to, current, request.sent).clone();
+        interrupted.insert(incarnation.clone(), request);
+        incarnation
+    }
+
     fn has_exited(&self, incarnation: &BackEndIncarnation) -> bool {
         self.exited.borrow().as_ref() == Some(incarnation)
     }
@@ -96,21 +109,19 @@
     node.proxy.crash_watch.on_exit(node, incarnation, proof);
 }
 
-/// Handles the end of the connection that carried `request`, and finds out whether the back end has
-/// exited.
+/// Handles the end of the connection that carried `request`, which was sent to the incarnation
+/// `sent_to`, and finds out whether the back end has exited.
 pub async fn on_interrupted(
     node: &Rc<Node>,
-    incarnation: &BackEndIncarnation,
+    sent_to: &BackEndIncarnation,
     request: InterruptedRequest,
 ) {
     let watch = &node.proxy.crash_watch;
-    watch
-        .interrupted
-        .borrow_mut()
-        .insert(incarnation.clone(), request);
+    let current = node.proxy.incarnation();
+    let incarnation = watch.record(sent_to, current.as_ref().unwrap_or(sent_to), request);
     let _probe = watch.probe.lock().await;
-    if watch.has_exited(incarnation) {
-        watch.on_exit(node, incarnation, ExitProof::Refused);
+    if watch.has_exited(&incarnation) {
+        watch.on_exit(node, &incarnation, ExitProof::Refused);
     } else if let Err(error) = node.proxy.connections.probe().await {
         node.on_exchange_error(error);
     }
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -188,12 +188,7 @@
     /// Takes an incarnation of the local back end that has said that it leaves out of use, as if it
     /// had deregistered; its keys move.
     pub fn on_back_end_leaving(&self, incarnation: &BackEndIncarnation) {
-        let is_current = {
-            let back_end = self.proxy.back_end.borrow();
-            let current = back_end.as_ref().map(|b| &b.incarnation);
-            current == Some(incarnation)
-        };
-        if is_current {
+        if self.proxy.incarnation().as_ref() == Some(incarnation) {
             self.shard_manager
                 .borrow_mut()
                 .on_deregistered(&incarnation.id);
@@ -236,10 +231,7 @@
         if connections.in_use() > 0 || connections.evict_closed(now) > 0 {
             return;
         }
-        let incarnation = {
-            let back_end = self.proxy.back_end.borrow();
-            back_end.as_ref().map(|b| b.incarnation.clone())
-        };
+        let incarnation = self.proxy.incarnation();
         self.set_availability(Availability::Down);
         if let Some(incarnation) = &incarnation {
             crash_watch::on_exit(self, incarnation, ExitProof::Refused);
--- a/components/quarantine/src/interrupted.rs
+++ b/components/quarantine/src/interrupted.rs
@@ -42,17 +42,35 @@
 pub struct InterruptedRequests<I> {
     /// Ordered by the instant of the interruption.
     requests: VecDeque<(I, InterruptedRequest)>,
+    /// The incarnation whose requests were taken last, and when the first of them was interrupted.
+    last_exit: Option<(I, BootInstant)>,
 }
 
 impl<I> Default for InterruptedRequests<I> {
     fn default() -> Self {
         Self {
             requests: VecDeque::new(),
+            last_exit: None,
         }
     }
 }
 
-impl<I: PartialEq> InterruptedRequests<I> {
+impl<I: Clone + PartialEq> InterruptedRequests<I> {
+    /// Returns the incarnation that ran a request which was sent to `sent_to` at `sent` and is
+    /// interrupted now, while `current` is the one that sends heartbeats.
+    ///
+    /// A request that was sent after its back end had exited ran at the successor, which has the same
+    /// address and may have the same id.
+    #[must_use]
+    pub fn runner<'a>(&self, sent_to: &'a I, current: &'a I, sent: BootInstant) -> &'a I {
+        let exit = self.last_exit.as_ref().filter(|(i, _)| i == sent_to);
+        if exit.is_some_and(|(_, at)| sent > *at) {
+            current
+        } else {
+            sent_to
+        }
+    }
+
     /// Records a request that was interrupted while an incarnation ran it.
     pub fn insert(&mut self, incarnation: I, request: InterruptedRequest) {
         let is_kept = |r: &InterruptedRequest| request.at.since(r.at) <= RETENTION;
@@ -81,6 +99,14 @@
             .partition(is_taken);
         self.requests = kept;
         let exit = taken.front().map(|(_, r)| r.at);
+        if let Some(at) = exit
+            && self
+                .last_exit
+                .as_ref()
+                .is_none_or(|(i, _)| i != incarnation)
+        {
+            self.last_exit = Some((incarnation.clone(), at));
+        }
         let requests = taken.into_iter().map(|(_, r)| r);
         requests.filter(|r| Some(r.sent) <= exit).collect()
     }
--- a/components/quarantine/tests/interrupted.rs
+++ b/components/quarantine/tests/interrupted.rs
@@ -85,3 +85,29 @@
     interrupted.insert(1, request("/b", 1_000 + later));
     assert_eq!(interrupted.take(&1), [request("/b", 1_000 + later)]);
 }
+
+// Guards against attributing a crash once more to a back end that has exited before, and not to its
+// successor at the same address, which ran the request.
+#[test]
+fn a_request_sent_after_the_exit_ran_at_the_successor() {
+    let mut interrupted = InterruptedRequests::default();
+    let sent = BootInstant::from_millis;
+    assert_eq!(interrupted.runner(&1, &1, sent(50)), &1);
+    interrupted.insert(1, request("/a", 100));
+    interrupted.take(&1);
+    assert_eq!(interrupted.runner(&1, &2, sent(90)), &1, "sent before");
+    assert_eq!(interrupted.runner(&1, &2, sent(150)), &2, "sent after");
+    assert_eq!(interrupted.runner(&1, &1, sent(150)), &1, "none known");
+    assert_eq!(interrupted.runner(&2, &2, sent(150)), &2);
+}
+
+#[test]
+fn interruptions_that_show_late_belong_to_the_exit_that_is_known() {
+    let mut interrupted = InterruptedRequests::default();
+    interrupted.insert(1, request("/a", 100));
+    interrupted.take(&1);
+    interrupted.insert(1, request("/b", 300));
+    interrupted.take(&1);
+    let sent = BootInstant::from_millis(200);
+    assert_eq!(interrupted.runner(&1, &2, sent), &2, "the first one counts");
+}
