--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -2,6 +2,10 @@
 
 use bytes::{BufMut, BytesMut};
 use node::frame::{self, Features, Frame, NodeStatus, RejectReason, RequestOutcome};
+use node::suspects::{self, CrashReport};
+use quarantine::crash_count::CrashCount;
+use quarantine::exits::BackEndHash;
+use quarantine::fingerprint::{Fingerprint, RequestIdentity};
 use rstest::rstest;
 use world::name::{MachineName, RegionName, ServiceName, ZoneName};
 
@@ -77,3 +81,51 @@
     let converted = outcome.for_features(Features::default(), keyed);
     assert!(matches!(converted, RequestOutcome::NotRun { reason: r, .. } if r == expected));
 }
+
+fn crash_report() -> CrashReport {
+    let identity = RequestIdentity {
+        method: b"GET",
+        host: b"h",
+        target: b"/a",
+        caller: b"c",
+        body: b"",
+    };
+    CrashReport {
+        fingerprint: Fingerprint::new(&identity),
+        count: CrashCount::default().after_crash(BackEndHash::new("b", 1), 0),
+        age_ms: 5,
+    }
+}
+
+// Guards against links to an earlier version that break at the first crash of a back end.
+#[rstest]
+#[case::none(false, false, None)]
+#[case::counts(true, false, Some(0))]
+#[case::counts_and_exits(true, true, Some(1))]
+fn an_earlier_version_gets_the_reports_that_it_decodes(
+    #[case] crash_reports: bool,
+    #[case] crash_exits: bool,
+    #[case] expected_exits: Option<usize>,
+) {
+    let features = Features {
+        crash_reports,
+        crash_exits,
+    };
+    let report = crash_report();
+    let decoded = suspects::report_frame(&[report], features).map(|sent| {
+        let bytes = frame::encode(&sent).expect("a short frame");
+        let decoded = frame::decode(&mut BytesMut::from(&bytes[..]));
+        decoded.expect("well-formed").expect("complete")
+    });
+    let exits = decoded.map(|frame| match frame {
+        Frame::CrashReports(reports) => reports[0].count.exits.count(),
+        Frame::CrashReportsWithExits(reports) => reports[0].1.count(),
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(exits, expected_exits);
+}
+
+#[test]
+fn there_is_no_frame_without_reports() {
+    assert!(suspects::report_frame(&[], Features::SUPPORTED).is_none());
+}
