Run a request on trial beside no other suspect

Cause: from the second crash in a row on a request runs apart from other suspects, and waits for the reports of its last crash. A request on trial may have one crash, of three back ends at once, and ran beside other suspects: its single runs proved nothing.

Change: a request on trial counts as isolated, in both respects.

--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -125,11 +125,13 @@
     /// everywhere; `None` if it need not wait for them.
     #[must_use]
     pub fn reports_due_in(&self, fingerprint: &Fingerprint, now: BootInstant) -> Option<Duration> {
+        if !self.is_isolated(fingerprint) {
+            return None;
+        }
         let due = |f| {
             let record = self.record(f)?;
-            let is_isolated = record.count.unresolved() >= ISOLATED_CRASHES;
             let remaining = REPORT_TIME.saturating_sub(now.since(record.changed_at));
-            (is_isolated && !remaining.is_zero()).then_some(remaining)
+            (!remaining.is_zero()).then_some(remaining)
         };
         due(fingerprint).max(due(&fingerprint.any_caller()))
     }
@@ -144,11 +146,16 @@
     /// Returns whether a request may start while its back end runs another one.
     #[must_use]
     pub fn may_run_beside(&self, fingerprint: &Fingerprint, other: &Fingerprint) -> bool {
-        let (own, others) = (self.unresolved(fingerprint), self.unresolved(other));
         if fingerprint.any_caller() == other.any_caller() {
             return !self.needs_trial(fingerprint);
         }
-        own.max(others) < ISOLATED_CRASHES || own.min(others) == 0
+        let both_suspects = self.unresolved(fingerprint).min(self.unresolved(other)) > 0;
+        !both_suspects || !(self.is_isolated(fingerprint) || self.is_isolated(other))
+    }
+
+    /// Returns whether a request runs beside no other suspect.
+    fn is_isolated(&self, fingerprint: &Fingerprint) -> bool {
+        self.unresolved(fingerprint) >= ISOLATED_CRASHES || self.needs_trial(fingerprint)
     }
 
     /// Returns the suspects, blocked ones included.
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -293,6 +293,20 @@
     assert!(quarantine.may_run_beside(&a, &a));
 }
 
+// Guards against a trial that proves nothing, as the crash-causing request ran beside it.
+#[test]
+fn a_request_on_trial_runs_beside_no_other_suspect() {
+    let mut quarantine = Quarantine::default();
+    exit_at_once(&mut quarantine, "/a", MAX_EXITS as u64);
+    crash_up_to(&mut quarantine, "/b", 1, NOW);
+    let (a, b, c) = (fingerprint("/a"), fingerprint("/b"), fingerprint("/c"));
+    assert!(!quarantine.may_run_beside(&a, &b));
+    assert!(!quarantine.may_run_beside(&b, &a));
+    assert!(quarantine.may_run_beside(&a, &c));
+    assert_eq!(quarantine.reports_due_in(&a, NOW), Some(REPORT_TIME));
+    assert_eq!(quarantine.reports_due_in(&b, NOW), None);
+}
+
 #[test]
 fn a_back_end_counts_once_as_exited() {
     let twice = Exits::default().with(back_end(1), 1).with(back_end(1), 2);
