--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -104,15 +104,21 @@
         }
     }
 
+    /// Returns the slots and the service time that describe the capacity of the back end, under the
+    /// limit that it names.
+    fn capacity(&self, slots: usize, service_time: Duration) -> (usize, Duration) {
+        match self.named_limit.named() {
+            Some(rate) => limited_capacity(slots, service_time, rate),
+            None => (slots, service_time),
+        }
+    }
+
     /// Returns the load of the back end.
     #[must_use]
     pub fn load(&self) -> LoadReport {
         let queue = self.queue.borrow();
         let service_time = queue.estimate().mean().unwrap_or_default();
-        let (slots, service_time) = match self.named_limit.named() {
-            Some(rate) => limited_capacity(queue.slots(), service_time, rate),
-            None => (queue.slots(), service_time),
-        };
+        let (slots, service_time) = self.capacity(queue.slots(), service_time);
         LoadReport {
             running: saturating_u32(queue.running()),
             waiting: saturating_u32(queue.waiting()),
@@ -138,10 +144,7 @@
         }
         let queue = self.queue.borrow();
         let service_time = queue.estimate().mean_or_default();
-        let (slots, service_time) = match self.named_limit.named() {
-            Some(rate) => limited_capacity(queue.slots(), service_time, rate),
-            None => (queue.slots(), service_time),
-        };
+        let (slots, service_time) = self.capacity(queue.slots(), service_time);
         let offered = arrivals / elapsed * service_time.as_secs_f64() / slots.max(1) as f64;
         let gain = (elapsed / UTILIZATION_WINDOW.as_secs_f64()).min(1.0);
         self.utilization
--- a/components/node/tests/whole_path/crash_causing_copies.rs
+++ b/components/node/tests/whole_path/crash_causing_copies.rs
@@ -1,12 +1,11 @@
 //! Copies of one request that run at several back ends at the same time, and crash them or are
 //! interrupted by a failure of their rack.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::SETTLE_TIMEOUT;
 use crate::crash_causing_requests::{
-    COUNTED_TIME, CRASH_PREFIX, LEARNING_TIME, Restarts, SEND_INTERVAL, SENDERS, THIRD_CRASH_LIMIT,
-    assert_stopped, start, third_crash,
+    CRASH_PREFIX, Restarts, SEND_INTERVAL, SENDERS, assert_stopped, executions_while, start,
 };
 use crate::deployment::Deployment;
 
@@ -14,8 +13,8 @@
 const CRASHING: &str = "/added/late-crash/";
 /// A request that runs for long.
 const POPULAR: &str = "/added/slow/";
-/// Time from the crash of a back end to its restart: longer than [`LEARNING_TIME`], so that the
-/// second round of copies is late.
+/// Time from the crash of a back end to its restart: longer than the machines have to learn of
+/// the third crash, so that the second round of copies is late.
 const RESTART_DELAY: Duration = Duration::from_millis(3_500);
 /// Time in which every copy of a request has begun to run.
 const START_TIME: Duration = Duration::from_millis(500);
@@ -37,20 +36,11 @@
 fn copies_of_a_crash_causing_request_at_the_same_time_are_stopped_like_single_ones() {
     let mut deployment = start(45);
     let mut restarts = Restarts::default();
-    let give_up = Instant::now() + THIRD_CRASH_LIMIT;
-    let executions = loop {
-        send_copies(&deployment);
-        restarts.poll(&mut deployment, RESTART_DELAY);
+    let executions = executions_while(&mut deployment, |deployment| {
+        send_copies(deployment);
+        restarts.poll(deployment, RESTART_DELAY);
         std::thread::sleep(SEND_INTERVAL);
-        let executions = deployment.executions(CRASH_PREFIX);
-        let is_over = match third_crash(&executions) {
-            Some(at) => at.elapsed() > LEARNING_TIME + COUNTED_TIME,
-            None => Instant::now() > give_up,
-        };
-        if is_over {
-            break executions;
-        }
-    };
+    });
     assert_stopped(&executions);
 }
 
--- a/components/node/tests/whole_path/crash_causing_requests.rs
+++ b/components/node/tests/whole_path/crash_causing_requests.rs
@@ -22,13 +22,13 @@
 /// Time between two attempts of the callers.
 pub(crate) const SEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the third crash in which the machines learn of it (`stabilityWindowMs`).
-pub(crate) const LEARNING_TIME: Duration = Duration::from_secs(3);
+const LEARNING_TIME: Duration = Duration::from_secs(3);
 /// Time after that for which the executions are counted.
-pub(crate) const COUNTED_TIME: Duration = Duration::from_secs(6);
+const COUNTED_TIME: Duration = Duration::from_secs(6);
 /// Executions that the platform's rules allow in that time.
 pub(crate) const MAX_EXECUTIONS: usize = 3;
 /// Longest time until the third crash.
-pub(crate) const THIRD_CRASH_LIMIT: Duration = Duration::from_secs(60);
+const THIRD_CRASH_LIMIT: Duration = Duration::from_secs(60);
 /// Prefix of the ids of the crash-causing requests.
 pub(crate) const CRASH_PREFIX: &str = "crash-";
 
@@ -97,13 +97,7 @@
 }
 
 pub(crate) fn start(net: u8) -> Deployment {
-    let deployment = Deployment::start(net, MACHINES);
-    deployment.store.write_config(2, &["/added/"]);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    for machine in 0..MACHINES {
-        deployment.await_status(machine, "/added/", 200, SETTLE_TIMEOUT);
-    }
-    deployment
+    Deployment::start_with_added_path(net, MACHINES)
 }
 
 /// Attempts at a crash-causing request, at machines drawn by a seed.
@@ -161,10 +155,30 @@
     metrics.contains("plantaingauge_quarantined_requests 1\n")
 }
 
-pub(crate) fn third_crash(executions: &[Execution]) -> Option<Instant> {
+fn third_crash(executions: &[Execution]) -> Option<Instant> {
     executions.get(2).map(|e| e.at)
 }
 
+/// Calls `send` until the executions after the third crash have been counted for long enough, and
+/// returns all; gives up after [`THIRD_CRASH_LIMIT`] without a third crash.
+pub(crate) fn executions_while(
+    deployment: &mut Deployment,
+    mut send: impl FnMut(&mut Deployment),
+) -> Vec<Execution> {
+    let give_up = Instant::now() + THIRD_CRASH_LIMIT;
+    loop {
+        send(deployment);
+        let executions = deployment.executions(CRASH_PREFIX);
+        let is_over = match third_crash(&executions) {
+            Some(at) => at.elapsed() > LEARNING_TIME + COUNTED_TIME,
+            None => Instant::now() > give_up,
+        };
+        if is_over {
+            return executions;
+        }
+    }
+}
+
 /// Panics if more executions than allowed began later than [`LEARNING_TIME`] after the third crash.
 pub(crate) fn assert_stopped(executions: &[Execution]) {
     let third = third_crash(executions).expect("the request crashes three back ends");
@@ -192,18 +206,7 @@
 ) {
     let mut deployment = start(net);
     let mut attempts = Attempts::new(request, seed);
-    let give_up = Instant::now() + THIRD_CRASH_LIMIT;
-    let executions = loop {
-        attempts.send(&mut deployment);
-        let executions = deployment.executions(CRASH_PREFIX);
-        let is_over = match third_crash(&executions) {
-            Some(at) => at.elapsed() > LEARNING_TIME + COUNTED_TIME,
-            None => Instant::now() > give_up,
-        };
-        if is_over {
-            break executions;
-        }
-    };
+    let executions = executions_while(&mut deployment, |d| attempts.send(d));
     assert_stopped(&executions);
 }
 
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -19,6 +19,8 @@
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
+use crate::SETTLE_TIMEOUT;
+
 /// Path of a keyed request that may be executed more than once.
 pub(crate) const LISTING: &str = "/list/today";
 /// Path of a request that must be executed at most once.
@@ -151,6 +153,17 @@
         deployment
     }
 
+    /// Starts machines that all serve the idempotent path `/added/`, besides orders and keys.
+    pub(crate) fn start_with_added_path(net: u8, machines: usize) -> Self {
+        let deployment = Self::start(net, machines);
+        deployment.store.write_config(2, &["/added/"]);
+        deployment.await_serving(SETTLE_TIMEOUT);
+        for machine in 0..machines {
+            deployment.await_status(machine, "/added/", 200, SETTLE_TIMEOUT);
+        }
+        deployment
+    }
+
     /// Starts machines without a configuration.
     pub(crate) fn start_unconfigured(net: u8, machines: usize) -> Self {
         Self::start_with_store(net, machines, start_store(net))
--- a/components/node/tests/whole_path/named_limits.rs
+++ b/components/node/tests/whole_path/named_limits.rs
@@ -63,13 +63,7 @@
 }
 
 fn start(net: u8) -> Deployment {
-    let deployment = Deployment::start(net, MACHINES);
-    deployment.store.write_config(2, &["/added/"]);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    for machine in 0..MACHINES {
-        deployment.await_status(machine, "/added/", 200, SETTLE_TIMEOUT);
-    }
-    deployment
+    Deployment::start_with_added_path(net, MACHINES)
 }
 
 /// Returns the smallest and the greatest number of arrivals in any window that begins between `from`
