Register all machines that are ready in one write of the assignment

Cause: each machine wrote its own epoch and back end into the one assignment of its service. All were ready in the same second, so each write made all others fail, and each of them wrote again at once: with N machines N writes and N * (N - 1) / 2 conflicts, each of which carries the whole object both ways.

Change: whoever writes the assignment also registers the connected machines whose announced lease or back end is later than the stored entry. A machine that lost the race finds its entry in the response and writes nothing; one whose entry is still missing waits for a random time of up to 150 ms.

Why it is safe: a process registers before it grants so that none of its earlier writes can still take effect. Any write changes the revision, so an entry that another machine wrote does the same. An entry with an earlier epoch or back end than the stored one is never written, so a late announcement brings nothing back.

--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use platform::store::{ASSIGNMENTS, LEASES};
+use rand::Rng;
 use shards::assignment::Assignment;
 use shards::lease::Lease;
 use shards::manager::{PeerState, StoreOp, StoreOutcome, Versioned};
@@ -22,6 +23,8 @@
 
 /// Pause after an operation that the store refused or whose outcome is unknown.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after a write that conflicted with another machine's: a few round trips to the store.
+const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(150);
 /// Time between two updates of load and failure rates.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Factor applied to the failure rate of a peer at each update.
@@ -51,6 +54,15 @@
             self.not_before.set(BootClock.now() + RETRY_PAUSE);
         }
     }
+
+    /// Ends an operation that another machine's write has overtaken, with a random pause: that
+    /// machine or the next one may write what this one needs.
+    fn finish_overtaken(&self) {
+        self.in_flight.set(false);
+        let jitter = rand::rng().random_range(0.0..1.0);
+        let pause = MAX_CONFLICT_PAUSE.mul_f64(jitter);
+        self.not_before.set(BootClock.now() + pause);
+    }
 }
 
 struct Driver {
@@ -237,6 +249,7 @@
         );
         log::info!(event = "assignment-call", call = op_name(&op), outcome = outcome_name(&outcome); "");
         let wrote = !matches!(op, StoreOp::Read) && matches!(outcome, StoreOutcome::Done(_));
+        let overtaken = matches!(outcome, StoreOutcome::Conflict(_));
         let stored = match &outcome {
             StoreOutcome::Done(stored) | StoreOutcome::Conflict(Some(stored)) => {
                 Some(stored.clone())
@@ -255,7 +268,11 @@
             let base = before.filter(|b| replaces_revision(&op, b.revision));
             self.node.publish_change(&service, base.as_deref());
         }
-        self.assignment.finish(failed);
+        if overtaken {
+            self.assignment.finish_overtaken();
+        } else {
+            self.assignment.finish(failed);
+        }
         self.node.keys_changed.notify_one();
     }
 
--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -35,6 +35,16 @@
     pub incarnation: BackEndIncarnation,
 }
 
+impl Holder {
+    /// Returns whether this entry is later than another one of the same machine: neither its epoch
+    /// nor its back end is an earlier one, and one of them is later.
+    #[must_use]
+    pub fn succeeds(&self, other: &Self) -> bool {
+        let is_later = (self.epoch, self.incarnation.born) != (other.epoch, other.incarnation.born);
+        is_later && self.epoch >= other.epoch && self.incarnation.born >= other.incarnation.born
+    }
+}
+
 /// A span of keys with one owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Range {
--- a/components/shards/src/manager/types.rs
+++ b/components/shards/src/manager/types.rs
@@ -4,6 +4,7 @@
 
 use world::instant::BootInstant;
 
+use crate::assignment::Holder;
 use crate::incarnation::BackEndIncarnation;
 use crate::lease::Lease;
 
@@ -104,3 +105,15 @@
     /// Fraction of its capacity in use; 1 is full.
     pub utilization: f64,
 }
+
+impl PeerState {
+    /// Returns the holder entry that the machine needs; `None` without a back end or an unfenced
+    /// lease.
+    pub(super) fn holder(&self) -> Option<Holder> {
+        let lease = self.lease.as_ref().filter(|l| !l.value.fenced)?;
+        Some(Holder {
+            epoch: lease.value.epoch,
+            incarnation: self.incarnation.clone()?,
+        })
+    }
+}
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -38,6 +38,7 @@
         if next == assignment.value {
             return None;
         }
+        self.register_peers(&mut next);
         next.merge_neighbours();
         Some(StoreOp::Replace(Versioned {
             revision: assignment.revision,
@@ -127,13 +128,7 @@
             .peers
             .iter()
             .filter(|(_, p)| p.connected)
-            .filter_map(|(m, p)| {
-                let holder = Holder {
-                    epoch: p.lease.as_ref()?.value.epoch,
-                    incarnation: p.incarnation.clone()?,
-                };
-                Some((m.clone(), holder))
-            })
+            .filter_map(|(m, p)| Some((m.clone(), p.holder()?)))
             .collect();
         holders.insert(self.machine.clone(), self.own_holder()?);
         Assignment::new(holders)
@@ -160,6 +155,24 @@
         }
     }
 
+    /// Registers the connected machines whose epoch or back end the assignment does not have yet.
+    ///
+    /// After a restart of all, one write then serves every machine that is ready; were each to write
+    /// its own entry, all others would run into a conflict with each write. A machine may grant by an
+    /// entry that another one wrote: its own earlier writes fail all the same, as the revision has
+    /// changed.
+    fn register_peers(&self, next: &mut Assignment) {
+        for (machine, peer) in self.peers.iter().filter(|(_, p)| p.connected) {
+            let Some(holder) = peer.holder() else {
+                continue;
+            };
+            let stored = next.holders.get(machine);
+            if stored.is_none_or(|s| holder.succeeds(s)) {
+                next.set_holder(machine, holder);
+            }
+        }
+    }
+
     /// Whether this machine's holder entry has its current epoch, as transfers of its keys require.
     fn is_registered(&self, assignment: &Assignment) -> bool {
         let epoch = self.lease.as_ref().map(|l| l.value.epoch);
