Offer an overloaded service's request to a few back ends, not to all

Cause: a rejection was final only once every back end of the service had rejected. With N back ends an overload multiplies the traffic by 2 N, and 30 machines that ask 30 back ends at once keep each of them busy rejecting.

Change: the new module `balance::search` bounds the rejections in the first pass: 4 for a caller's request, 1 of them in another region; 8 and 2 for a call of a running request, whose work is lost if it fails. The final pass is one offer, as before.

Why it works: the offers are samples of the load, and each rejection brings the newest report of its back end, so that the next choice is better than chance.

--- a/components/balance/src/lib.rs
+++ b/components/balance/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod choice;
 pub mod link_delay;
 pub mod retry_budget;
+pub mod search;
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use balance::search::{Search, SearchLimit};
 use bytes::Bytes;
 use catalog::Route;
 use http1::request::Request;
@@ -81,6 +82,8 @@
     attempted: SmallVec<[MachineName; 2]>,
     /// Machines that rejected it, with their suggested time before a retry in milliseconds.
     rejections: SmallVec<[(MachineName, u32); 4]>,
+    /// How many back ends without room it may still be offered to in the first pass.
+    search: Search,
     /// Whether a back end may have run it.
     maybe_executed: bool,
     /// Whether it appears to be a caller's retry, as its timeout is well below the longest on the
@@ -162,10 +165,17 @@
     let deadline = received + timeout.min(route.timeout);
     node.with_retry_budget(&service, |b| b.on_request(received));
     let now = BootClock.now();
+    let template = request_template(&node, &service, route, request, incoming);
+    let search_limit = if template.priority == TOP_PRIORITY {
+        SearchLimit::NESTED
+    } else {
+        SearchLimit::CALLER
+    };
     let mut dispatch = RequestDispatch {
         node: &node,
         route,
-        template: request_template(&node, &service, route, request, incoming),
+        template,
+        search: Search::new(search_limit),
         is_retry: node.retry_detector.is_retry(route, timeout),
         service,
         deadline,
@@ -275,8 +285,9 @@
 
     /// Tries back ends one after another and returns the final response.
     ///
-    /// The first pass asks each for a response well before the latency target; if all reject the
-    /// request, the final pass tries once more with the whole target and gives up on a rejection.
+    /// The first pass asks as many as the search limit allows for a response well before the latency
+    /// target; if all reject the request, the final pass tries once more with the whole target and
+    /// gives up on a rejection.
     async fn run(&mut self) -> Completion {
         let mut final_pass = false;
         loop {
--- a/components/node/src/dispatch/outcome.rs
+++ b/components/node/src/dispatch/outcome.rs
@@ -81,6 +81,8 @@
                 self.on_rejection(machine, retry_ms, true)
             }
             RejectReason::Full | RejectReason::Delayed | RejectReason::Isolated => {
+                let (distance, _) = self.distance_and_delay(destination);
+                self.search.on_rejection(distance);
                 self.on_rejection(machine, retry_ms, final_pass)
             }
             RejectReason::NoBackEnd | RejectReason::Unreachable
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -133,6 +133,7 @@
         let own = &self.node.settings.machine;
         if let Some(b) = self.node.proxy.ready_for(&self.service)
             && usable(own)
+            && (final_pass || self.search.allows(Distance::Local))
         {
             let candidate = Candidate {
                 distance: Distance::Local,
@@ -166,6 +167,9 @@
                     None => (idle, Duration::from_secs(60)),
                 };
                 let (distance, queueing_delay) = self.link_to(status);
+                if !final_pass && !self.search.allows(distance) {
+                    return None;
+                }
                 if self.is_link_congested(final_pass, distance, queueing_delay) {
                     return None;
                 }
