Tell peers of frequent changes of a status in small frames

Change: `Frame::StatusUpdate` has only the fields that change often (lease, configuration, utilisation, cold start, store); all else still takes a `Hello`. Processes that do not announce that they decode it get a `Hello`. A new connection gets a second `Hello` only if something was announced since the first.

Why it is safe: the fields are whole values, not differences, and carry the version of the status; an update that is not later than what the receiver has, or comes from an earlier process, changes nothing.

--- a/components/node/src/frame.rs
+++ b/components/node/src/frame.rs
@@ -111,6 +111,8 @@
     CrashReports(Vec<CrashReport>),
     /// The same, each with the back ends that exited.
     CrashReportsWithExits(Vec<(CrashReport, Exits)>),
+    /// Change of the sender's status; the rest of it is as in its last `Hello` on this connection.
+    StatusUpdate(StatusUpdate),
 }
 
 /// What a process decodes beyond the frames that all versions have in common.
@@ -121,6 +123,8 @@
     pub crash_reports: bool,
     /// [`Frame::CrashReportsWithExits`].
     pub crash_exits: bool,
+    /// [`Frame::StatusUpdate`].
+    pub status_updates: bool,
 }
 
 impl Features {
@@ -128,14 +132,17 @@
     pub const SUPPORTED: Self = Self {
         crash_reports: true,
         crash_exits: true,
+        status_updates: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
+    const STATUS_UPDATES_BIT: u32 = 1 << 2;
 
     fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
             (self.crash_reports, Self::CRASH_REPORTS_BIT),
             (self.crash_exits, Self::CRASH_EXITS_BIT),
+            (self.status_updates, Self::STATUS_UPDATES_BIT),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -151,6 +158,7 @@
         Ok(Self {
             crash_reports: bits & Self::CRASH_REPORTS_BIT != 0,
             crash_exits: bits & Self::CRASH_EXITS_BIT != 0,
+            status_updates: bits & Self::STATUS_UPDATES_BIT != 0,
         })
     }
 }
@@ -190,7 +198,57 @@
     pub features: Features,
 }
 
+/// The part of a [`NodeStatus`] that changes often, a fifth of its size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusUpdate {
+    /// Version of the status after the change.
+    pub version: u64,
+    /// See [`NodeStatus::lease`].
+    pub lease: Option<(u64, Lease)>,
+    /// See [`NodeStatus::catalog_revision`].
+    pub catalog_revision: u64,
+    /// See [`NodeStatus::store_reachable`].
+    pub store_reachable: bool,
+    /// See [`NodeStatus::utilization_eighths`].
+    pub utilization_eighths: u32,
+    /// See [`BackEndStatus::cold`]; without meaning if there is no back end.
+    pub cold: bool,
+}
+
 impl NodeStatus {
+    /// Returns the change that leads from `previous` to this status; `None` if they also differ in
+    /// what a [`StatusUpdate`] does not contain.
+    #[must_use]
+    pub fn update_since(&self, previous: &Self) -> Option<StatusUpdate> {
+        let update = StatusUpdate {
+            version: self.version,
+            lease: self.lease,
+            catalog_revision: self.catalog_revision,
+            store_reachable: self.store_reachable,
+            utilization_eighths: self.utilization_eighths,
+            cold: self.back_end.as_ref().is_some_and(|b| b.cold),
+        };
+        (previous.with_update(update) == *self).then_some(update)
+    }
+
+    /// Returns the status after a change.
+    #[must_use]
+    pub fn with_update(&self, update: StatusUpdate) -> Self {
+        let mut back_end = self.back_end.clone();
+        if let Some(b) = &mut back_end {
+            b.cold = update.cold;
+        }
+        Self {
+            back_end,
+            version: update.version,
+            lease: update.lease,
+            catalog_revision: update.catalog_revision,
+            store_reachable: update.store_reachable,
+            utilization_eighths: update.utilization_eighths,
+            ..self.clone()
+        }
+    }
+
     /// Returns the status without the lease and utilization, which only machines of its service
     /// need.
     #[must_use]
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -19,7 +19,9 @@
 use world::name::MachineName;
 
 use crate::failure_rate::FailureRate;
-use crate::frame::{self, Features, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome};
+use crate::frame::{
+    self, Features, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome, StatusUpdate,
+};
 use crate::node::Node;
 use crate::suspects::{self, CrashReport};
 
@@ -175,6 +177,13 @@
         true
     }
 
+    /// Records a change of the status of its process; returns false if it is not newer than the last
+    /// one or concerns an earlier process.
+    pub fn apply_update(&self, incarnation: u64, update: StatusUpdate) -> bool {
+        let current = self.status().filter(|s| s.incarnation == incarnation);
+        current.is_some_and(|s| self.update(s.with_update(update)))
+    }
+
     /// Records its address from the list of members, unless the connection is open.
     pub fn set_listed_address(&self, address: SocketAddr) {
         if !self.is_connected() {
@@ -387,7 +396,8 @@
 async fn run_link(node: &Rc<Node>, peer: &Rc<Peer>, stream: tokio::net::TcpStream) -> bool {
     let (read, write) = stream.into_split();
     let (sender, frames) = mpsc::unbounded_channel();
-    send_frame(&sender, &Frame::Hello(Box::new(node.status())));
+    let sent = node.status();
+    send_frame(&sender, &Frame::Hello(Box::new(sent.clone())));
     peer.last_received.set(BootClock.now());
     let wrong_machine = Notify::new();
     let reading = read_frames(read, |frame| {
@@ -401,7 +411,10 @@
                 node.on_frame(Frame::Hello(status), &sender);
                 if peer.on_connected(&sender) {
                     // Changes announced since the first `Hello` went to open connections only.
-                    send_frame(&sender, &Frame::Hello(Box::new(node.last_announced())));
+                    let announced = node.last_announced();
+                    if announced != sent {
+                        send_frame(&sender, &Frame::Hello(Box::new(announced)));
+                    }
                     if let Some(announcement) = node.assignment_announcement() {
                         send_frame(&sender, &announcement);
                     }
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -14,6 +14,28 @@
 /// Steps into which the announced utilization is rounded, so that small changes are not announced.
 pub(crate) const UTILIZATION_STEPS: f64 = 8.0;
 
+/// The frames that tell peers of a changed status.
+struct Announcement {
+    hello: Frame,
+    /// The change alone; `None` if it takes a whole `Hello`.
+    update: Option<Frame>,
+}
+
+impl Announcement {
+    fn new(previous: Option<&NodeStatus>, status: &NodeStatus) -> Self {
+        let update = previous.and_then(|p| status.update_since(p));
+        Self {
+            hello: Frame::Hello(Box::new(status.clone())),
+            update: update.map(Frame::StatusUpdate),
+        }
+    }
+
+    fn for_features(&self, features: Features) -> &Frame {
+        let update = self.update.as_ref().filter(|_| features.status_updates);
+        update.unwrap_or(&self.hello)
+    }
+}
+
 impl Node {
     /// Returns the service of the local back end; the one in the settings before its first
     /// heartbeat.
@@ -116,13 +138,14 @@
         status.version = self.announced_version.get();
         *self.last_announced.borrow_mut() = Some(status.clone());
         let service = status.service.clone();
-        let reduced = Frame::Hello(Box::new(status.for_other_services()));
-        let full = Frame::Hello(Box::new(status));
+        let full = Announcement::new(previous, &status);
+        let reduced_previous = previous.map(NodeStatus::for_other_services);
+        let reduced = Announcement::new(reduced_previous.as_ref(), &status.for_other_services());
         for peer in self.peers.borrow().values() {
             if peer.with_status(|s| s.service == service) == Some(true) {
-                peer.send(&full);
+                peer.send(full.for_features(peer.features()));
             } else if !reduced_unchanged {
-                peer.send(&reduced);
+                peer.send(reduced.for_features(peer.features()));
             }
         }
     }
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -13,7 +13,7 @@
 
 use super::Node;
 use super::keys::assignment_frame;
-use crate::frame::{Frame, NodeStatus};
+use crate::frame::{Frame, NodeStatus, StatusUpdate};
 use crate::link::{FrameSender, Peer, keep_connected, send_frame};
 use crate::suspects::{self, CrashReport, Source};
 
@@ -140,6 +140,7 @@
             }
             Frame::Pong { .. } => {}
             Frame::Request(_)
+            | Frame::StatusUpdate(_)
             | Frame::Response { .. }
             | Frame::Cancel { .. }
             | Frame::StoreRequest { .. }
@@ -158,6 +159,16 @@
         }
     }
 
+    /// Handles a change of the status of the process `incarnation` on a machine.
+    pub fn on_status_update(&self, machine: &MachineName, incarnation: u64, update: StatusUpdate) {
+        let is_new = self
+            .peer(machine)
+            .is_some_and(|p| p.apply_update(incarnation, update));
+        if is_new {
+            self.keys_changed.notify_one();
+        }
+    }
+
     /// Returns the regions of the deployment without that of this machine.
     #[must_use]
     pub fn other_regions(&self) -> BTreeSet<RegionName> {
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -9,6 +9,7 @@
 use timer::{BootClock, Clock};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use world::name::MachineName;
 
 use crate::back_end_proxy::submission;
 use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
@@ -17,8 +18,10 @@
 use crate::{accept, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct PeerProcess {
+    /// Its machine; `None` before its `Hello`.
+    machine: Option<MachineName>,
     incarnation: u64,
     features: Features,
 }
@@ -41,17 +44,23 @@
     let mut process = PeerProcess::default();
     let reading = read_frames(read, |frame| match frame {
         Frame::Hello(status) => {
+            process.machine = Some(status.machine.clone());
             process.incarnation = status.incarnation;
             process.features = status.features;
             node.on_frame(Frame::Hello(status), &sender);
         }
+        Frame::StatusUpdate(update) => {
+            if let Some(machine) = &process.machine {
+                node.on_status_update(machine, process.incarnation, update);
+            }
+        }
         Frame::Request(mut request) => {
             let mut requests = node.peer_requests.borrow_mut();
             let delay =
                 requests.observe_delay(process.incarnation, request.sent_ms, BootClock.now());
             drop(requests);
             request.subtract_delay(delay);
-            on_request(&node, process, *request, &sender);
+            on_request(&node, &process, *request, &sender);
         }
         Frame::Cancel { id } => {
             // A non-idempotent request that the back end runs goes on.
@@ -78,7 +87,7 @@
 
 fn on_request(
     node: &Rc<Node>,
-    process: PeerProcess,
+    process: &PeerProcess,
     request: ForwardedRequest,
     sender: &FrameSender,
 ) {
@@ -97,7 +106,7 @@
     if !is_first {
         return;
     }
-    let task = tokio::task::spawn_local(run_request(Rc::clone(node), process, request));
+    let task = tokio::task::spawn_local(run_request(Rc::clone(node), process.clone(), request));
     let mut requests = node.peer_requests.borrow_mut();
     requests.set_task(id, task.abort_handle());
 }
--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -2,11 +2,13 @@
 
 use bytes::{BufMut, BytesMut};
 use node::frame::{self, Features, Frame, NodeStatus, RejectReason, RequestOutcome};
+use node::link::Peer;
 use node::suspects::{self, CrashReport};
 use quarantine::crash_count::CrashCount;
 use quarantine::exits::BackEndHash;
 use quarantine::fingerprint::{Fingerprint, RequestIdentity};
 use rstest::rstest;
+use shards::lease::Lease;
 use world::name::{MachineName, RegionName, ServiceName, ZoneName};
 
 fn hello(features: Features) -> Frame {
@@ -110,6 +112,7 @@
     let features = Features {
         crash_reports,
         crash_exits,
+        ..Features::default()
     };
     let report = crash_report();
     let decoded = suspects::report_frame(&[report], features).map(|sent| {
@@ -125,6 +128,66 @@
     assert_eq!(exits, expected_exits);
 }
 
+fn status() -> NodeStatus {
+    match hello(Features::SUPPORTED) {
+        Frame::Hello(status) => *status,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Guards against traffic of whole statuses with each renewal of a lease, from each machine to each.
+#[test]
+fn a_renewed_lease_takes_a_quarter_of_a_hello() {
+    let previous = NodeStatus {
+        machine: MachineName::new("machine-of-an-availability-zone-1"),
+        region: RegionName::new("region"),
+        zone: ZoneName::new("availability-zone"),
+        service: ServiceName::new("service"),
+        lease: Some((70_000, Lease::default().next_epoch())),
+        ..status()
+    };
+    let renewed = NodeStatus {
+        version: 2,
+        lease: Some((70_123, Lease::default().next_epoch().renewed())),
+        ..previous.clone()
+    };
+    let update = renewed
+        .update_since(&previous)
+        .expect("only the lease differs");
+    assert_eq!(previous.with_update(update), renewed);
+    let length = |frame| frame::encode(&frame).expect("a short frame").len();
+    let hello = length(Frame::Hello(Box::new(renewed)));
+    assert!(4 * length(Frame::StatusUpdate(update)) <= hello);
+}
+
+#[test]
+fn a_leaving_process_is_told_in_a_hello() {
+    let leaving = NodeStatus {
+        version: 2,
+        leaving: true,
+        ..status()
+    };
+    assert_eq!(leaving.update_since(&status()), None);
+}
+
+// Guards against the lease of an earlier process that is taken for one of its successor.
+#[test]
+fn a_status_update_of_an_earlier_process_or_version_changes_nothing() {
+    let peer = Peer::new(MachineName::new("m"), ([127, 0, 0, 1], 1).into());
+    let renewed = NodeStatus {
+        version: 2,
+        catalog_revision: 9,
+        ..status()
+    };
+    let update = renewed.update_since(&status()).expect("a small change");
+    assert!(!peer.apply_update(7, update), "before the first status");
+    assert!(peer.update(status()));
+    assert!(!peer.apply_update(6, update), "of an earlier process");
+    assert!(peer.apply_update(7, update));
+    assert!(!peer.apply_update(7, update), "an earlier version");
+    assert_eq!(peer.status(), Some(renewed));
+}
+
 #[test]
 fn there_is_no_frame_without_reports() {
     assert!(suspects::report_frame(&[], Features::SUPPORTED).is_none());
