List the member records every five minutes

A listing after the first finds nothing in the usual case: a machine that joins writes its record, lists the others and connects to them, which learn its address from its `Hello`. Of two that start at once at least one sees the other's record. The later listings remain for records that were written while both could not be reached.

--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -14,8 +14,9 @@
 use crate::store_update::RETRY_PAUSE;
 use crate::{pause, store_update};
 
-/// Time between two listings of the member records.
-const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// Time between two listings of the member records. A machine that joins lists them itself and connects
+/// to all others, which learn of it from its `Hello`.
+const LIST_INTERVAL: Duration = Duration::from_secs(300);
 /// Time between two listings while no peer is connected.
 const ISOLATED_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 
