Keep the retry budget over any window and over restarts

Causes, both in `balance::retry_budget`: - Retries are counted in buckets of a tenth of the window, and a bucket was dropped once its first instant had left the window, so that retries at its end were forgotten up to a tenth of the window early. The fixed number could be taken again within one window: twice 0.6 of what is allowed. - A restarted process knew nothing of the retries before and had its whole share at once, so that a planned restart of all in turn did the same.

Change: a bucket counts its retries until its last instant has left the window, and its requests only while its first one is in it. For the first window after its start a process has no fixed number, only its share of the requests it has seen. The share is divided anew with each machine found.

Why it works: in any window one machine's retries are at most half the ratio of its requests of that window and the one before, plus its share; summed over all machines this is at most the ratio times the greater of the two, plus 0.6 of the fixed number.

--- a/components/balance/src/retry_budget.rs
+++ b/components/balance/src/retry_budget.rs
@@ -49,19 +49,24 @@
 
 /// One machine's budget of retries to a service.
 ///
-/// In any window the retries are at most `ratio` times the requests plus `extra`.
+/// In any window the retries are at most `ratio` times the requests in it and the window before, plus
+/// `extra`. That holds over restarts of the process too: it has no fixed number until what its
+/// predecessor took has left the window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
+    /// Start of the process.
+    started: BootInstant,
     buckets: VecDeque<Bucket>,
 }
 
 impl RetryBudget {
-    /// Creates a budget with the given limit.
+    /// Creates the budget of a process that has started at `started`.
     #[must_use]
-    pub fn new(limit: RetryLimit) -> Self {
+    pub fn new(limit: RetryLimit, started: BootInstant) -> Self {
         Self {
             limit,
+            started,
             buckets: VecDeque::new(),
         }
     }
@@ -79,9 +84,18 @@
     /// Takes one retry from the budget; returns false if it is exhausted.
     pub fn take(&mut self, now: BootInstant) -> bool {
         self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
+        let window = self.limit.window;
+        // A bucket counts as soon as any retry in it may be in the window, and only while all requests
+        // in it are.
         let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
-        let allowed = self.limit.ratio * f64::from(requests) + self.limit.extra;
+        let within = self.buckets.iter().filter(|b| now.since(b.start) < window);
+        let requests: u32 = within.map(|b| b.requests).sum();
+        let extra = if now.since(self.started) < window {
+            0.0
+        } else {
+            self.limit.extra
+        };
+        let allowed = self.limit.ratio * f64::from(requests) + extra;
         if f64::from(retries + 1) > allowed {
             return false;
         }
@@ -89,14 +103,14 @@
         true
     }
 
-    /// Returns the bucket of `now`, and drops the buckets that have left the window.
+    /// Returns the bucket of `now`, and drops the buckets that have left the window as a whole.
     fn current_bucket(&mut self, now: BootInstant) -> &mut Bucket {
-        let window = self.limit.window;
-        let length = window / BUCKETS;
+        let length = self.limit.window / BUCKETS;
+        let retention = self.limit.window + length;
         while self
             .buckets
             .front()
-            .is_some_and(|b| now.since(b.start) > window)
+            .is_some_and(|b| now.since(b.start) >= retention)
         {
             self.buckets.pop_front();
         }
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -69,6 +69,7 @@
         self.peers
             .borrow_mut()
             .insert(machine.clone(), Rc::clone(&peer));
+        self.update_budgets();
         tokio::task::spawn_local(keep_connected(Rc::clone(self), peer));
     }
 
--- a/components/node/src/node/retries.rs
+++ b/components/node/src/node/retries.rs
@@ -16,7 +16,7 @@
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(self.retry_limit()));
+            .or_insert_with(|| RetryBudget::new(self.retry_limit(), self.started));
         work(budget)
     }
 
@@ -41,7 +41,8 @@
         self.update_budgets();
     }
 
-    fn update_budgets(&self) {
+    /// Divides the limits anew, after a change of the bounds or the number of machines.
+    pub(super) fn update_budgets(&self) {
         let limit = self.retry_limit();
         for budget in self.retry_budgets.borrow_mut().values_mut() {
             budget.set_limit(limit);
