Refuse endless bytes in a response at a bound

Change: a head and the interim responses before it have 64 KiB together, the lines of a chunked body 64 KiB and eight bytes for each byte of the body, and a response has to begin with `HTTP/1.`. The reader fails at the bound, so that the process closes the connection then, not at the request's deadline; an idempotent request goes to another back end, an order ends as one that may have been executed, and the back end's failure rate rises, as with corrupt responses.

A body that arrives slowly, but within its limit, still ends only at the deadline of its request: silence of a back end is no reason to end it sooner.

--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -7,6 +7,11 @@
 
 /// Largest chunk size line or trailer line in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Largest sum of the lines between chunks and of the trailer, in bytes: this and, for each byte of the
+/// body, [`MAX_LINE_BYTES_PER_BYTE`].
+const MAX_LINE_BYTES: usize = 65_536;
+/// Bytes of lines allowed for each byte of the body; a chunk of one byte takes five.
+const MAX_LINE_BYTES_PER_BYTE: usize = 8;
 
 /// How the length of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +83,8 @@
     step: Step,
     body: BytesMut,
     max_bytes: u64,
+    /// Length of all chunk size lines and trailer lines so far.
+    line_bytes: usize,
 }
 
 impl Decoder {
@@ -97,6 +104,7 @@
             step,
             body: BytesMut::new(),
             max_bytes,
+            line_bytes: 0,
         })
     }
 
@@ -112,6 +120,12 @@
         self.step == Step::UntilClose
     }
 
+    /// Returns the length of what has been decoded so far.
+    #[must_use]
+    pub fn length(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the decoded body.
     #[must_use]
     pub fn into_body(self) -> Bytes {
@@ -171,7 +185,7 @@
     }
 
     fn take_chunk_line(&mut self, buf: &mut BytesMut) -> Result<bool, ParseError> {
-        let Some(line) = take_line(buf)? else {
+        let Some(line) = self.take_line(buf)? else {
             return Ok(false);
         };
         let digits = line[..].split(|b| *b == b';').next().unwrap_or_default();
@@ -192,7 +206,7 @@
     }
 
     fn take_chunk_end(&mut self, buf: &mut BytesMut) -> Result<bool, ParseError> {
-        let Some(line) = take_line(buf)? else {
+        let Some(line) = self.take_line(buf)? else {
             return Ok(false);
         };
         if !line.is_empty() {
@@ -203,7 +217,7 @@
     }
 
     fn take_trailer(&mut self, buf: &mut BytesMut) -> Result<bool, ParseError> {
-        let Some(line) = take_line(buf)? else {
+        let Some(line) = self.take_line(buf)? else {
             return Ok(false);
         };
         if line.is_empty() {
@@ -211,20 +225,25 @@
         }
         Ok(true)
     }
-}
 
-/// Consumes one line and returns it without its line break; `None` if it is incomplete.
-fn take_line(buf: &mut BytesMut) -> Result<Option<BytesMut>, ParseError> {
-    let Some(end) = buf.iter().position(|b| *b == b'\n') else {
-        if buf.len() > MAX_CHUNK_LINE_BYTES {
+    /// Consumes one line and returns it without its line break; `None` if it is incomplete.
+    fn take_line(&mut self, buf: &mut BytesMut) -> Result<Option<BytesMut>, ParseError> {
+        let end = buf.iter().position(|b| *b == b'\n');
+        if end.unwrap_or(buf.len()) > MAX_CHUNK_LINE_BYTES {
             return Err(malformed("chunk line"));
         }
-        return Ok(None);
-    };
-    let mut line = buf.split_to(end + 1);
-    line.truncate(end);
-    if line.last() == Some(&b'\r') {
-        line.truncate(end - 1);
+        let Some(end) = end else {
+            return Ok(None);
+        };
+        self.line_bytes += end + 1;
+        if self.line_bytes > MAX_LINE_BYTES + MAX_LINE_BYTES_PER_BYTE * self.body.len() {
+            return Err(malformed("chunk lines"));
+        }
+        let mut line = buf.split_to(end + 1);
+        line.truncate(end);
+        if line.last() == Some(&b'\r') {
+            line.truncate(end - 1);
+        }
+        Ok(Some(line))
     }
-    Ok(Some(line))
 }
--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -135,9 +135,14 @@
     Ok(Some((request, framing)))
 }
 
+/// Length of the empty line that ends a head, with the line break before it.
+pub(crate) const HEAD_END_LENGTH: usize = 4;
+
 /// Returns the length of the head at the start of `buf`; `None` if it is incomplete.
 pub(crate) fn head_length(buf: &[u8]) -> Option<usize> {
-    buf.windows(4).position(|w| w == b"\r\n\r\n").map(|i| i + 4)
+    let mut windows = buf.windows(HEAD_END_LENGTH);
+    let end = windows.position(|w| w == b"\r\n\r\n");
+    end.map(|i| i + HEAD_END_LENGTH)
 }
 
 /// Writes a request line.
--- a/components/http1/src/response.rs
+++ b/components/http1/src/response.rs
@@ -1,11 +1,11 @@
 //! Incremental decoding and encoding of responses.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 
 use crate::body::{Decoder, Framing};
 use crate::error::{ParseError, malformed};
 use crate::headers::{Headers, MAX_HEADERS, put_numeric_header};
-use crate::request::head_length;
+use crate::request::{self, HEAD_END_LENGTH};
 
 /// A complete response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,8 +18,10 @@
     pub body: Bytes,
 }
 
-/// Largest head of a response in bytes.
+/// Largest head of a response in bytes, the interim responses before it included.
 const MAX_HEAD_BYTES: usize = 65_536;
+/// What each response begins with, after empty lines.
+const PROTOCOL: &[u8] = b"HTTP/1.";
 
 #[derive(Debug)]
 enum State {
@@ -32,6 +34,10 @@
 pub struct ResponseReader {
     state: State,
     max_body_bytes: u64,
+    /// Length of the heads of interim responses since the last response.
+    head_bytes: usize,
+    /// Bytes of the next head that have been searched for its end.
+    scanned: usize,
 }
 
 impl ResponseReader {
@@ -41,6 +47,17 @@
         Self {
             state: State::Head,
             max_body_bytes,
+            head_bytes: 0,
+            scanned: 0,
+        }
+    }
+
+    /// Returns how many decoded bytes of an incomplete body it holds.
+    #[must_use]
+    pub fn body_length(&self) -> usize {
+        match &self.state {
+            State::Head => 0,
+            State::Body(_, decoder) => decoder.length(),
         }
     }
 
@@ -61,7 +78,7 @@
         closed: bool,
     ) -> Result<Option<Response>, ParseError> {
         while let State::Head = self.state {
-            let Some((response, framing)) = parse_head(buf)? else {
+            let Some((response, framing)) = self.take_head(buf)? else {
                 return if closed {
                     Err(malformed("cut answer"))
                 } else {
@@ -86,6 +103,7 @@
                 Ok(None)
             };
         }
+        self.head_bytes = 0;
         match std::mem::replace(&mut self.state, State::Head) {
             State::Body(mut response, decoder) => {
                 response.body = decoder.into_body();
@@ -94,16 +112,48 @@
             State::Head => Ok(None),
         }
     }
-}
 
-fn parse_head(buf: &mut BytesMut) -> Result<Option<(Response, Framing)>, ParseError> {
-    let Some(length) = head_length(buf) else {
-        if buf.len() > MAX_HEAD_BYTES {
+    /// Consumes a head from `buf`; `None` if it is incomplete.
+    fn take_head(&mut self, buf: &mut BytesMut) -> Result<Option<(Response, Framing)>, ParseError> {
+        self.skip_line_breaks(buf);
+        if buf
+            .iter()
+            .zip(PROTOCOL)
+            .any(|(byte, expected)| byte != expected)
+        {
+            return Err(malformed("answer head"));
+        }
+        let length = self.head_length(buf);
+        if self.head_bytes + length.unwrap_or(buf.len()) > MAX_HEAD_BYTES {
             return Err(ParseError::HeadTooLong);
         }
-        return Ok(None);
-    };
-    let head = buf.split_to(length).freeze();
+        let Some(length) = length else {
+            return Ok(None);
+        };
+        self.head_bytes += length;
+        self.scanned = 0;
+        parse_head(buf.split_to(length).freeze()).map(Some)
+    }
+
+    /// Consumes the line breaks before a head.
+    fn skip_line_breaks(&mut self, buf: &mut BytesMut) {
+        let is_break = |b: &u8| matches!(b, b'\r' | b'\n');
+        let count = buf.iter().take_while(|b| is_break(b)).count();
+        buf.advance(count);
+        self.head_bytes += count;
+    }
+
+    /// Returns the length of the head at the start of `buf`, `None` if it is incomplete; looks only at
+    /// bytes that have arrived since the last call.
+    fn head_length(&mut self, buf: &[u8]) -> Option<usize> {
+        let from = self.scanned.saturating_sub(HEAD_END_LENGTH - 1);
+        let length = request::head_length(&buf[from..]).map(|length| from + length);
+        self.scanned = buf.len();
+        length
+    }
+}
+
+fn parse_head(head: Bytes) -> Result<(Response, Framing), ParseError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     match parsed.parse(&head) {
@@ -121,7 +171,7 @@
         headers,
         body: Bytes::new(),
     };
-    Ok(Some((response, framing)))
+    Ok((response, framing))
 }
 
 /// Returns the reason phrase of a status code.
