Bound the memory of incomplete responses of a back end

A response body may take 64 MiB, and as many are read at once as the back end has slots: a dozen bodies without end would take several times the memory of a machine with 160 MB, whose process the platform then ends.

Change: `response_memory` bounds the sum of the incomplete responses to a sixteenth of the memory that the settings state (10 MB of 160). What would exceed it evicts the largest one, which is the most likely to have no end; its connection is closed (`event=exchange-failed`, `fault=Evicted`), its request ends like one with a corrupt response, and the others go on. The sum is a gauge, `plantaingauge_back_end_response_bytes`.

Shown by tests/response_memory.rs (12 endless responses beside a sound one: the sum stays below the limit and what one read adds to each) and, over four processes with a stand-in that sends endless heads or bodies, by tests/whole_path/endless.rs: the requests end with 502, not at their deadline, and 40 others are served meanwhile.

Not built: back-pressure before the eviction, the soak's part, and bounds of the store's responses below 64 MiB. The peak memory of a process with 12 endless bodies was not measured.

--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use world::instant::BootInstant;
 
+use crate::response_memory::{ResponseMemory, ResponseShare};
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without traffic after which TCP keepalive probes start.
@@ -42,6 +44,8 @@
     Cut,
     /// The response is malformed, or too many belong to other requests.
     Spoilt,
+    /// The incomplete responses took too much memory, this one the most.
+    Evicted,
 }
 
 struct IdleConnection {
@@ -56,6 +60,7 @@
     idle: RefCell<Vec<IdleConnection>>,
     active: Cell<usize>,
     opened: Cell<u64>,
+    memory: ResponseMemory,
 }
 
 /// Counts a connection as in use until it is dropped.
@@ -68,14 +73,16 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool that connects to `address` on demand.
+    /// Creates an empty pool that connects to `address` on demand, in a process with `process_memory`
+    /// bytes.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, process_memory: u64) -> Self {
         Self {
             address,
             idle: RefCell::default(),
             active: Cell::new(0),
             opened: Cell::new(0),
+            memory: ResponseMemory::new(process_memory),
         }
     }
 
@@ -85,6 +92,12 @@
         self.active.get()
     }
 
+    /// Returns how many bytes incomplete responses take.
+    #[must_use]
+    pub fn response_bytes(&self) -> usize {
+        self.memory.in_use()
+    }
+
     /// Returns the number of attempts to open a connection so far.
     #[must_use]
     pub fn opened(&self) -> u64 {
@@ -151,7 +164,7 @@
         self.active.set(self.active.get() + 1);
         let _guard = ActiveGuard(&self.active);
         let (read, mut write) = stream.split();
-        let mut receiver = Receiver::new(read, id);
+        let mut receiver = Receiver::new(read, id, self.memory.share());
         let send = async {
             write.write_all(head).await?;
             write.write_all(body).await
@@ -172,6 +185,7 @@
             }
         };
         let reusable = sent && receiver.is_reusable();
+        drop(receiver);
         if reusable && check != ResponseCheck::Corrupt {
             self.keep_idle(stream, &response);
         }
@@ -205,6 +219,7 @@
 struct Receiver<'a> {
     read: tokio::net::tcp::ReadHalf<'a>,
     id: &'a [u8],
+    memory: ResponseShare<'a>,
     reader: ResponseReader,
     buf: BytesMut,
     foreign: usize,
@@ -212,10 +227,11 @@
 }
 
 impl<'a> Receiver<'a> {
-    fn new(read: tokio::net::tcp::ReadHalf<'a>, id: &'a [u8]) -> Self {
+    fn new(read: tokio::net::tcp::ReadHalf<'a>, id: &'a [u8], memory: ResponseShare<'a>) -> Self {
         Self {
             read,
             id,
+            memory,
             reader: ResponseReader::new(MAX_RESPONSE_BYTES),
             buf: BytesMut::new(),
             foreign: 0,
@@ -260,8 +276,17 @@
     }
 
     async fn fill(&mut self) -> Result<(), ExchangeError> {
+        if !self
+            .memory
+            .resize(self.buf.len() + self.reader.body_length())
+        {
+            return Err(ExchangeError::Evicted);
+        }
         self.buf.reserve(2048);
-        let count = self.read.read_buf(&mut self.buf).await;
+        let count = tokio::select! {
+            count = self.read.read_buf(&mut self.buf) => count,
+            () = self.memory.evicted() => return Err(ExchangeError::Evicted),
+        };
         self.closed = count.map_err(|_| ExchangeError::Cut)? == 0;
         Ok(())
     }
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -220,7 +220,9 @@
                     not_run(RejectReason::Unreachable, default_retry_ms)
                 }
                 ExchangeError::Cut => RequestOutcome::Lost(LossCause::Cut),
-                ExchangeError::Spoilt => RequestOutcome::Lost(LossCause::Spoilt),
+                ExchangeError::Spoilt | ExchangeError::Evicted => {
+                    RequestOutcome::Lost(LossCause::Spoilt)
+                }
             }
         }
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod probe;
 pub mod quarantine_store;
 pub mod relay;
+pub mod response_memory;
 pub mod retry_detector;
 pub mod run;
 pub mod shard_driver;
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -131,7 +131,10 @@
             incarnation,
             started: now,
             direct: DirectTransport::new(settings.store_address),
-            proxy: BackEndProxy::new(ConnectionPool::new(settings.back_end_address)),
+            proxy: BackEndProxy::new(ConnectionPool::new(
+                settings.back_end_address,
+                settings.memory_limit,
+            )),
             shard_manager: RefCell::new(ShardManager::new(settings.machine.clone(), timing, now)),
             peer_requests: RefCell::default(),
             metrics: Metrics::default(),
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -214,6 +214,10 @@
             "plantaingauge_back_end_connections_opened",
             node.proxy.connections.opened() as f64,
         ),
+        (
+            "plantaingauge_back_end_response_bytes",
+            node.proxy.connections.response_bytes() as f64,
+        ),
         (
             "plantaingauge_back_end_limit_per_second",
             limit.map_or(f64::INFINITY, RequestRate::as_per_second),
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 mod crash_causing_requests;
 mod delayed_peer;
 mod deployment;
+mod endless;
 mod late_copies;
 mod named_limits;
 mod turned_away;
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a back end: sends heartbeats, holds keys and runs requests.
 //!
 //! The end of a request's path selects what else happens: `/slow/` and `/stuck/` run long, `/cut/`
-//! and `/late-cut/` lose their response, `/turned-away/` is answered with 421, `/crash/` crashes the
+//! and `/late-cut/` lose their response, `/endless-head/` and `/endless-body/` get bytes without end,
+//! `/turned-away/` is answered with 421, `/crash/` crashes the
 //! back end as it begins to run, `/late-crash/` a moment later.
 
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use http1::response::Response;
 use serde_json::{Value, json};
 
-use crate::http;
+use crate::http::{self, Reply};
 
 /// Pause between the end of one heartbeat exchange and the next.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -23,6 +24,15 @@
 const STUCK_DURATION: Duration = Duration::from_secs(30);
 /// Time from the start of a request to a late-crash path to the crash.
 const LATE_CRASH_DELAY: Duration = Duration::from_millis(100);
+/// Ends of paths that are answered without end: the first bytes, and those that repeat.
+const ENDLESS: [(&str, &[u8], &[u8]); 2] = [
+    (
+        "/endless-head/",
+        b"HTTP/1.1 200 OK\r\n",
+        b"X-Filler: filler\r\n",
+    ),
+    ("/endless-body/", b"HTTP/1.1 200 OK\r\n\r\n", b"filler"),
+];
 /// Number of requests that a back end announces it can run at once.
 const SLOTS: u32 = 8;
 
@@ -139,7 +149,7 @@
             server: OnceLock::new(),
         });
         let handler_state = Arc::clone(&state);
-        let handler: http::Handler = Arc::new(move |request| handler_state.handle(request));
+        let handler: http::Handler = Arc::new(move |request| handler_state.reply(request));
         let server = http::serve(state.config.listen_address, handler);
         let _ = state.server.set(server);
         let heartbeat_state = Arc::clone(&state);
@@ -238,6 +248,16 @@
         unexpired && keys.grants.iter().any(|g| (g.from..=g.to).contains(&key))
     }
 
+    fn reply(&self, request: &Request) -> Reply {
+        let response = self.handle(request);
+        let path = request.path();
+        let endless = ENDLESS.iter().find(|(end, ..)| path.ends_with(end));
+        match endless.filter(|_| response.is_some()) {
+            Some((_, start, part)) => Reply::Endless(start, part),
+            None => response.into(),
+        }
+    }
+
     fn handle(&self, request: &Request) -> Option<Response> {
         let mut response = self.respond(request)?;
         let limit = self.limit.lock().expect("no panic under the lock").clone();
--- a/components/stand-ins/src/http.rs
+++ b/components/stand-ins/src/http.rs
@@ -17,11 +17,29 @@
 };
 /// Maximum size of a response body in bytes.
 const MAX_RESPONSE_BYTES: u64 = 1 << 24;
+/// Bytes of an endless response that are written at once, about.
+const ENDLESS_BLOCK_BYTES: usize = 16_384;
 /// Connect timeout of the connection that wakes the accepting thread.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Handles a request; `None` closes the connection without a response.
-pub type Handler = Arc<dyn Fn(&Request) -> Option<Response> + Send + Sync>;
+/// Handles a request.
+pub type Handler = Arc<dyn Fn(&Request) -> Reply + Send + Sync>;
+
+/// What a handler sends.
+pub enum Reply {
+    /// A response.
+    Response(Box<Response>),
+    /// Nothing; the connection is closed.
+    Close,
+    /// Bytes that go on until the caller closes: the first ones, and those that repeat.
+    Endless(&'static [u8], &'static [u8]),
+}
+
+impl From<Option<Response>> for Reply {
+    fn from(response: Option<Response>) -> Self {
+        response.map_or(Self::Close, |r| Self::Response(Box::new(r)))
+    }
+}
 
 /// A listener that accepts connections until it is closed.
 pub struct Acceptor {
@@ -94,9 +112,13 @@
     loop {
         match reader.next(&mut buf, REQUEST_BOUNDS) {
             Ok(Some(request)) => {
-                let Some(response) = handler(&request) else {
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
+                let response = match handler(&request) {
+                    Reply::Response(response) => response,
+                    Reply::Close => {
+                        let _ = stream.shutdown(Shutdown::Both);
+                        return;
+                    }
+                    Reply::Endless(start, part) => return send_endlessly(&stream, start, part),
                 };
                 let mut out = BytesMut::new();
                 response::encode(&mut out, &response, false);
@@ -113,6 +135,15 @@
     }
 }
 
+/// Sends bytes until the caller closes the connection.
+fn send_endlessly(mut stream: &TcpStream, start: &[u8], part: &[u8]) {
+    let block = part.repeat(ENDLESS_BLOCK_BYTES / part.len().max(1));
+    let mut sent = stream.write_all(start);
+    while sent.is_ok() {
+        sent = stream.write_all(&block);
+    }
+}
+
 /// A client connection that carries one request at a time.
 pub struct Connection {
     stream: TcpStream,
--- a/components/stand-ins/src/store.rs
+++ b/components/stand-ins/src/store.rs
@@ -74,7 +74,7 @@
             address,
         };
         let handler_store = store.clone();
-        let handler: http::Handler = Arc::new(move |request| handler_store.handle(request));
+        let handler: http::Handler = Arc::new(move |request| handler_store.handle(request).into());
         // The acceptor is dropped without being closed: the store listens until the process ends.
         let _ = http::serve(address, handler);
         store
--- a/soak/tests/proxy.rs
+++ b/soak/tests/proxy.rs
@@ -17,7 +17,7 @@
 }
 
 fn start(port: u16) -> (Proxy, Acceptor) {
-    let server = http::serve(address(port), Arc::new(|_| Some(Response::new(200))));
+    let server = http::serve(address(port), Arc::new(|_| Some(Response::new(200)).into()));
     (Proxy::start(address(port + 1), address(port)), server)
 }
 
@@ -55,7 +55,7 @@
     let handler_count = Arc::clone(&request_count);
     let handler: http::Handler = Arc::new(move |_| {
         handler_count.fetch_add(1, Ordering::SeqCst);
-        Some(Response::new(200))
+        Some(Response::new(200)).into()
     });
     let _server = http::serve(address(7_230), handler);
     let proxy = Proxy::start(address(7_231), address(7_230));
