--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -29,9 +29,9 @@
 use xxhash_rust::xxh3;
 
 use crate::frame::{ForwardedRequest, ForwardedResponse, RequestOutcome, pack_headers};
-use crate::link::Peer;
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::{ActiveConfig, Node};
+use crate::peer::Peer;
 use crate::{leaving, suspects};
 
 /// Timeout of a request without a `Deadline-Ms` header.
--- a/components/node/src/dispatch/outcome.rs
+++ b/components/node/src/dispatch/outcome.rs
@@ -7,7 +7,7 @@
 
 use super::{Completion, Destination, REROUTE_INTERVAL, RequestDispatch};
 use crate::frame::{RejectReason, RequestOutcome};
-use crate::link::Peer;
+use crate::peer::Peer;
 
 /// Longest wait for a changed assignment before a request goes again to the same owner of its key.
 const SAME_OWNER_BACKOFF: Duration = Duration::from_millis(200);
--- a/components/node/src/dispatch/sending.rs
+++ b/components/node/src/dispatch/sending.rs
@@ -8,7 +8,7 @@
 use super::{Destination, REROUTE_INTERVAL, RequestDispatch, millis};
 use crate::back_end_proxy::submission;
 use crate::frame::{ForwardedRequest, Frame, LossCause, RejectReason, RequestOutcome};
-use crate::link::Peer;
+use crate::peer::Peer;
 
 /// Time for a lost connection to reopen before a request sent over it counts as lost.
 const RECONNECT_TIMEOUT: Duration = Duration::from_millis(900);
--- /dev/null
+++ b/components/node/src/frame/features.rs
@@ -0,0 +1,50 @@
+//! What a process decodes, announced to its peers.
+
+/// What a process decodes beyond the frames that all versions have in common.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// [`Frame::CrashReports`](super::Frame::CrashReports), [`Blocked`](super::RejectReason::Blocked),
+    /// [`Isolated`](super::RejectReason::Isolated) and
+    /// [`TurnedAway`](super::RejectReason::TurnedAway).
+    pub crash_reports: bool,
+    /// [`Frame::CrashReportsWithExits`](super::Frame::CrashReportsWithExits).
+    pub crash_exits: bool,
+    /// [`Frame::StatusUpdate`](super::Frame::StatusUpdate).
+    pub status_updates: bool,
+}
+
+impl Features {
+    /// Features of this version.
+    pub const SUPPORTED: Self = Self {
+        crash_reports: true,
+        crash_exits: true,
+        status_updates: true,
+    };
+    const CRASH_REPORTS_BIT: u32 = 1;
+    const CRASH_EXITS_BIT: u32 = 1 << 1;
+    const STATUS_UPDATES_BIT: u32 = 1 << 2;
+
+    pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
+        let flags = [
+            (self.crash_reports, Self::CRASH_REPORTS_BIT),
+            (self.crash_exits, Self::CRASH_EXITS_BIT),
+            (self.status_updates, Self::STATUS_UPDATES_BIT),
+        ];
+        let set = flags.iter().filter(|(is_set, _)| *is_set);
+        let bits: u32 = set.map(|(_, bit)| bit).sum();
+        postcard::to_stdvec(&bits)
+    }
+
+    /// Decodes the bytes that follow a `Hello`, none from a version without features.
+    pub(super) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let bits: u32 = postcard::from_bytes(bytes)?;
+        Ok(Self {
+            crash_reports: bits & Self::CRASH_REPORTS_BIT != 0,
+            crash_exits: bits & Self::CRASH_EXITS_BIT != 0,
+            status_updates: bits & Self::STATUS_UPDATES_BIT != 0,
+        })
+    }
+}
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -14,7 +14,9 @@
 use super::Node;
 use super::keys::assignment_frame;
 use crate::frame::{Frame, NodeStatus, StatusUpdate};
-use crate::link::{FrameSender, Peer, keep_connected, send_frame};
+use crate::frame_stream::{FrameSender, send_frame};
+use crate::link::keep_connected;
+use crate::peer::Peer;
 use crate::suspects::{self, CrashReport, Source};
 
 impl Node {
--- a/components/node/src/peer_requests.rs
+++ b/components/node/src/peer_requests.rs
@@ -12,7 +12,7 @@
 use tokio::task::AbortHandle;
 use world::instant::BootInstant;
 
-use crate::link::FrameSender;
+use crate::frame_stream::FrameSender;
 
 /// Time for which a response is kept in case the peer reconnects and sends its request again;
 /// longer than it waits for a reconnect.
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -13,7 +13,8 @@
 
 use crate::back_end_proxy::submission;
 use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
-use crate::link::{FrameSender, KEEPALIVE_IDLE, read_frames, send_frame, write_frames};
+use crate::frame_stream::{FrameSender, read_frames, send_frame, write_frames};
+use crate::link::KEEPALIVE_IDLE;
 use crate::node::Node;
 use crate::{accept, suspects};
 
--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -2,7 +2,7 @@
 
 use bytes::{BufMut, BytesMut};
 use node::frame::{self, Features, Frame, NodeStatus, RejectReason, RequestOutcome};
-use node::link::Peer;
+use node::peer::Peer;
 use node::suspects::{self, CrashReport};
 use quarantine::crash_count::CrashCount;
 use quarantine::exits::BackEndHash;
