--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 use crate::notices::Notice;
 use crate::plan::Link;
 use crate::proxy::{LinkFault, Proxy};
+use crate::run::STORE_MACHINE;
 
 /// Time limit of a graceful shutdown (`graceS`), after which the process is killed.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(6);
@@ -27,6 +29,10 @@
 
 /// Second octet of the addresses of soaks.
 const SECOND_OCTET: u8 = 78;
+/// Number of third octets from which a soak takes one.
+const THIRD_OCTETS: u64 = 251;
+/// Machine and port on which a soak listens for as long as it uses its third octet.
+const CLAIM: (usize, u16) = (253, 7_999);
 /// Offset of a proxy's port from the port behind it.
 const PROXY_OFFSET: u16 = 100;
 
@@ -61,6 +67,8 @@
 pub struct Environment {
     /// Addresses of the deployment.
     pub layout: Layout,
+    /// Keeps other soaks from the addresses; `None` if all are in use.
+    _claim: Option<Arc<TcpListener>>,
     /// Directory for settings and logs.
     pub directory: PathBuf,
     /// Program that the nodes run.
@@ -70,12 +78,19 @@
 impl Environment {
     /// Creates the environment of a soak.
     ///
-    /// The addresses depend on the seed and the id of this process, so that soaks can run at once.
+    /// Its addresses are those of no other soak that runs at the same time.
     #[must_use]
     pub fn new(directory: PathBuf, program: PathBuf, seed: u64) -> Self {
-        let mixed = seed.wrapping_add(u64::from(std::process::id()).wrapping_mul(61));
+        let first = seed.wrapping_add(u64::from(std::process::id()).wrapping_mul(61));
+        let layout = |i: u64| {
+            let octet = first.wrapping_add(i) % THIRD_OCTETS;
+            Layout::new(SECOND_OCTET, u8::try_from(octet).unwrap_or_default())
+        };
+        let claimed = (0..THIRD_OCTETS).find_map(|i| Some((layout(i), claim(layout(i))?)));
+        let (layout, claim) = claimed.map_or((layout(0), None), |(l, c)| (l, Some(Arc::new(c))));
         Self {
-            layout: Layout::new(SECOND_OCTET, u8::try_from(mixed % 251).unwrap_or_default()),
+            layout,
+            _claim: claim,
             directory,
             program,
         }
@@ -86,6 +101,15 @@
     }
 }
 
+/// Listens on the address that stands for all of a layout; `None` if another soak does or its store
+/// still listens.
+fn claim(layout: Layout) -> Option<TcpListener> {
+    let (machine, port) = CLAIM;
+    let listener = TcpListener::bind(layout.address(machine, port)).ok()?;
+    TcpListener::bind(layout.address(STORE_MACHINE, layout::STORE_PORT)).ok()?;
+    Some(listener)
+}
+
 enum Process {
     Running(Child),
     Stopping { child: Child, since: Instant },
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -20,7 +20,7 @@
 /// Time limit for all requests to be served after the start, and again after the last fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Machine index of the store in the layout.
-const STORE_MACHINE: usize = 98;
+pub(crate) const STORE_MACHINE: usize = 98;
 /// Number of callers that send to each machine.
 const CALLERS_PER_MACHINE: u64 = 2;
 /// Time between two polls of the fleet.
