Give revisions of stored objects a type with room for the store's era

No change of behaviour: all revisions are in era 0 so far, frames and logs have the same bytes. Tests write numbers as Revision; no assertion changed otherwise.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -13,7 +13,11 @@
     let apply_node = Rc::clone(&node);
     store_watch::run(node, store, KIND, |object| {
         if object.name == NAME {
-            apply_node.on_configuration(object.stored.revision, object.stored.value, "store");
+            apply_node.on_configuration(
+                object.stored.revision.number(),
+                object.stored.value,
+                "store",
+            );
         }
     })
     .await;
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -5,6 +5,7 @@
 
 use balance::choice::{Candidate, Distance, choose};
 use rand::Rng;
+use shards::revision::Revision;
 use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use world::name::MachineName;
@@ -48,7 +49,7 @@
             owner = owner.as_ref().map_or("-", |m| m.as_str()),
             fence:? = range.map(|r| r.fence),
             connected:? = connected,
-            revision = assignment.as_ref().map_or(0, |a| a.revision),
+            revision:% = assignment.as_ref().map_or(Revision::NONE, |a| a.revision),
             refused = self.rejections.len();
             ""
         );
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -15,6 +15,7 @@
 use quarantine::exits::Exits;
 use serde::{Deserialize, Serialize};
 use shards::assignment::{Assignment, Change};
+use shards::revision::Revision;
 use world::name::ServiceName;
 
 use crate::suspects::CrashReport;
@@ -72,7 +73,7 @@
         /// The service.
         service: ServiceName,
         /// Revision of the stored object.
-        revision: u64,
+        revision: Revision,
         /// The assignment.
         assignment: Box<Assignment>,
     },
@@ -81,16 +82,16 @@
         /// The service.
         service: ServiceName,
         /// Revision before the write.
-        base: u64,
+        base: Revision,
         /// Revision after it.
-        revision: u64,
+        revision: Revision,
         /// The change.
         change: Box<Change>,
     },
     /// Requests the assignments of which the receiver has a newer revision than the sender.
     AssignmentsRequest {
         /// Revisions that the sender has.
-        known: Vec<(ServiceName, u64)>,
+        known: Vec<(ServiceName, Revision)>,
     },
     /// A request to the store that the receiver sends on behalf of the sender.
     StoreRequest {
--- a/components/node/src/frame/status.rs
+++ b/components/node/src/frame/status.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use shards::incarnation::BackEndIncarnation;
 use shards::lease::Lease;
+use shards::revision::Revision;
 use world::name::{MachineName, RegionName, ServiceName, ZoneName};
 
 use super::Features;
@@ -29,7 +30,7 @@
     /// The back end, if it takes requests.
     pub back_end: Option<BackEndStatus>,
     /// Revision and content of the machine's lease.
-    pub lease: Option<(u64, Lease)>,
+    pub lease: Option<(Revision, Lease)>,
     /// Revision of the newest configuration that the process has, 0 for none.
     pub catalog_revision: u64,
     /// Whether the process reaches the store.
@@ -50,7 +51,7 @@
     /// Version of the status after the change.
     pub version: u64,
     /// See [`NodeStatus::lease`].
-    pub lease: Option<(u64, Lease)>,
+    pub lease: Option<(Revision, Lease)>,
     /// See [`NodeStatus::catalog_revision`].
     pub catalog_revision: u64,
     /// See [`NodeStatus::store_reachable`].
--- a/components/node/src/node/keys.rs
+++ b/components/node/src/node/keys.rs
@@ -5,6 +5,7 @@
 
 use shards::assignment::{Assignment, Change};
 use shards::manager::Versioned;
+use shards::revision::Revision;
 use world::name::ServiceName;
 
 use super::Node;
@@ -22,11 +23,13 @@
     pub(super) fn on_assignment_change(
         &self,
         service: &ServiceName,
-        base: u64,
-        revision: u64,
+        base: Revision,
+        revision: Revision,
         change: Change,
     ) {
-        let current = self.assignment(service).map_or(0, |a| a.revision);
+        let current = self
+            .assignment(service)
+            .map_or(Revision::NONE, |a| a.revision);
         if current >= revision {
             return;
         }
@@ -53,8 +56,10 @@
     #[must_use]
     pub fn assignments_to_fetch(&self) -> BTreeSet<ServiceName> {
         let pending = self.pending_changes.borrow();
-        let known_revision =
-            |service: &ServiceName| self.assignment(service).map_or(0, |a| a.revision);
+        let known_revision = |service: &ServiceName| {
+            self.assignment(service)
+                .map_or(Revision::NONE, |a| a.revision)
+        };
         let behind = pending
             .latest()
             .filter(|(s, revision)| known_revision(s) < *revision);
@@ -63,7 +68,7 @@
             let unknown = active_config
                 .catalog
                 .keyed_services()
-                .filter(|s| known_revision(s) == 0);
+                .filter(|s| known_revision(s) == Revision::NONE);
             outdated.extend(unknown.cloned());
         }
         outdated
@@ -72,7 +77,7 @@
     /// Stores an assignment if it is valid and newer than the known one; returns whether it did.
     pub fn on_assignment(&self, service: &ServiceName, stored: Versioned<Assignment>) -> bool {
         if !stored.value.is_valid() {
-            log::error!(event = "assignment-refused", service = service.as_str(), revision = stored.revision; "");
+            log::error!(event = "assignment-refused", service = service.as_str(), revision:% = stored.revision; "");
             return false;
         }
         let newer = self
@@ -83,7 +88,7 @@
         if !newer {
             return false;
         }
-        log::info!(event = "assignment", service = service.as_str(), revision = stored.revision, ranges = stored.value.ranges.len(), keys = key_counts(&stored.value).as_str(); "");
+        log::info!(event = "assignment", service = service.as_str(), revision:% = stored.revision, ranges = stored.value.ranges.len(), keys = key_counts(&stored.value).as_str(); "");
         if *service == self.service() {
             self.shard_manager
                 .borrow_mut()
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -7,6 +7,7 @@
 use balance::choice::Distance;
 use rand::seq::IteratorRandom;
 use shards::manager::Versioned;
+use shards::revision::Revision;
 use timer::{BootClock, Clock};
 use world::instant::BootInstant;
 use world::name::{MachineName, RegionName, ServiceName};
@@ -119,7 +120,7 @@
             } => self.on_assignment_change(&service, base, revision, *change),
             Frame::AssignmentsRequest { known } => {
                 for (service, stored) in self.assignments.borrow().iter() {
-                    let up_to_date = |(s, revision): &(ServiceName, u64)| {
+                    let up_to_date = |(s, revision): &(ServiceName, Revision)| {
                         s == service && *revision >= stored.revision
                     };
                     if !known.iter().any(up_to_date) {
--- a/components/node/src/pending_changes.rs
+++ b/components/node/src/pending_changes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use shards::assignment::Change;
+use shards::revision::Revision;
 use world::name::ServiceName;
 
 /// Most changes buffered for one service; those with the lowest base revision are dropped first.
@@ -14,14 +15,20 @@
 /// connections and can arrive out of order.
 #[derive(Debug, Default)]
 pub struct PendingChanges {
-    by_base: BTreeMap<ServiceName, BTreeMap<u64, (u64, Change)>>,
-    latest: BTreeMap<ServiceName, u64>,
+    by_base: BTreeMap<ServiceName, BTreeMap<Revision, (Revision, Change)>>,
+    latest: BTreeMap<ServiceName, Revision>,
 }
 
 impl PendingChanges {
     /// Stores a change from `base` to `revision`. If both are the same, only notes that the
     /// revision exists.
-    pub fn insert(&mut self, service: &ServiceName, base: u64, revision: u64, change: Change) {
+    pub fn insert(
+        &mut self,
+        service: &ServiceName,
+        base: Revision,
+        revision: Revision,
+        change: Change,
+    ) {
         let latest = self.latest.entry(service.clone()).or_default();
         *latest = revision.max(*latest);
         if base == revision {
@@ -36,14 +43,14 @@
 
     /// Removes and returns the change of the revision `base` and the revision that it leads to;
     /// drops the changes of earlier revisions.
-    pub fn take(&mut self, service: &ServiceName, base: u64) -> Option<(u64, Change)> {
+    pub fn take(&mut self, service: &ServiceName, base: Revision) -> Option<(Revision, Change)> {
         let changes = self.by_base.get_mut(service)?;
         *changes = changes.split_off(&base);
         changes.remove(&base)
     }
 
     /// Returns the latest revision known to exist, for each service.
-    pub fn latest(&self) -> impl Iterator<Item = (&ServiceName, u64)> {
+    pub fn latest(&self) -> impl Iterator<Item = (&ServiceName, Revision)> {
         self.latest
             .iter()
             .map(|(service, revision)| (service, *revision))
--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -13,6 +13,7 @@
 use shards::assignment::Assignment;
 use shards::lease::Lease;
 use shards::manager::{PeerState, StoreOp, StoreOutcome, Versioned};
+use shards::revision::Revision;
 use timer::{BootClock, Clock, Ticks};
 use world::instant::BootInstant;
 use world::name::MachineName;
@@ -312,6 +313,6 @@
 }
 
 /// Returns whether the operation replaces the object at that revision.
-fn replaces_revision<T>(op: &StoreOp<T>, revision: u64) -> bool {
+fn replaces_revision<T>(op: &StoreOp<T>, revision: Revision) -> bool {
     matches!(op, StoreOp::Replace(stored) if stored.revision == revision)
 }
--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -143,12 +143,12 @@
         region: RegionName::new("region"),
         zone: ZoneName::new("availability-zone"),
         service: ServiceName::new("service"),
-        lease: Some((70_000, Lease::default().next_epoch())),
+        lease: Some((70_000.into(), Lease::default().next_epoch())),
         ..status()
     };
     let renewed = NodeStatus {
         version: 2,
-        lease: Some((70_123, Lease::default().next_epoch().renewed())),
+        lease: Some((70_123.into(), Lease::default().next_epoch().renewed())),
         ..previous.clone()
     };
     let update = renewed
--- a/components/shards/src/lib.rs
+++ b/components/shards/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod packed;
 pub mod placement;
 pub mod release;
+pub mod revision;
 pub mod span;
--- a/components/shards/src/manager/renewal.rs
+++ b/components/shards/src/manager/renewal.rs
@@ -5,6 +5,7 @@
 use super::ShardManager;
 use super::types::{StoreOp, StoreOutcome, Versioned};
 use crate::lease::Lease;
+use crate::revision::Revision;
 
 impl ShardManager {
     /// Returns the operation due on the lease, if any.
@@ -94,7 +95,7 @@
         self.lease.as_ref().is_some_and(|l| l.value.epoch == epoch)
     }
 
-    fn confirm_lease(&mut self, sent: BootInstant, revision: u64, value: Lease) {
+    fn confirm_lease(&mut self, sent: BootInstant, revision: Revision, value: Lease) {
         let same_epoch = self.holds_epoch(value.epoch);
         let until = sent + self.timing.lease;
         self.valid_until = if same_epoch {
--- a/components/shards/src/manager/types.rs
+++ b/components/shards/src/manager/types.rs
@@ -7,6 +7,7 @@
 use crate::assignment::Holder;
 use crate::incarnation::BackEndIncarnation;
 use crate::lease::Lease;
+use crate::revision::Revision;
 
 /// Durations that every machine of a deployment shares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,7 +59,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Versioned<T> {
     /// Revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The object.
     pub value: T,
 }
--- a/components/shards/tests/one_holder/model/store.rs
+++ b/components/shards/tests/one_holder/model/store.rs
@@ -5,6 +5,7 @@
 use shards::assignment::Assignment;
 use shards::lease::Lease;
 use shards::manager::{StoreOp, StoreOutcome, Versioned};
+use shards::revision::Revision;
 use world::name::MachineName;
 
 /// Objects of one type by name.
@@ -18,7 +19,7 @@
 }
 
 impl<T: Clone + PartialEq> Objects<T> {
-    fn execute(&mut self, revision: &mut u64, name: &str, op: &StoreOp<T>) -> StoreOutcome<T> {
+    fn execute(&mut self, revision: &mut u32, name: &str, op: &StoreOp<T>) -> StoreOutcome<T> {
         let found = self.0.get(name).cloned();
         match (op, found) {
             (StoreOp::Read, Some(stored)) => StoreOutcome::Done(stored),
@@ -37,10 +38,10 @@
         }
     }
 
-    fn write(&mut self, revision: &mut u64, name: &str, value: &T) -> Versioned<T> {
+    fn write(&mut self, revision: &mut u32, name: &str, value: &T) -> Versioned<T> {
         *revision += 1;
         let stored = Versioned {
-            revision: *revision,
+            revision: Revision::from(*revision),
             value: value.clone(),
         };
         self.0.insert(name.to_owned(), stored.clone());
@@ -51,7 +52,7 @@
 /// A simulated store.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Store {
-    revision: u64,
+    revision: u32,
     leases: Objects<Lease>,
     assignments: Objects<Assignment>,
 }
--- a/components/shards/tests/restart_of_all.rs
+++ b/components/shards/tests/restart_of_all.rs
@@ -11,11 +11,12 @@
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
 use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
+use shards::revision::Revision;
 use world::instant::BootInstant;
 use world::name::MachineName;
 
 const START: BootInstant = BootInstant::from_millis(1_000_000);
-const LEASE_REVISION: u64 = 3;
+const LEASE_REVISION: u32 = 3;
 
 fn machine(index: usize) -> MachineName {
     MachineName::new(&format!("m{index:03}"))
@@ -36,10 +37,15 @@
     for _ in 0..run {
         value = value.next_epoch();
     }
-    let revision = LEASE_REVISION;
+    let revision = LEASE_REVISION.into();
     Versioned { revision, value }
 }
 
+/// Returns the revision after another one.
+fn next(revision: Revision) -> Revision {
+    Revision::new(revision.era(), revision.number() + 1).expect("few revisions")
+}
+
 /// The object of the store, and the calls on it.
 struct Store {
     assignment: Versioned<Assignment>,
@@ -56,7 +62,7 @@
             }
             self.writes += 1;
             self.assignment = Versioned {
-                revision: written.revision + 1,
+                revision: next(written.revision),
                 value: written.value.clone(),
             };
         }
@@ -105,7 +111,8 @@
 fn a_restart_of_all_costs_one_write_a_machine(#[case] count: usize) {
     let holders: BTreeMap<_, _> = (0..count).map(|i| (machine(i), holder(i, 1))).collect();
     let value = Assignment::new(holders).expect("there are holders");
-    let assignment = Versioned { revision: 7, value };
+    let revision = Revision::from(7);
+    let assignment = Versioned { revision, value };
     let mut managers: Vec<ShardManager> = (0..count)
         .map(|i| restarted(i, count, &assignment))
         .collect();
@@ -151,7 +158,8 @@
     let holders: BTreeMap<_, _> = (0..3).map(|i| (machine(i), holder(i, 1))).collect();
     let mut value = Assignment::new(holders).expect("there are holders");
     value.set_holder(&machine(1), holder(1, 3));
-    let assignment = Versioned { revision: 7, value };
+    let revision = Revision::from(7);
+    let assignment = Versioned { revision, value };
     let manager = restarted(0, 3, &assignment);
     let Some(StoreOp::Replace(written)) = manager.assignment_op(START) else {
         panic!("the machine registers itself");
--- a/components/shards/tests/retry_report.rs
+++ b/components/shards/tests/retry_report.rs
@@ -8,6 +8,7 @@
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
 use shards::manager::{ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
+use shards::revision::Revision;
 use world::instant::BootInstant;
 use world::name::MachineName;
 
@@ -35,7 +36,7 @@
     assert!(manager.on_report(at(0), &report(1)).is_none());
     let lease = Lease::default().next_epoch();
     let created = StoreOutcome::Done(Versioned {
-        revision: 3,
+        revision: Revision::from(3),
         value: lease,
     });
     manager.on_lease_outcome(at(100), &StoreOp::Create(lease), created);
@@ -46,7 +47,8 @@
     };
     let holders: BTreeMap<_, _> = [(own, holder)].into();
     let value = Assignment::new(holders).expect("one holder");
-    manager.on_assignment(Versioned { revision: 4, value });
+    let revision = Revision::from(4);
+    manager.on_assignment(Versioned { revision, value });
     manager
 }
 
--- a/components/shards/tests/takeover.rs
+++ b/components/shards/tests/takeover.rs
@@ -8,6 +8,7 @@
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
 use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
+use shards::revision::Revision;
 use world::instant::BootInstant;
 use world::name::MachineName;
 
@@ -22,7 +23,8 @@
     }
 }
 
-fn stored<T>(revision: u64, value: T) -> Versioned<T> {
+fn stored<T>(revision: u32, value: T) -> Versioned<T> {
+    let revision = Revision::from(revision);
     Versioned { revision, value }
 }
 
