--- a/components/shards/tests/one_holder/model/mod.rs
+++ b/components/shards/tests/one_holder/model/mod.rs
@@ -69,6 +69,18 @@
     back_end_starts_at: Option<f64>,
     boots: u64,
     partitioned_until: f64,
+    no_store_until: f64,
+    no_peers_until: f64,
+}
+
+impl Machine {
+    fn reaches_store(&self, now: f64) -> bool {
+        now >= self.partitioned_until && now >= self.no_store_until
+    }
+
+    fn reaches_peers(&self, now: f64) -> bool {
+        now >= self.partitioned_until && now >= self.no_peers_until
+    }
 }
 
 struct PendingReply {
@@ -112,6 +124,8 @@
                 back_end_starts_at: Some(rng.random_range(0.0..300.0)),
                 boots: 0,
                 partitioned_until: 0.0,
+                no_store_until: 0.0,
+                no_peers_until: 0.0,
             })
             .collect();
         let n = machines.len();
@@ -121,7 +135,7 @@
             end: history.end,
             events: history.events,
             store_faults: history.store_faults,
-            store: Store::default(),
+            store: Store::new(history.restores),
             machines,
             connected: vec![vec![(false, 0.0); n]; n],
             in_flight: Vec::new(),
@@ -138,6 +152,7 @@
             self.now += STEP_MS;
             self.apply_due_events();
             self.update_links();
+            self.store.advance(self.now);
             self.execute_requests();
             self.return_outcomes();
             if let Some(violation) = self.deliver_replies() {
@@ -215,7 +230,17 @@
                 self.machines[i].process_starts_at = span.map(|s| now + s);
                 self.machines[i].back_end_starts_at = span.map(|s| now + s + 200.0);
             }
+            Event::KillAllProcesses(span) => {
+                for m in &mut self.machines {
+                    // Restarts that are due already stay as they are.
+                    if m.process.take().is_some() {
+                        m.process_starts_at = Some(now + self.rng.random_range(0.3..1.0) * span);
+                    }
+                }
+            }
             Event::Partition(i, span) => self.machines[i].partitioned_until = now + span,
+            Event::PartitionFromStore(i, span) => self.machines[i].no_store_until = now + span,
+            Event::PartitionFromPeers(i, span) => self.machines[i].no_peers_until = now + span,
             Event::Drain(i) => {
                 if let Some(b) = &mut self.machines[i].back_end {
                     b.draining = true;
@@ -271,8 +296,8 @@
                 let up = a != b
                     && self.is_process_running(a)
                     && self.is_process_running(b)
-                    && self.now >= self.machines[a].partitioned_until
-                    && self.now >= self.machines[b].partitioned_until;
+                    && self.machines[a].reaches_peers(self.now)
+                    && self.machines[b].reaches_peers(self.now);
                 if self.connected[a][b].0 != up {
                     self.connected[a][b] = (up, self.now);
                 }
@@ -527,11 +552,11 @@
     fn send(&mut self, i: usize, request: Request) {
         let sent = self.clock(i);
         let faults = self.current_faults();
-        let partitioned = self.now < self.machines[i].partitioned_until;
+        let unreachable = self.store.is_away(self.now) || !self.machines[i].reaches_store(self.now);
         let latency = self.rng.random_range(4.0..faults.latency_ms);
         let draw: f64 = self.rng.random_range(0.0..1.0);
         let timeout = self.now + 1_000.0;
-        let (executes_at, returns_at, has_response) = if partitioned || draw < faults.dropped {
+        let (executes_at, returns_at, has_response) = if unreachable || draw < faults.dropped {
             (None, timeout, false)
         } else if draw < faults.dropped + faults.response_lost {
             (Some(self.now + latency), timeout, false)
@@ -558,6 +583,10 @@
 
     fn execute_requests(&mut self) {
         let now = self.now;
+        if self.store.is_away(now) {
+            self.interrupt_requests();
+            return;
+        }
         let mut order: Vec<usize> = (0..self.in_flight.len())
             .filter(|k| self.in_flight[*k].executes_at.is_some_and(|t| t <= now))
             .collect();
@@ -582,6 +611,19 @@
         }
     }
 
+    /// Drops the requests that the store would execute now, or delays them until it is back.
+    fn interrupt_requests(&mut self) {
+        let now = self.now;
+        let due = |r: &&mut InFlight| r.executes_at.is_some_and(|at| at <= now);
+        for request in self.in_flight.iter_mut().filter(due) {
+            request.has_response = false;
+            request.executes_at = match self.rng.random_bool(0.5) {
+                true => Some(now + self.rng.random_range(0.0..3_000.0)),
+                false => None,
+            };
+        }
+    }
+
     fn return_outcomes(&mut self) {
         let now = self.now;
         let mut remaining = Vec::new();
--- a/components/shards/tests/one_holder/model/store.rs
+++ b/components/shards/tests/one_holder/model/store.rs
@@ -1,6 +1,7 @@
-//! A simulated object store: conditional writes with one revision counter.
+//! A simulated object store: conditional writes with one revision counter, and returns from older
+//! copies.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use shards::assignment::Assignment;
 use shards::lease::Lease;
@@ -8,6 +9,8 @@
 use shards::revision::Revision;
 use world::name::MachineName;
 
+use super::history::Restore;
+
 /// Objects of one type by name.
 #[derive(Clone, Debug)]
 pub(crate) struct Objects<T>(BTreeMap<String, Versioned<T>>);
@@ -49,30 +52,74 @@
     }
 }
 
-/// A simulated store.
+/// The objects and the revision counter.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Store {
+struct State {
     revision: u32,
     leases: Objects<Lease>,
     assignments: Objects<Assignment>,
 }
 
+/// A simulated store.
+#[derive(Clone, Debug)]
+pub(crate) struct Store {
+    state: State,
+    /// Restores to come, each with its copy once that is taken.
+    restores: VecDeque<(Restore, Option<State>)>,
+}
+
 /// Name of the only assignment.
 const ASSIGNMENT: &str = "service";
 
 impl Store {
+    /// Creates a store without objects.
+    pub(crate) fn new(restores: Vec<Restore>) -> Self {
+        Self {
+            state: State::default(),
+            restores: restores.into_iter().map(|r| (r, None)).collect(),
+        }
+    }
+
+    /// Takes the copies that are due at `now` and returns from one if it is time.
+    pub(crate) fn advance(&mut self, now: f64) {
+        for (restore, copy) in &mut self.restores {
+            if copy.is_none() && restore.copied_at <= now {
+                *copy = Some(self.state.clone());
+            }
+        }
+        let next = self.restores.front();
+        if next.is_some_and(|(r, _)| r.back_at <= now)
+            && let Some((_, Some(copy))) = self.restores.pop_front()
+        {
+            self.state = copy;
+        }
+    }
+
+    /// Whether it executes no requests at `now`.
+    pub(crate) fn is_away(&self, now: f64) -> bool {
+        let next = self.restores.front();
+        next.is_some_and(|(r, _)| r.away_at <= now)
+    }
+
     /// Executes an operation on a lease.
     pub(crate) fn lease(
         &mut self,
         machine: &MachineName,
         op: &StoreOp<Lease>,
     ) -> StoreOutcome<Lease> {
-        self.leases
-            .execute(&mut self.revision, machine.as_str(), op)
+        let State {
+            revision, leases, ..
+        } = &mut self.state;
+        leases.execute(revision, machine.as_str(), op)
     }
 
     /// Executes an operation on the assignment.
     pub(crate) fn assignment(&mut self, op: &StoreOp<Assignment>) -> StoreOutcome<Assignment> {
-        self.assignments.execute(&mut self.revision, ASSIGNMENT, op)
+        let State {
+            revision,
+            assignments,
+            ..
+        } = &mut self.state;
+        assignments.execute(revision, ASSIGNMENT, op)
     }
 }
