Show the store's era and what is ignored as outdated

No decision changes here.

- Each response of the store, whatever its status, has the era that it names, the first one if it names none.
- The node records the latest era of its own calls and watches, of calls for peers, and of what peers relay: `event=store-era era=N previous=M`, gauge `plantaingauge_store_era`, counter `plantaingauge_store_era_changes_total`.
Tasks can wait for a later one.
- `event=configuration-outdated` and `event=assignment-outdated` name both revisions when something that differs from what is in force is ignored.

Relayed responses end with the era. A process of an earlier version decodes them, as bytes that follow are ignored. It would send none itself, so only processes that announce `store_eras` are asked to relay.

--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -11,6 +11,8 @@
     pub crash_exits: bool,
     /// [`Frame::StatusUpdate`](super::Frame::StatusUpdate).
     pub status_updates: bool,
+    /// [`StoreResponse::era`](platform::store::StoreResponse::era).
+    pub store_eras: bool,
 }
 
 impl Features {
@@ -19,16 +21,19 @@
         crash_reports: true,
         crash_exits: true,
         status_updates: true,
+        store_eras: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
     const STATUS_UPDATES_BIT: u32 = 1 << 2;
+    const STORE_ERAS_BIT: u32 = 1 << 3;
 
     pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
             (self.crash_reports, Self::CRASH_REPORTS_BIT),
             (self.crash_exits, Self::CRASH_EXITS_BIT),
             (self.status_updates, Self::STATUS_UPDATES_BIT),
+            (self.store_eras, Self::STORE_ERAS_BIT),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -45,6 +50,7 @@
             crash_reports: bits & Self::CRASH_REPORTS_BIT != 0,
             crash_exits: bits & Self::CRASH_EXITS_BIT != 0,
             status_updates: bits & Self::STATUS_UPDATES_BIT != 0,
+            store_eras: bits & Self::STORE_ERAS_BIT != 0,
         })
     }
 }
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -104,7 +104,7 @@
     StoreResponse {
         /// Id of the request.
         id: u64,
-        /// Its result.
+        /// Its result; also decoded by processes that know no era, which comes last.
         result: Result<StoreResponse, RequestError>,
     },
     /// Crashes attributed to requests, and suspects that were cleared.
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -33,6 +33,7 @@
     back_end_sends: Cell<u64>,
     rejections: LabelledCounter,
     store_requests: LabelledCounter,
+    store_eras: Cell<u64>,
     back_end_exits: LabelledCounter,
     quarantine: LabelledCounter,
     latency: RefCell<Option<Histogram<u32>>>,
@@ -47,6 +48,7 @@
             back_end_sends: Cell::new(0),
             rejections: LabelledCounter::default(),
             store_requests: LabelledCounter::default(),
+            store_eras: Cell::new(0),
             back_end_exits: LabelledCounter::default(),
             quarantine: LabelledCounter::default(),
             // 1 ms to 60 s with two significant digits.
@@ -90,6 +92,11 @@
         self.store_requests.increment(outcome);
     }
 
+    /// Counts a later era of the store.
+    pub fn on_store_era(&self) {
+        self.store_eras.set(self.store_eras.get() + 1);
+    }
+
     /// Counts an exit of the local back end by how it showed.
     pub fn on_back_end_exit(&self, proof: &'static str) {
         self.back_end_exits.increment(proof);
@@ -132,6 +139,7 @@
         let counters = [
             ("plantaingauge_retries_total", &self.retries),
             ("plantaingauge_back_end_sends_total", &self.back_end_sends),
+            ("plantaingauge_store_era_changes_total", &self.store_eras),
         ];
         for (name, count) in counters {
             let _ = writeln!(out, "# TYPE {name} counter\n{name} {}", count.get());
--- a/components/node/src/node/keys.rs
+++ b/components/node/src/node/keys.rs
@@ -80,12 +80,12 @@
             log::error!(event = "assignment-refused", service = service.as_str(), revision:% = stored.revision; "");
             return false;
         }
-        let newer = self
-            .assignments
-            .borrow()
-            .get(service)
-            .is_none_or(|known| known.revision < stored.revision);
-        if !newer {
+        if let Some(known) = self.assignment(service)
+            && known.revision >= stored.revision
+        {
+            if known.value != stored.value {
+                log::info!(event = "assignment-outdated", service = service.as_str(), revision:% = stored.revision, known:% = known.revision; "");
+            }
             return false;
         }
         log::info!(event = "assignment", service = service.as_str(), revision:% = stored.revision, ranges = stored.value.ranges.len(), keys = key_counts(&stored.value).as_str(); "");
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -157,14 +157,6 @@
         last.unwrap_or_else(|| self.status())
     }
 
-    /// Records whether the store can be reached directly, and announces a change of that.
-    pub fn on_store_result(&self, reachable: bool) {
-        if self.store_reachable.replace(reachable) != reachable {
-            log::info!(event = if reachable { "store-regained" } else { "store-lost" }; "");
-            self.announce();
-        }
-    }
-
     /// Records the state that a heartbeat of the local back end reports.
     pub fn on_heartbeat(&self, back_end: LocalBackEnd) {
         let before = self
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod local;
 mod peers;
 mod retries;
+mod store;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -23,8 +24,9 @@
 use serde_json::Value;
 use shards::assignment::Assignment;
 use shards::manager::{ShardManager, Timing, Versioned};
+use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use world::instant::BootInstant;
 use world::name::{MachineName, RegionName, ServiceName};
 
@@ -68,8 +70,6 @@
     pub incarnation: u64,
     /// Start of the process.
     pub started: BootInstant,
-    /// Direct connections to the store.
-    pub direct: DirectTransport,
     /// Sends requests to the local back end.
     pub proxy: BackEndProxy,
     /// Decides which keys of the service this machine grants, and holds its lease.
@@ -101,6 +101,10 @@
     stopping: Cell<bool>,
     closing: Cell<bool>,
     store_reachable: Cell<bool>,
+    /// Direct connections to the store.
+    direct: DirectTransport,
+    /// Latest known era of the store; only rises.
+    store_era: watch::Sender<StoreEra>,
     /// Version of the status announced last; 0 before the first.
     announced_version: Cell<u64>,
     last_announced: RefCell<Option<NodeStatus>>,
@@ -130,7 +134,6 @@
         Self {
             incarnation,
             started: now,
-            direct: DirectTransport::new(settings.store_address),
             proxy: BackEndProxy::new(ConnectionPool::new(
                 settings.back_end_address,
                 settings.memory_limit,
@@ -153,6 +156,8 @@
             stopping: Cell::new(false),
             closing: Cell::new(false),
             store_reachable: Cell::new(true),
+            direct: DirectTransport::new(settings.store_address),
+            store_era: watch::Sender::default(),
             announced_version: Cell::new(0),
             last_announced: RefCell::default(),
             deregistered: RefCell::default(),
@@ -173,8 +178,12 @@
     /// Puts a configuration in force if it is valid and newer than the current one; returns whether
     /// it did. `source` is logged.
     pub fn on_configuration(&self, revision: u64, document: Value, source: &str) -> bool {
-        let current = self.active_config.borrow().as_ref().map(|c| c.revision);
-        if current >= Some(revision) {
+        if let Some(current) = self.active_config()
+            && current.revision >= revision
+        {
+            if source == "store" && *current.document != document {
+                log::info!(event = "configuration-outdated", revision, in_force = current.revision; "");
+            }
             return false;
         }
         let catalog = match configuration::decode(&document) {
--- /dev/null
+++ b/components/node/src/node/store.rs
@@ -0,0 +1,79 @@
+//! The store: whether it can be reached, and its era.
+
+use platform::store::{RequestError, StoreRequest, StoreResponse, Transport, WatchTransport};
+use shards::revision::StoreEra;
+
+use super::Node;
+
+impl Node {
+    /// Sends a request to the store over this process's own connections.
+    ///
+    /// # Errors
+    /// Returns an error when there is no response; it says whether the request may have been
+    /// executed.
+    pub async fn perform(&self, request: &StoreRequest) -> Result<StoreResponse, RequestError> {
+        let result = self.direct.perform(request).await;
+        self.on_store_response(&result);
+        result
+    }
+
+    /// Sends a watch to the store over this process's own connections.
+    ///
+    /// # Errors
+    /// Returns an error when there is no response.
+    pub async fn perform_watch(
+        &self,
+        request: &StoreRequest,
+    ) -> Result<StoreResponse, RequestError> {
+        let result = self.direct.perform_watch(request).await;
+        self.on_store_response(&result);
+        result
+    }
+
+    /// Records the era that a response of the store names, received directly or through a peer.
+    pub(crate) fn on_store_response(&self, result: &Result<StoreResponse, RequestError>) {
+        if let Ok(response) = result {
+            self.on_store_era(response.era);
+        }
+    }
+
+    /// Begins an era of the store, unless it or a later one is known.
+    pub fn on_store_era(&self, era: StoreEra) {
+        let previous = self.store_era();
+        let is_new = self.store_era.send_if_modified(|known| {
+            let is_new = era > *known;
+            if is_new {
+                *known = era;
+            }
+            is_new
+        });
+        if is_new {
+            self.metrics.on_store_era();
+            log::warn!(event = "store-era", era:% = era, previous:% = previous; "");
+            self.keys_changed.notify_one();
+        }
+    }
+
+    /// Returns the latest known era of the store, the first one before any response.
+    #[must_use]
+    pub fn store_era(&self) -> StoreEra {
+        *self.store_era.borrow()
+    }
+
+    /// Waits until an era later than `era` is known, and returns it.
+    pub async fn later_store_era(&self, era: StoreEra) -> StoreEra {
+        let mut eras = self.store_era.subscribe();
+        match eras.wait_for(|known| *known > era).await {
+            Ok(known) => *known,
+            Err(_) => unreachable!("the sender lives as long as the node"),
+        }
+    }
+
+    /// Records whether the store can be reached directly, and announces a change of that.
+    pub fn on_store_result(&self, reachable: bool) {
+        if self.store_reachable.replace(reachable) != reachable {
+            log::info!(event = if reachable { "store-regained" } else { "store-lost" }; "");
+            self.announce();
+        }
+    }
+}
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::store::Transport;
 use timer::{BootClock, Clock};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -73,7 +72,7 @@
             let node = Rc::clone(&node);
             let sender = sender.clone();
             tokio::task::spawn_local(async move {
-                let result = node.direct.perform(&request).await;
+                let result = node.perform(&request).await;
                 node.on_store_result(result.is_ok());
                 send_frame(&sender, &Frame::StoreResponse { id, result });
             });
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -206,6 +206,10 @@
         ("plantaingauge_back_end_waiting", f64::from(load.waiting)),
         ("plantaingauge_back_end_slots", f64::from(load.slots)),
         ("plantaingauge_peers_connected", connected as f64),
+        (
+            "plantaingauge_store_era",
+            f64::from(node.store_era().number()),
+        ),
         (
             "plantaingauge_quarantined_requests",
             node.suspects.blocked_count() as f64,
--- a/components/node/src/quarantine_store.rs
+++ b/components/node/src/quarantine_store.rs
@@ -27,10 +27,9 @@
 
 /// Learns of stored records, for as long as the process runs.
 pub async fn watch(node: Rc<Node>, store: Rc<StoreClient>) {
-    let apply_node = Rc::clone(&node);
     let apply_store = Rc::clone(&store);
-    let apply = |object| apply(&apply_node, &apply_store, object);
-    store_watch::run(node, store, QUARANTINE, apply).await;
+    let apply = |object| apply(&node, &apply_store, object);
+    store_watch::run(store, QUARANTINE, apply).await;
 }
 
 /// Updates the stored records of requests as [`suspects::Suspects`] asks for it, for as long as the
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -5,11 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::store::{Client, RequestError, StoreRequest, StoreResponse, Transport};
+use platform::store::{
+    Client, RequestError, StoreRequest, StoreResponse, Transport, WatchTransport,
+};
 use rand::seq::IndexedRandom;
 use timer::{BootClock, Clock};
 use world::instant::BootInstant;
 
+use crate::frame::NodeStatus;
 use crate::node::Node;
 
 /// Time after a failed direct request for which peers are tried first.
@@ -49,7 +52,7 @@
             .node
             .peers()
             .into_iter()
-            .filter(|p| p.is_connected() && p.with_status(|s| s.store_reachable).unwrap_or(false))
+            .filter(|p| p.is_connected() && p.with_status(can_relay).unwrap_or(false))
             .collect();
         let Some(peer) = candidates.choose(&mut rand::rng()) else {
             return Err(RequestError::NotExecuted);
@@ -57,10 +60,17 @@
         self.node.metrics.on_store_request("relayed");
         let relayed = peer.forward_store_request(request.clone());
         let result = tokio::time::timeout(RELAY_TIMEOUT, relayed).await;
-        result.unwrap_or(Err(RequestError::MaybeExecuted))
+        let result = result.unwrap_or(Err(RequestError::MaybeExecuted));
+        self.node.on_store_response(&result);
+        result
     }
 }
 
+/// Whether a process reaches the store and can pass on its responses.
+fn can_relay(status: &NodeStatus) -> bool {
+    status.store_reachable && status.features.store_eras
+}
+
 impl Transport for RelayTransport {
     async fn perform(&self, request: &StoreRequest) -> Result<StoreResponse, RequestError> {
         let now = BootClock.now();
@@ -74,7 +84,7 @@
                 return relayed;
             }
         }
-        let direct = self.node.direct.perform(request).await;
+        let direct = self.node.perform(request).await;
         self.node.metrics.on_store_request(match &direct {
             Ok(response) if matches!(response.status, 429 | 503) => "refused",
             Ok(_) => "answered",
@@ -93,3 +103,10 @@
         direct
     }
 }
+
+impl WatchTransport for RelayTransport {
+    /// Watches are never sent through a peer.
+    async fn perform_watch(&self, request: &StoreRequest) -> Result<StoreResponse, RequestError> {
+        self.node.perform_watch(request).await
+    }
+}
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -3,10 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::store::{Client, NamedObject, StoreError};
+use platform::store::{NamedObject, StoreError};
 use rand::Rng;
 
-use crate::node::Node;
 use crate::relay::StoreClient;
 
 /// First pause after a failed request; doubles with each further failure.
@@ -17,19 +16,13 @@
 /// Reads the objects of a kind, possibly through a peer, then watches them on a direct connection;
 /// starts over when the store no longer has the history since the last revision. Passes each object
 /// to `apply`, at the start and on every change.
-pub async fn run(
-    node: Rc<Node>,
-    store: Rc<StoreClient>,
-    kind: &'static str,
-    apply: impl Fn(NamedObject),
-) {
-    let watcher = Client::new(node.direct.clone());
+pub async fn run(store: Rc<StoreClient>, kind: &'static str, apply: impl Fn(NamedObject)) {
     let mut backoff = FIRST_BACKOFF;
     let mut last_revision = None;
     loop {
         let listing = match last_revision {
             None => store.list(kind).await,
-            Some(since) => watcher.watch(kind, since).await,
+            Some(since) => store.watch(kind, since).await,
         };
         match listing {
             Ok(listing) => {
--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -4,11 +4,13 @@
 use node::frame::{self, Features, Frame, NodeStatus, RejectReason, RequestOutcome};
 use node::peer::Peer;
 use node::suspects::{self, CrashReport};
+use platform::store::{RequestError, StoreResponse};
 use quarantine::crash_count::CrashCount;
 use quarantine::exits::BackEndHash;
 use quarantine::fingerprint::{Fingerprint, RequestIdentity};
 use rstest::rstest;
 use shards::lease::Lease;
+use shards::revision::StoreEra;
 use world::name::{MachineName, RegionName, ServiceName, ZoneName};
 
 fn hello(features: Features) -> Frame {
@@ -192,3 +194,47 @@
 fn there_is_no_frame_without_reports() {
     assert!(suspects::report_frame(&[], Features::SUPPORTED).is_none());
 }
+
+fn store_response() -> Frame {
+    Frame::StoreResponse {
+        id: 5,
+        result: Ok(StoreResponse {
+            status: 404,
+            body: vec![1, 2],
+            era: StoreEra::new(300).expect("a small number"),
+        }),
+    }
+}
+
+#[test]
+fn a_relayed_response_names_the_era_of_the_store() {
+    let bytes = frame::encode(&store_response()).expect("a short frame");
+    let decoded = frame::decode(&mut BytesMut::from(&bytes[..])).expect("well-formed");
+    let Some(Frame::StoreResponse { result, .. }) = decoded else {
+        panic!("{decoded:?}");
+    };
+    let era = result.map(|r| r.era.number());
+    assert_eq!(era, Ok(300));
+}
+
+/// A relayed response as versions without eras decode it, after the variant's number.
+type EarlierStoreResponse = (u32, u64, Result<(u16, Vec<u8>), RequestError>);
+
+#[test]
+fn an_earlier_version_decodes_a_relayed_response() {
+    let bytes = frame::encode(&store_response()).expect("a short frame");
+    let (_, id, result): EarlierStoreResponse =
+        postcard::from_bytes(&bytes[4..]).expect("bytes after it are ignored");
+    assert_eq!((id, result), (5, Ok((404, vec![1, 2]))));
+}
+
+#[test]
+fn a_process_announces_that_it_relays_eras() {
+    const { assert!(Features::SUPPORTED.store_eras) };
+    let before = Features {
+        store_eras: false,
+        ..Features::SUPPORTED
+    };
+    let bytes = frame::encode(&hello(before)).expect("a short frame");
+    assert_eq!(decode_hello(&bytes).features, before);
+}
