Reproduce what a store that comes back from an earlier copy breaks

Callers saw keys with two holders, and confirmed changes of the configuration that were not in force in time or came back older. The store's stand-in can now be restored from a copy: objects, history and revisions go back, the header Store-Era rises, a watch from a lost revision gets 410, writes may be executed late, also in a later era. The check of key holders moves from the soak to the stand-ins, so that tests of whole processes use it too; settings say whether the deployment starts for the first time.

--- a/components/node/tests/whole_path/crash_causing_requests.rs
+++ b/components/node/tests/whole_path/crash_causing_requests.rs
@@ -34,15 +34,15 @@
 
 /// A request that crashes back ends.
 #[derive(Clone, Copy, Debug)]
-struct CrashingRequest {
+pub(crate) struct CrashingRequest {
     method: &'static str,
     path: &'static str,
     key: Option<u16>,
     /// Machines whose callers send it.
-    senders: [usize; 6],
+    pub(crate) senders: [usize; 6],
 }
 
-const IDEMPOTENT: CrashingRequest = CrashingRequest {
+pub(crate) const IDEMPOTENT: CrashingRequest = CrashingRequest {
     method: "GET",
     path: "/added/crash/",
     key: None,
@@ -101,14 +101,14 @@
 }
 
 /// Attempts at a crash-causing request, at machines drawn by a seed.
-struct Attempts {
-    request: CrashingRequest,
+pub(crate) struct Attempts {
+    pub(crate) request: CrashingRequest,
     rng: StdRng,
     restarts: Restarts,
 }
 
 impl Attempts {
-    fn new(request: CrashingRequest, seed: u64) -> Self {
+    pub(crate) fn new(request: CrashingRequest, seed: u64) -> Self {
         Self {
             request,
             rng: StdRng::seed_from_u64(seed),
@@ -117,7 +117,7 @@
     }
 
     /// Sends the request once, then waits for [`SEND_INTERVAL`].
-    fn send(&mut self, deployment: &mut Deployment) {
+    pub(crate) fn send(&mut self, deployment: &mut Deployment) {
         let CrashingRequest {
             method,
             path,
@@ -150,7 +150,7 @@
     }
 }
 
-fn is_blocked(deployment: &Deployment, machine: usize) -> bool {
+pub(crate) fn is_blocked(deployment: &Deployment, machine: usize) -> bool {
     let metrics = deployment.metrics(machine);
     metrics.contains("plantaingauge_quarantined_requests 1\n")
 }
@@ -290,6 +290,19 @@
     }
 }
 
+// Guards against a record of a blocked request that is written over and over.
+#[test]
+fn the_record_of_a_block_is_not_written_while_it_does_not_change() {
+    let mut deployment = start(120);
+    Attempts::new(IDEMPOTENT, 13).send_until_blocked(&mut deployment, |_| ());
+    std::thread::sleep(LEARNING_TIME);
+    let writes = || deployment.store.writes_of("plantaingauge-quarantine");
+    let before = writes();
+    std::thread::sleep(LEARNING_TIME);
+    let in_between = writes() - before;
+    assert_eq!(in_between, 0, "{in_between} writes in {LEARNING_TIME:?}");
+}
+
 // Guards against machines that learn of each other's crashes only through the store.
 #[test]
 fn a_crash_causing_request_is_blocked_everywhere_while_the_store_is_unavailable() {
@@ -317,7 +330,7 @@
     await_blocked(&deployment, 3);
 }
 
-fn await_blocked(deployment: &Deployment, machine: usize) {
+pub(crate) fn await_blocked(deployment: &Deployment, machine: usize) {
     let deadline = Instant::now() + SETTLE_TIMEOUT;
     while !is_blocked(deployment, machine) {
         assert!(
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -11,9 +11,10 @@
 use http1::response::Response;
 use platform::settings::Settings;
 use serde_json::json;
-use stand_ins::back_end::{BackEnd, Observer};
+use stand_ins::back_end::{BackEnd, Grant, Observer};
 use stand_ins::caller::CallerRequest;
 use stand_ins::http;
+use stand_ins::key_holders::KeyHolders;
 use stand_ins::layout::{self, Layout, NodeSettings};
 use stand_ins::store::Store;
 use tokio::sync::oneshot;
@@ -31,6 +32,8 @@
 
 /// Request timeout that callers state.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Path of the readiness checks.
+const READINESS_PATH: &str = "/plantaingauge/readiness";
 /// Port on which nobody listens.
 const UNUSED_PORT: u16 = 7_099;
 /// Longest time for a process to start.
@@ -84,14 +87,25 @@
     pub(crate) at: Instant,
 }
 
-/// Records what the back ends receive and run.
+/// Records what the back ends receive, run and hold.
 #[derive(Default)]
 struct ExecutionLog {
     arrivals: Mutex<Vec<Arrival>>,
     executions: Mutex<Vec<Execution>>,
+    key_holders: Mutex<KeyHolders>,
 }
 
 impl Observer for ExecutionLog {
+    fn on_grants(&self, back_end: &str, born: u64, grants: &[Grant], expires_at: Instant) {
+        let mut holders = self.key_holders.lock().expect("no panic under the lock");
+        holders.on_grants(back_end, born, grants, expires_at);
+    }
+
+    fn on_exit(&self, back_end: &str, born: u64) {
+        let mut holders = self.key_holders.lock().expect("no panic under the lock");
+        holders.on_exit(back_end, born);
+    }
+
     fn on_arrival(&self, back_end: &str, request: &str) {
         let arrival = Arrival {
             back_end: back_end.to_owned(),
@@ -137,6 +151,8 @@
     replaced: Vec<usize>,
     /// Whether no process reaches another one.
     isolated: bool,
+    /// Whether the machines start for the first time.
+    first_start: bool,
 }
 
 /// Second byte of the addresses of these tests.
@@ -187,6 +203,16 @@
         });
         store.write("plantaingauge-assignments", "lists", assignment);
         store.write_config(1, &[]);
+        let mut deployment = Self::new(net, store);
+        deployment.first_start = false;
+        deployment.start_machines(machines);
+        deployment
+    }
+
+    /// Starts machines with a configuration on a store whose era is `era`.
+    pub(crate) fn start_in_era(net: u8, machines: usize, era: u64) -> Self {
+        let store = Store::start_in_era(store_address(net), era);
+        store.write_config(1, &[]);
         Self::start_with_store(net, machines, store)
     }
 
@@ -232,15 +258,24 @@
             next_id: AtomicU64::new(1),
             replaced: Vec::new(),
             isolated: false,
+            first_start: true,
         }
     }
 
     fn start_machines(&mut self, machines: usize) {
-        for machine in 0..machines {
-            self.processes.push(None);
-            self.start_process(machine);
-            self.back_ends.push(self.start_back_end(machine, 1));
+        for _ in 0..machines {
+            self.add_machine();
         }
+        self.first_start = false;
+    }
+
+    /// Starts one more machine; returns its number.
+    pub(crate) fn add_machine(&mut self) -> usize {
+        let machine = self.processes.len();
+        self.processes.push(None);
+        self.start_process(machine);
+        self.back_ends.push(self.start_back_end(machine, 1));
+        machine
     }
 
     fn start_back_end(&self, machine: usize, born: u64) -> BackEnd {
@@ -286,6 +321,13 @@
             .collect()
     }
 
+    /// Returns how keys were held by two back ends at once or under fencing tokens that did not rise.
+    pub(crate) fn key_violations(&self) -> Vec<String> {
+        let holders = self.executions.key_holders.lock();
+        let holders = holders.expect("no panic under the lock");
+        holders.violations().to_vec()
+    }
+
     /// Returns the back end of a machine.
     pub(crate) fn back_end(&self, machine: usize) -> &BackEnd {
         &self.back_ends[machine]
@@ -312,6 +354,7 @@
             back_end: self.layout.address(machine, layout::BACK_END_PORT),
             store: self.store.address,
             bounds: &bounds.map(ToOwned::to_owned),
+            first_start: self.first_start,
         };
         let text = self.layout.settings(machine, &process);
         let mut settings = Settings::from_json(text.as_bytes()).expect("well-formed");
@@ -541,20 +584,25 @@
         }
     }
 
-    fn get(&self, machine: usize, port: u16, path: &str) -> Response {
+    fn try_get(&self, machine: usize, port: u16, path: &str) -> std::io::Result<Response> {
         let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-        http::call(
-            self.layout.address(machine, port),
-            &text,
-            Duration::from_secs(5),
-        )
-        .expect("a response")
+        let address = self.layout.address(machine, port);
+        http::call(address, &text, Duration::from_secs(5))
+    }
+
+    fn get(&self, machine: usize, port: u16, path: &str) -> Response {
+        self.try_get(machine, port, path).expect("a response")
+    }
+
+    /// Returns the HTTP status of a machine's readiness endpoint, `None` while nobody listens.
+    pub(crate) fn try_readiness(&self, machine: usize) -> Option<u16> {
+        let response = self.try_get(machine, layout::READINESS_PORT, READINESS_PATH);
+        response.ok().map(|r| r.status)
     }
 
     /// Returns the HTTP status of a machine's readiness endpoint.
     pub(crate) fn readiness(&self, machine: usize) -> u16 {
-        self.get(machine, layout::READINESS_PORT, "/plantaingauge/readiness")
-            .status
+        self.try_readiness(machine).expect("a response")
     }
 
     /// Returns the metrics page of a machine's process.
@@ -579,8 +627,12 @@
     }
 }
 
+fn store_address(net: u8) -> SocketAddr {
+    Layout::new(ADDRESS_BLOCK, net).address(STORE_MACHINE, layout::STORE_PORT)
+}
+
 fn start_store(net: u8) -> Store {
-    Store::start(Layout::new(ADDRESS_BLOCK, net).address(STORE_MACHINE, layout::STORE_PORT))
+    Store::start(store_address(net))
 }
 
 fn encode(id: &str, method: &str, path: &str, key: Option<u16>) -> String {
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod late_copies;
 mod named_limits;
+mod restored_store;
 mod turned_away;
 
 use std::collections::HashSet;
--- a/components/stand-ins/src/layout.rs
+++ b/components/stand-ins/src/layout.rs
@@ -45,6 +45,8 @@
     pub store: SocketAddr,
     /// Bounds, each as `name=value`.
     pub bounds: &'a [String],
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
 }
 
 impl Layout {
@@ -90,7 +92,7 @@
                 "control": address(HEARTBEAT_PORT)
             },
             "internalPortRange": [PEER_PORT, METRICS_PORT],
-            "bounds": node.bounds,
+            "bounds": node.bounds, "firstStart": node.first_start,
             "applicationAddress": node.back_end, "service": service(machine),
             "platform": {"address": node.store}
         })
--- a/components/stand-ins/src/lib.rs
+++ b/components/stand-ins/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod back_end;
 pub mod caller;
 pub mod http;
+pub mod key_holders;
 pub mod layout;
 pub mod store;
--- /dev/null
+++ b/components/stand-ins/src/store/config.rs
@@ -0,0 +1,58 @@
+//! The operator's configuration documents.
+
+use serde_json::{Value, json};
+
+use super::Store;
+
+/// Connections that a back end takes if a test needs no other number.
+const DEFAULT_CONNECTION_CAP: usize = 100;
+
+impl Store {
+    /// Writes the configuration: the routes `list` and `order`, and one route per extra path.
+    pub fn write_config(&self, version: u64, extra_paths: &[&str]) {
+        self.write_capped_config(version, extra_paths, DEFAULT_CONNECTION_CAP);
+    }
+
+    /// Writes a configuration in which back ends take at most `cap` connections.
+    pub fn write_capped_config(&self, version: u64, extra_paths: &[&str], cap: usize) {
+        self.write("config", "main", document(version, extra_paths, cap));
+    }
+}
+
+fn document(version: u64, extra_paths: &[&str], cap: usize) -> Value {
+    let mut rows = vec![
+        route("list", "/list/", "safe", "lists", 2),
+        route("order", "/orders/", "unsafe", "orders", 1),
+    ];
+    rows.extend(
+        extra_paths
+            .iter()
+            .map(|path| route(path, path, "safe", "orders", 2)),
+    );
+    json!({
+        "version": version,
+        "routes": {
+            "columns": ["name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs",
+                "priority", "service", "attempts"],
+            "rows": rows
+        },
+        "services": {
+            "columns": ["name", "healthCheckPath", "connectionCap", "sharded"],
+            "rows": [["lists", "/health", cap, true], ["orders", "/health", cap, null]]
+        }
+    })
+}
+
+fn route(name: &str, path: &str, kind: &str, service: &str, attempts: u32) -> Value {
+    json!([
+        name,
+        "h.example",
+        path,
+        kind,
+        5000,
+        1000,
+        1,
+        service,
+        attempts
+    ])
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -204,7 +204,7 @@
         };
         for machine in 0..machines {
             let proxies = fleet.start_proxies(machine, store);
-            fleet.write_settings(machine)?;
+            fleet.write_settings(machine, true)?;
             fleet.machines.push(Machine {
                 process: Process::Running(fleet.spawn(machine)?),
                 paused: false,
@@ -252,7 +252,7 @@
         BackEnd::start(config, born, checker)
     }
 
-    fn write_settings(&self, machine: usize) -> Result<(), FleetError> {
+    fn write_settings(&self, machine: usize, first_start: bool) -> Result<(), FleetError> {
         let proxy_address = |port| self.environment.layout.address(machine, proxy_port(port));
         let extra_retries = 8 + self.reloads % 4;
         let settings = NodeSettings {
@@ -265,6 +265,7 @@
                 "retryBudgetRatio=0.2".to_owned(),
                 format!("budgetExtraRetries={extra_retries}"),
             ],
+            first_start,
         };
         let text = self.environment.layout.settings(machine, &settings);
         let path = self.environment.settings_path(machine);
@@ -357,7 +358,7 @@
     /// Fails if the settings file cannot be written.
     pub fn reload(&mut self, machine: usize) -> Result<(), FleetError> {
         self.reloads += 1;
-        self.write_settings(machine)?;
+        self.write_settings(machine, false)?;
         let process = &self.machines[machine].process;
         if matches!(process, Process::Running(_)) && self.reloads.is_multiple_of(2) {
             process.signal(Signal::HUP);
@@ -466,6 +467,7 @@
         let m = &mut self.machines[machine];
         let violation = match &mut m.process {
             Process::Down { restart_at } if *restart_at <= now => {
+                self.write_settings(machine, false)?;
                 let child = self.spawn(machine)?;
                 let m = &mut self.machines[machine];
                 m.process = Process::Running(child);
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -7,20 +7,18 @@
 //! - No two incarnations of back ends hold a key at once, and the fencing token of a key increases
 //!   with each change of holder.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
 use stand_ins::back_end::{Grant, Observer};
+use stand_ins::key_holders::KeyHolders;
 use stand_ins::layout;
 
 use crate::crashing::{self, Crash};
 use crate::disturbances::Disturbances;
 use crate::notices::{Notice, Notices};
 
-/// Number of keys.
-const KEYS: usize = 65_536;
-
 /// Outcome of a request as reported to its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReportedOutcome {
@@ -32,14 +30,7 @@
     Unknown,
 }
 
-/// Id of a back end and its `born`.
-type Incarnation = (String, u64);
-
-struct HeldGrants {
-    grants: Vec<Grant>,
-    expires_at: Instant,
-}
-
+#[derive(Default)]
 struct State {
     violations: Vec<String>,
     /// Back ends that ran each request, by request id.
@@ -48,10 +39,7 @@
     orders: HashSet<String>,
     /// Requests reported as not run.
     refused: HashSet<String>,
-    held_grants: BTreeMap<Incarnation, HeldGrants>,
-    /// Latest fencing token of each key and the index of its holder in `incarnations`.
-    fences: Vec<(u64, u32)>,
-    incarnations: Vec<Incarnation>,
+    key_holders: KeyHolders,
     crashes: Vec<Crash>,
     disturbances: Disturbances,
     /// Times at which a process did not run.
@@ -72,27 +60,9 @@
 }
 
 /// Records events of callers and back ends, and the violations that they show.
+#[derive(Default)]
 pub struct InvariantChecker(Mutex<State>);
 
-impl Default for InvariantChecker {
-    fn default() -> Self {
-        Self(Mutex::new(State {
-            violations: Vec::new(),
-            runs: HashMap::new(),
-            orders: HashSet::new(),
-            refused: HashSet::new(),
-            held_grants: BTreeMap::new(),
-            fences: vec![(0, u32::MAX); KEYS],
-            incarnations: Vec::new(),
-            crashes: Vec::new(),
-            disturbances: Disturbances::default(),
-            halts: Disturbances::default(),
-            notices: Notices::default(),
-            counts: Counts::default(),
-        }))
-    }
-}
-
 impl InvariantChecker {
     fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().expect("no panic under the lock")
@@ -174,6 +144,7 @@
     pub fn finish(&self) -> (Vec<String>, Counts) {
         let state = self.state();
         let mut violations = state.violations.clone();
+        violations.extend_from_slice(state.key_holders.violations());
         for request in &state.refused {
             if let Some(ran) = state.runs.get(request) {
                 violations.push(format!(
@@ -187,46 +158,6 @@
     }
 }
 
-impl State {
-    fn incarnation_index(&mut self, incarnation: &Incarnation) -> u32 {
-        let previous = self.incarnations.iter().position(|i| i == incarnation);
-        let index = previous.unwrap_or_else(|| {
-            self.incarnations.push(incarnation.clone());
-            self.incarnations.len() - 1
-        });
-        u32::try_from(index).expect("fewer incarnations than u32::MAX")
-    }
-
-    fn check_fence(&mut self, incarnation: &Incarnation, grant: &Grant) {
-        let index = self.incarnation_index(incarnation);
-        let keys = usize::from(grant.from)..=usize::from(grant.to);
-        let conflict = self.fences[keys.clone()].iter().find(|(fence, holder)| {
-            *fence > grant.fence || (*fence == grant.fence && *holder != index)
-        });
-        if let Some((fence, _)) = conflict.copied() {
-            let violation = format!(
-                "{incarnation:?} was granted {grant:?} after another grant with fence {fence}"
-            );
-            self.violations.push(violation);
-        }
-        self.fences[keys].fill((grant.fence, index));
-    }
-
-    fn check_overlap(&mut self, incarnation: &Incarnation, grants: &[Grant], now: Instant) {
-        let others = self
-            .held_grants
-            .iter()
-            .filter(|(i, h)| *i != incarnation && h.expires_at > now);
-        let conflict = others
-            .flat_map(|(i, h)| h.grants.iter().map(move |g| (i, g)))
-            .find(|(_, g)| grants.iter().any(|own| own.overlaps(g)));
-        if let Some((other, grant)) = conflict {
-            let violation = format!("{incarnation:?} and {other:?} both hold keys of {grant:?}");
-            self.violations.push(violation);
-        }
-    }
-}
-
 impl Observer for InvariantChecker {
     fn on_arrival(&self, back_end: &str, request: &str) {
         let now = Instant::now();
@@ -257,31 +188,14 @@
     }
 
     fn on_grants(&self, back_end: &str, born: u64, grants: &[Grant], expires_at: Instant) {
-        let now = Instant::now();
-        if expires_at <= now {
-            return;
-        }
-        let incarnation = (back_end.to_owned(), born);
         let mut state = self.state();
-        state.check_overlap(&incarnation, grants, now);
-        let previous = state
-            .held_grants
-            .get(&incarnation)
-            .map(|h| h.grants.clone());
-        for grant in grants {
-            if !previous.as_ref().is_some_and(|k| k.contains(grant)) {
-                state.check_fence(&incarnation, grant);
-            }
-        }
-        let grants = grants.to_vec();
-        state
-            .held_grants
-            .insert(incarnation, HeldGrants { grants, expires_at });
+        let holders = &mut state.key_holders;
+        holders.on_grants(back_end, born, grants, expires_at);
     }
 
     fn on_exit(&self, back_end: &str, born: u64) {
         let mut state = self.state();
-        state.held_grants.remove(&(back_end.to_owned(), born));
+        state.key_holders.on_exit(back_end, born);
         state.notices.end(back_end, Instant::now());
     }
 }
