--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -6,6 +6,7 @@
 
 use balance::choice::Distance;
 use rand::seq::IteratorRandom;
+use shards::lease::Lease;
 use shards::manager::Versioned;
 use shards::revision::Revision;
 use timer::{BootClock, Clock};
@@ -109,6 +110,7 @@
                 revision,
                 assignment,
             } => {
+                self.on_store_era(revision.era());
                 let value = *assignment;
                 self.on_assignment(&service, Versioned { revision, value });
             }
@@ -117,7 +119,10 @@
                 base,
                 revision,
                 change,
-            } => self.on_assignment_change(&service, base, revision, *change),
+            } => {
+                self.on_store_era(revision.era());
+                self.on_assignment_change(&service, base, revision, *change);
+            }
             Frame::AssignmentsRequest { known } => {
                 for (service, stored) in self.assignments.borrow().iter() {
                     let up_to_date = |(s, revision): &(ServiceName, Revision)| {
@@ -155,6 +160,7 @@
     }
 
     fn on_hello(self: &Rc<Self>, status: NodeStatus) {
+        self.on_peer_lease(status.lease);
         self.add_peer(&status.machine, status.address);
         if let Some(peer) = self.peer(&status.machine)
             && peer.update(status)
@@ -165,6 +171,7 @@
 
     /// Handles a change of the status of the process `incarnation` on a machine.
     pub fn on_status_update(&self, machine: &MachineName, incarnation: u64, update: StatusUpdate) {
+        self.on_peer_lease(update.lease);
         let is_new = self
             .peer(machine)
             .is_some_and(|p| p.apply_update(incarnation, update));
@@ -173,6 +180,13 @@
         }
     }
 
+    /// Learns of the era in which a peer's lease was written.
+    fn on_peer_lease(&self, lease: Option<(Revision, Lease)>) {
+        if let Some((revision, _)) = lease {
+            self.on_store_era(revision.era());
+        }
+    }
+
     /// Returns the regions of the deployment without that of this machine.
     #[must_use]
     pub fn other_regions(&self) -> BTreeSet<RegionName> {
--- a/components/node/tests/store_era.rs
+++ b/components/node/tests/store_era.rs
@@ -2,10 +2,17 @@
 
 use std::rc::Rc;
 
+use node::frame::{Frame, NodeStatus};
 use node::node::Node;
 use platform::settings::Settings;
+use rstest::rstest;
 use serde_json::json;
-use shards::revision::StoreEra;
+use shards::assignment::{Assignment, Holder};
+use shards::incarnation::BackEndIncarnation;
+use shards::lease::Lease;
+use shards::revision::{Revision, StoreEra};
+use tokio::sync::mpsc;
+use world::name::{MachineName, ServiceName};
 
 fn node() -> Rc<Node> {
     let settings = json!({
@@ -24,6 +31,17 @@
     StoreEra::new(number).expect("a small number")
 }
 
+fn assignment() -> Assignment {
+    let holder = Holder {
+        epoch: 1,
+        incarnation: BackEndIncarnation {
+            id: "i".to_owned(),
+            born: 1,
+        },
+    };
+    Assignment::new([(MachineName::new("m"), holder)].into()).expect("one holder")
+}
+
 #[tokio::test]
 async fn a_process_knows_the_latest_era_of_any_response() {
     let node = node();
@@ -51,3 +69,49 @@
     };
     assert_eq!(tokio::join!(later, begin).0, era(5));
 }
+
+fn lease(era_number: u64) -> Option<(Revision, Lease)> {
+    let revision = Revision::new(era(era_number), 9).expect("a small number");
+    Some((revision, Lease::default()))
+}
+
+fn hello() -> Frame {
+    Frame::Hello(Box::new(NodeStatus {
+        lease: lease(4),
+        ..node().status()
+    }))
+}
+
+#[rstest]
+#[case::lease(hello())]
+#[case::assignment(Frame::Assignment {
+    service: ServiceName::new("s"),
+    revision: Revision::new(era(4), 1).expect("a small number"),
+    assignment: Box::new(assignment()),
+})]
+#[case::change(Frame::AssignmentChange {
+    service: ServiceName::new("s"),
+    base: Revision::new(era(4), 1).expect("a small number"),
+    revision: Revision::new(era(4), 2).expect("a small number"),
+    change: Box::new(assignment().diff(&assignment())),
+})]
+#[tokio::test]
+async fn a_process_learns_of_an_era_from_its_peers(#[case] frame: Frame) {
+    let node = node();
+    let (sender, _frames) = mpsc::unbounded_channel();
+    node.on_frame(frame, &sender);
+    assert_eq!(node.store_era(), era(4));
+}
+
+#[tokio::test]
+async fn a_process_learns_of_an_era_from_a_renewed_lease() {
+    let node = node();
+    let before = node.status();
+    let renewed = NodeStatus {
+        lease: lease(4),
+        ..before.clone()
+    };
+    let update = renewed.update_since(&before).expect("a small change");
+    node.on_status_update(&MachineName::new("other"), 7, update);
+    assert_eq!(node.store_era(), era(4));
+}
