Assign keys by the store's era, not by a revision that may go back

Callers and back ends saw two back ends with the same keys (OWNER). Cause: assignments, leases and fencing tokens were ordered by counters that live in the store alone. When the store came back from an older copy, whoever read it without memory, or any write once the revisions had passed the lost ones, put the restored assignment in force, under tokens that had been given out before, while the back ends to which keys had moved in the lost seconds still held them; every write of a machine that knew the lost assignment was refused, so that keys could no longer move.

Evidence: ten cases of whole_path restored_store on the code before: i-1 and i-2 hold keys 0 to 32767 at once, both under fence 3, after a restart of one process, of both or of all; all keys at once for 16 s without peers; a late write of an assignment brings back a former holder; keys not served for 16.8 s (bound 8 s).

In a new era a machine with a valid lease claims the keys that it held alone, the first write collects the claims of all connected machines, and other keys wait until every earlier lease has expired.

Why it works: keys leave a machine with a valid lease only by its own write, so its claim needs no proof by others; no lease of an earlier era can be confirmed once the store is back, so after the length of a lease nobody can hold keys unclaimed; and what an earlier era left in flight changes objects that nobody reads.

--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -11,7 +11,8 @@
     pub crash_exits: bool,
     /// [`Frame::StatusUpdate`](super::Frame::StatusUpdate).
     pub status_updates: bool,
-    /// [`StoreResponse::era`](platform::store::StoreResponse::era).
+    /// [`StoreResponse::era`](platform::store::StoreResponse::era) and
+    /// [`Frame::KeyClaim`](super::Frame::KeyClaim).
     pub store_eras: bool,
 }
 
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -15,8 +15,9 @@
 use quarantine::exits::Exits;
 use serde::{Deserialize, Serialize};
 use shards::assignment::{Assignment, Change};
-use shards::revision::Revision;
-use world::name::ServiceName;
+use shards::manager::KeyClaim;
+use shards::revision::{Revision, StoreEra};
+use world::name::{MachineName, ServiceName};
 
 use crate::suspects::CrashReport;
 
@@ -113,4 +114,14 @@
     CrashReportsWithExits(Vec<(CrashReport, Exits)>),
     /// Change of the sender's status; the rest of it is as in its last `Hello` on this connection.
     StatusUpdate(StatusUpdate),
+    /// The keys that a machine holds since the earlier era of the store, for the other machines of its
+    /// service.
+    KeyClaim {
+        /// The machine.
+        machine: MachineName,
+        /// The era in which it claims them.
+        era: StoreEra,
+        /// The keys, and its entry in the assignment.
+        claim: Box<KeyClaim>,
+    },
 }
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -138,7 +138,10 @@
                 settings.back_end_address,
                 settings.memory_limit,
             )),
-            shard_manager: RefCell::new(ShardManager::new(settings.machine.clone(), timing, now)),
+            shard_manager: RefCell::new(
+                ShardManager::new(settings.machine.clone(), timing, now)
+                    .with_first_start(settings.first_start),
+            ),
             peer_requests: RefCell::default(),
             metrics: Metrics::default(),
             retry_detector: RetryDetector::default(),
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -7,8 +7,8 @@
 use balance::choice::Distance;
 use rand::seq::IteratorRandom;
 use shards::lease::Lease;
-use shards::manager::Versioned;
-use shards::revision::Revision;
+use shards::manager::{KeyClaim, Versioned};
+use shards::revision::{Revision, StoreEra};
 use timer::{BootClock, Clock};
 use world::instant::BootInstant;
 use world::name::{MachineName, RegionName, ServiceName};
@@ -51,6 +51,23 @@
         }
     }
 
+    /// Sends this machine's claim to its keys in an era of the store to the connected peers of its
+    /// service.
+    pub fn broadcast_claim(&self, era: StoreEra, claim: &KeyClaim) {
+        let service = self.service();
+        let frame = Frame::KeyClaim {
+            machine: self.settings.machine.clone(),
+            era,
+            claim: Box::new(claim.clone()),
+        };
+        for peer in self.peers.borrow().values() {
+            let receives = |s: &NodeStatus| s.service == service && s.features.store_eras;
+            if peer.with_status(receives) == Some(true) {
+                peer.send(&frame);
+            }
+        }
+    }
+
     /// Sends reports of crashes to every connected peer that decodes them.
     pub fn broadcast_crashes(&self, reports: &[CrashReport]) {
         for peer in self.peers.borrow().values() {
@@ -144,6 +161,15 @@
                     suspects::on_report(self, &report, Source::Peer);
                 }
             }
+            Frame::KeyClaim {
+                machine,
+                era,
+                claim,
+            } => {
+                self.on_store_era(era);
+                let mut manager = self.shard_manager.borrow_mut();
+                manager.on_claim(machine, era, *claim);
+            }
             Frame::Ping { probe } => {
                 send_frame(sender, &Frame::Pong { probe });
             }
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -2,6 +2,7 @@
 
 use platform::store::{RequestError, StoreRequest, StoreResponse, Transport, WatchTransport};
 use shards::revision::StoreEra;
+use timer::{BootClock, Clock};
 
 use super::Node;
 
@@ -39,6 +40,7 @@
 
     /// Begins an era of the store, unless it or a later one is known.
     pub fn on_store_era(&self, era: StoreEra) {
+        self.shard_manager.borrow_mut().on_era(BootClock.now(), era);
         let previous = self.store_era();
         let is_new = self.store_era.send_if_modified(|known| {
             let is_new = era > *known;
--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -4,7 +4,7 @@
 //!
 //! The same loop samples the load, checks the local back end and cleans up old responses to peers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 use rand::Rng;
 use shards::assignment::Assignment;
 use shards::lease::Lease;
-use shards::manager::{PeerState, StoreOp, StoreOutcome, Versioned};
-use shards::revision::Revision;
+use shards::manager::{KeyClaim, PeerState, StoreOp, StoreOutcome, Versioned};
+use shards::revision::{Revision, StoreEra};
 use timer::{BootClock, Clock, Ticks};
 use world::instant::BootInstant;
 use world::name::MachineName;
@@ -72,6 +72,8 @@
     lease: OpSlot,
     assignment: OpSlot,
     fence: OpSlot,
+    /// The claim that the peers have received last.
+    claim: RefCell<Option<KeyClaim>>,
 }
 
 /// Drives the shard manager at each tick and whenever [`Node::keys_changed`] is notified, until the
@@ -83,6 +85,7 @@
         lease: OpSlot::default(),
         assignment: OpSlot::default(),
         fence: OpSlot::default(),
+        claim: RefCell::default(),
     });
     let mut last_update = BootClock.now();
     loop {
@@ -111,6 +114,7 @@
         node.suspects.evict_expired(now);
         if node.is_keyed() {
             driver.start_ops(now);
+            driver.send_claim(now);
         }
     }
 }
@@ -191,38 +195,63 @@
         }
     }
 
+    /// Tells the peers of the service which keys this machine claims in a new era of the store.
+    fn send_claim(&self, now: BootInstant) {
+        let manager = self.node.shard_manager.borrow();
+        let claim = manager.key_claim(now);
+        if *self.claim.borrow() == claim {
+            return;
+        }
+        if let Some(claim) = &claim {
+            let keys: u32 = claim.spans.iter().map(|s| s.len()).sum();
+            log::info!(event = "keys-claimed", era:% = manager.era(), keys, spans = claim.spans.len(); "");
+            self.node.broadcast_claim(manager.era(), claim);
+        }
+        drop(manager);
+        *self.claim.borrow_mut() = claim;
+    }
+
     /// Starts the operations that the shard manager wants next and whose slot is free.
     fn start_ops(self: &Rc<Self>, now: BootInstant) {
         self.update_peers();
         self.node.shard_manager.borrow_mut().on_tick(now);
-        let manager = self.node.shard_manager.borrow();
+        let mut manager = self.node.shard_manager.borrow_mut();
+        let era = manager.era();
         let lease = manager.lease_op(now).filter(|_| self.lease.is_free(now));
         let assignment = manager
             .assignment_op(now)
             .filter(|_| self.assignment.is_free(now));
         let fence = manager.fence_op(now).filter(|_| self.fence.is_free(now));
+        if let Some(op) = &assignment {
+            manager.on_assignment_sent(now, op);
+        }
         drop(manager);
         if let Some(op) = lease {
             self.lease.start();
-            tokio::task::spawn_local(Rc::clone(self).run_lease_op(op));
+            tokio::task::spawn_local(Rc::clone(self).run_lease_op(era, op));
         }
         if let Some(op) = assignment {
             self.assignment.start();
-            tokio::task::spawn_local(Rc::clone(self).run_assignment_op(op));
+            tokio::task::spawn_local(Rc::clone(self).run_assignment_op(era, op));
         }
         if let Some((machine, op)) = fence {
             self.fence.start();
-            tokio::task::spawn_local(Rc::clone(self).run_fence_op(machine, op));
+            tokio::task::spawn_local(Rc::clone(self).run_fence_op(era, machine, op));
         }
     }
 
-    async fn run_lease_op(self: Rc<Self>, first: StoreOp<Lease>) {
+    /// Whether the store is still in that era, as far as this process knows.
+    fn is_current(&self, era: StoreEra) -> bool {
+        self.node.shard_manager.borrow().era() == era
+    }
+
+    async fn run_lease_op(self: Rc<Self>, era: StoreEra, first: StoreOp<Lease>) {
         let name = self.node.settings.machine.clone();
         let mut next = Some(first);
         let mut failed = false;
         while let Some(op) = next {
             let sent = BootClock.now();
-            let outcome = self.store.execute(LEASES, name.as_str(), &op).await;
+            let outcome = self.store.execute_in(era, LEASES, name.as_str(), &op).await;
             failed = !matches!(
                 outcome,
                 StoreOutcome::Done(_) | StoreOutcome::Conflict(_) | StoreOutcome::Absent
@@ -234,16 +263,19 @@
                 .node
                 .shard_manager
                 .borrow_mut()
-                .on_lease_outcome(sent, &op, outcome);
+                .on_lease_outcome(sent, era, &op, outcome);
         }
-        self.lease.finish(failed);
+        self.lease.finish(failed && self.is_current(era));
         self.node.announce();
         self.node.keys_changed.notify_one();
     }
 
-    async fn run_assignment_op(self: Rc<Self>, op: StoreOp<Assignment>) {
+    async fn run_assignment_op(self: Rc<Self>, era: StoreEra, op: StoreOp<Assignment>) {
         let service = self.node.service();
-        let outcome = self.store.execute(ASSIGNMENTS, service.as_str(), &op).await;
+        let outcome = self
+            .store
+            .execute_in(era, ASSIGNMENTS, service.as_str(), &op)
+            .await;
         let failed = !matches!(
             outcome,
             StoreOutcome::Done(_) | StoreOutcome::Conflict(_) | StoreOutcome::Absent
@@ -261,7 +293,7 @@
         self.node
             .shard_manager
             .borrow_mut()
-            .on_assignment_outcome(&op, outcome);
+            .on_assignment_outcome(era, &op, outcome);
         if let Some(stored) = stored
             && self.node.on_assignment(&service, stored)
             && wrote
@@ -272,13 +304,16 @@
         if overtaken {
             self.assignment.finish_overtaken();
         } else {
-            self.assignment.finish(failed);
+            self.assignment.finish(failed && self.is_current(era));
         }
         self.node.keys_changed.notify_one();
     }
 
-    async fn run_fence_op(self: Rc<Self>, machine: MachineName, op: StoreOp<Lease>) {
-        let outcome = self.store.execute(LEASES, machine.as_str(), &op).await;
+    async fn run_fence_op(self: Rc<Self>, era: StoreEra, machine: MachineName, op: StoreOp<Lease>) {
+        let outcome = self
+            .store
+            .execute_in(era, LEASES, machine.as_str(), &op)
+            .await;
         let failed = !matches!(
             outcome,
             StoreOutcome::Done(_) | StoreOutcome::Conflict(_) | StoreOutcome::Absent
@@ -288,8 +323,8 @@
         self.node
             .shard_manager
             .borrow_mut()
-            .on_fence_outcome(now, &machine, &op, outcome);
-        self.fence.finish(failed);
+            .on_fence_outcome(now, era, &machine, &op, outcome);
+        self.fence.finish(failed && self.is_current(era));
         self.node.keys_changed.notify_one();
     }
 }
--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -8,12 +8,16 @@
 use crate::incarnation::BackEndIncarnation;
 use crate::packed::Packed;
 use crate::release::ReleasedSpan;
+use crate::revision::StoreEra;
 use crate::span::{ALL, Span};
 
 /// Maps every key of one service to the machine that owns it.
 ///
 /// `ranges` are ordered, do not overlap and cover every key. Each machine that owns a range has an
 /// entry in `holders`. `fence` is at least the fencing token of every present and past range.
+///
+/// A range whose token is of an earlier era of the store than `fence` is unconfirmed: it states who
+/// owned the keys in that era, as far as the writer knew, and nobody may grant them by it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "Packed", try_from = "Packed")]
 pub struct Assignment {
@@ -103,26 +107,23 @@
             next.holders.remove(machine);
         }
         for new in &change.ranges {
-            let old = std::mem::take(&mut next.ranges);
-            next.ranges = old
-                .into_iter()
-                .flat_map(|r| {
-                    let remaining: Vec<Span> = r.span.without(new.span).collect();
-                    remaining
-                        .into_iter()
-                        .map(move |span| Range { span, ..r.clone() })
-                })
-                .collect();
-            next.ranges.push(new.clone());
+            next.set_range(new.clone());
         }
-        next.ranges.sort_by_key(|r| r.span.from);
         next.merge_neighbours();
         next
     }
 
-    /// Distributes all keys evenly among `holders`; `None` if there are none.
+    /// Distributes all keys evenly among `holders`, in the first era of the store; `None` if there
+    /// are none.
     #[must_use]
     pub fn new(holders: BTreeMap<MachineName, Holder>) -> Option<Self> {
+        Self::new_in(StoreEra::FIRST, holders)
+    }
+
+    /// Distributes all keys evenly among `holders`; `None` if there are none.
+    #[must_use]
+    pub fn new_in(era: StoreEra, holders: BTreeMap<MachineName, Holder>) -> Option<Self> {
+        let first_fence = era.first_fence();
         let count = u32::try_from(holders.len()).ok().filter(|n| *n > 0)?;
         let first_key = |i: u32| ALL.len() * i / count;
         let ranges = holders
@@ -134,18 +135,83 @@
                 Some(Range {
                     span: Span::new(from, to)?,
                     machine: machine.clone(),
-                    fence: u64::from(i) + 1,
+                    fence: first_fence + u64::from(i) + 1,
                     handover: String::new(),
                 })
             })
             .collect();
         Some(Self {
-            fence: u64::from(count),
+            fence: first_fence + u64::from(count),
             holders,
             ranges,
         })
     }
 
+    /// Returns the assignment with which a later era begins: every range is unconfirmed, and no
+    /// machine has a lease of that era yet.
+    #[must_use]
+    pub fn carried_into(&self, era: StoreEra) -> Self {
+        let mut next = self.clone();
+        next.fence = era.first_fence();
+        for holder in next.holders.values_mut() {
+            holder.epoch = 0;
+        }
+        for range in &mut next.ranges {
+            range.handover = String::new();
+        }
+        next.merge_neighbours();
+        next
+    }
+
+    /// Returns the era of the store in which the assignment was written.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        StoreEra::of_fence(self.fence)
+    }
+
+    /// Whether a range of this assignment has been assigned in its era.
+    #[must_use]
+    pub fn is_confirmed(&self, range: &Range) -> bool {
+        StoreEra::of_fence(range.fence) == self.era()
+    }
+
+    /// Returns the ranges that have not been assigned in the assignment's era.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &Range> {
+        self.ranges.iter().filter(|r| !self.is_confirmed(r))
+    }
+
+    /// Assigns the unconfirmed keys of `spans` to a holder, under one new fencing token.
+    pub fn confirm(&mut self, machine: &MachineName, spans: &[Span]) {
+        let found: Vec<Span> = self
+            .unconfirmed()
+            .flat_map(|r| spans.iter().filter_map(|s| r.span.overlap(*s)))
+            .collect();
+        if found.is_empty() || !self.holders.contains_key(machine) {
+            return;
+        }
+        self.fence += 1;
+        for span in found {
+            self.set_range(Range {
+                span,
+                machine: machine.clone(),
+                fence: self.fence,
+                handover: String::new(),
+            });
+        }
+    }
+
+    /// Replaces what the assignment says of the keys of `range`.
+    fn set_range(&mut self, range: Range) {
+        let old = std::mem::take(&mut self.ranges);
+        for r in old {
+            let rest = r.span.without(range.span);
+            let rest = rest.map(|span| Range { span, ..r.clone() });
+            self.ranges.extend(rest);
+        }
+        self.ranges.push(range);
+        self.ranges.sort_by_key(|r| r.span.from);
+    }
+
     /// Returns the range that contains a key.
     #[must_use]
     pub fn range(&self, key: u16) -> Option<&Range> {
@@ -153,15 +219,20 @@
         self.ranges.get(index).filter(|r| r.span.contains(key))
     }
 
+    /// Returns the ranges that a machine owns or, unconfirmed, owned in an earlier era.
+    pub fn stated<'a>(&'a self, machine: &'a MachineName) -> impl Iterator<Item = &'a Range> {
+        self.ranges.iter().filter(move |r| r.machine == *machine)
+    }
+
     /// Returns the ranges that a machine owns.
     pub fn owned<'a>(&'a self, machine: &'a MachineName) -> impl Iterator<Item = &'a Range> {
-        self.ranges.iter().filter(move |r| r.machine == *machine)
+        self.stated(machine).filter(|r| self.is_confirmed(r))
     }
 
-    /// Whether the machine owns a range.
+    /// Whether the machine owns a range or, unconfirmed, owned one in an earlier era.
     #[must_use]
     pub fn owns(&self, machine: &MachineName) -> bool {
-        self.owned(machine).next().is_some()
+        self.stated(machine).next().is_some()
     }
 
     /// Returns the number of keys that a machine owns.
@@ -199,12 +270,13 @@
         self.renew_fence(machine);
     }
 
-    /// Gives all ranges of a machine one new fencing token and drops their handover records, so
-    /// that neighbours can be merged.
+    /// Gives all confirmed ranges of a machine one new fencing token and drops their handover
+    /// records, so that neighbours can be merged.
     pub fn renew_fence(&mut self, machine: &MachineName) {
+        let era = self.era();
         self.fence += 1;
         for r in &mut self.ranges {
-            if r.machine == *machine {
+            if r.machine == *machine && StoreEra::of_fence(r.fence) == era {
                 r.fence = self.fence;
                 r.handover = String::new();
             }
@@ -224,10 +296,12 @@
             return false;
         }
         let mut changed = false;
+        let era = self.era();
         let fence = self.fence + 1;
         let mut ranges = Vec::with_capacity(self.ranges.len() + 2);
         for r in std::mem::take(&mut self.ranges) {
-            let moved = r.span.overlap(released.span).filter(|_| r.machine == *from);
+            let is_owned = r.machine == *from && StoreEra::of_fence(r.fence) == era;
+            let moved = r.span.overlap(released.span).filter(|_| is_owned);
             let Some(moved) = moved else {
                 ranges.push(r);
                 continue;
--- a/components/shards/src/manager/grants.rs
+++ b/components/shards/src/manager/grants.rs
@@ -97,8 +97,8 @@
         }
     }
 
-    /// Whether the machine may grant keys: its lease is valid and the stored holder entry matches
-    /// it and the back end.
+    /// Whether the machine may grant keys: its lease is valid, the stored holder entry matches it and
+    /// the back end, and no key that the back end still holds is left out.
     #[must_use]
     pub fn may_grant(&self, now: BootInstant) -> bool {
         let Some(lease) = &self.lease else {
@@ -111,7 +111,11 @@
             .is_some_and(|h| {
                 h.epoch == lease.value.epoch && Some(&h.incarnation) == self.incarnation.as_ref()
             });
-        registered && !self.exited && !lease.value.fenced && now < self.valid_until
+        registered
+            && !self.exited
+            && !lease.value.fenced
+            && now < self.valid_until
+            && !self.has_unclaimed_keys()
     }
 
     /// Grants the keys of this machine; `None` if it may not grant or for less than [`MIN_GRANT`].
@@ -186,11 +190,14 @@
     /// Whether this machine owns the key and has not sent its back end a reply that omits it.
     #[must_use]
     pub fn owns(&self, key: u16) -> bool {
-        let owned = self
-            .assignment
-            .as_ref()
-            .and_then(|a| a.value.range(key))
-            .is_some_and(|r| r.machine == self.machine);
+        let assigned = self.assignment.as_ref().and_then(|a| {
+            let range = a.value.range(key);
+            range.filter(|r| a.value.is_confirmed(r))
+        });
+        let owned = match assigned {
+            Some(range) => range.machine == self.machine,
+            None => self.carries(key),
+        };
         let mut withdrawn = self.releases.iter().filter(|(r, _)| r.is_sent());
         owned && !withdrawn.any(|(r, _)| r.span().contains(key))
     }
--- a/components/shards/src/manager/mod.rs
+++ b/components/shards/src/manager/mod.rs
@@ -11,7 +11,10 @@
 //!   has expired.
 //! - After each start of the process or of the back end, the machine writes the assignment before
 //!   it grants, so that no earlier write of its own can still take effect.
+//! - In a new era of the store, a machine is assigned keys that it held alone in the earlier one, or
+//!   that nobody can hold any more.
 
+mod era;
 mod grants;
 mod moves;
 mod renewal;
@@ -30,8 +33,11 @@
 use crate::lease::Lease;
 use crate::placement::KeyLoad;
 use crate::release::Release;
+use crate::revision::StoreEra;
 use crate::span::Span;
 
+pub use era::KeyClaim;
+use era::{CarriedKeys, Handover};
 pub use types::{PeerState, StoreOp, StoreOutcome, Timing, Versioned, with_drift};
 
 /// Progress of taking over the keys of an unreachable machine.
@@ -88,6 +94,19 @@
     last_rebalance: BootInstant,
     /// Whether the assignment must be read again, since a write may or may not have taken effect.
     needs_read: bool,
+    /// The era of the store in which the machine acts, `None` before it has heard of one.
+    era: Option<StoreEra>,
+    era_began_at: BootInstant,
+    /// Whether an earlier era ended while the process ran.
+    era_changed: bool,
+    /// Whether the whole system started for the first time with this process.
+    first_start: bool,
+    /// What is known from the earlier era, `None` if the process knew none.
+    carried: Option<CarriedKeys>,
+    /// Claims of other machines in this era.
+    claims: BTreeMap<MachineName, KeyClaim>,
+    /// What the last writes hand over.
+    handover: Option<Handover>,
 }
 
 impl ShardManager {
@@ -120,6 +139,13 @@
             load: KeyLoad::default(),
             last_rebalance: now,
             needs_read: true,
+            era: None,
+            era_began_at: now,
+            era_changed: false,
+            first_start: false,
+            carried: None,
+            claims: BTreeMap::new(),
+            handover: None,
         }
     }
 
@@ -207,18 +233,21 @@
         }
     }
 
-    /// Adopts an assignment that this or another machine has read or written, if it is newer.
+    /// Adopts an assignment that this or another machine has read or written, if it is newer and of
+    /// the current era.
     ///
     /// Returns whether it was.
     pub fn on_assignment(&mut self, assignment: Versioned<Assignment>) -> bool {
         let newer = self
             .assignment
             .as_ref()
-            .is_none_or(|a| a.revision < assignment.revision);
+            .is_none_or(|a| a.revision < assignment.revision)
+            && self.is_current(&assignment);
         if newer {
             self.assignment_absent = false;
             self.assignment = Some(assignment);
             self.drop_moved_releases();
+            self.drop_assigned_carried();
         }
         newer
     }
--- a/components/shards/src/manager/moves.rs
+++ b/components/shards/src/manager/moves.rs
@@ -14,7 +14,7 @@
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(2_500);
 
 impl ShardManager {
-    fn owned_spans(&self) -> Vec<Span> {
+    pub(super) fn owned_spans(&self) -> Vec<Span> {
         let assignment = self.assignment.as_ref();
         assignment
             .map(|a| a.value.owned(&self.machine).map(|r| r.span).collect())
--- a/components/shards/src/manager/renewal.rs
+++ b/components/shards/src/manager/renewal.rs
@@ -5,7 +5,7 @@
 use super::ShardManager;
 use super::types::{StoreOp, StoreOutcome, Versioned};
 use crate::lease::Lease;
-use crate::revision::Revision;
+use crate::revision::{Revision, StoreEra};
 
 impl ShardManager {
     /// Returns the operation due on the lease, if any.
@@ -34,15 +34,19 @@
         assignment.is_some_and(|a| a.value.owns(&self.machine))
     }
 
-    /// Records the outcome of an operation on the lease sent at `sent`.
+    /// Records the outcome of an operation on the lease sent at `sent`, in an era of the store.
     ///
     /// Returns the operation that must follow at once, if any.
     pub fn on_lease_outcome(
         &mut self,
         sent: BootInstant,
+        era: StoreEra,
         op: &StoreOp<Lease>,
         outcome: StoreOutcome<Lease>,
     ) -> Option<StoreOp<Lease>> {
+        if era != self.era() {
+            return None;
+        }
         match (op, outcome) {
             (StoreOp::Read, StoreOutcome::Absent) => {
                 Some(StoreOp::Create(Lease::default().next_epoch()))
--- a/components/shards/src/manager/takeover.rs
+++ b/components/shards/src/manager/takeover.rs
@@ -9,10 +9,11 @@
 use super::types::{StoreOp, StoreOutcome, Versioned, with_drift};
 use super::updates::RANK_DELAY;
 use super::{ShardManager, Takeover};
-use crate::assignment::Assignment;
+use crate::assignment::{Assignment, Range};
 use crate::lease::Lease;
 use crate::placement::{KeyLoad, Recipient, distribute};
 use crate::release::ReleasedSpan;
+use crate::revision::StoreEra;
 use crate::span::Span;
 
 impl ShardManager {
@@ -22,7 +23,9 @@
             return BTreeSet::new();
         };
         let timeout = self.timing.suspicion_timeout + RANK_DELAY * self.rank();
-        let owners = assignment.value.ranges.iter().map(|r| &r.machine);
+        let confirmed = |r: &&Range| assignment.value.is_confirmed(r);
+        let ranges = assignment.value.ranges.iter().filter(confirmed);
+        let owners = ranges.map(|r| &r.machine);
         owners
             .filter(|m| **m != self.machine)
             .filter(|m| match self.peers.get(*m) {
@@ -34,7 +37,7 @@
     }
 
     /// Whether this machine may take over keys: it has a valid lease and a back end.
-    fn can_take_over(&self, now: BootInstant) -> bool {
+    pub(super) fn can_take_over(&self, now: BootInstant) -> bool {
         self.has_valid_lease(now) && self.available_incarnation().is_some()
     }
 
@@ -92,14 +95,19 @@
         self.timing.renewal_interval + self.timing.suspicion_timeout
     }
 
-    /// Records the outcome of an operation returned by [`ShardManager::fence_op`].
+    /// Records the outcome of an operation returned by [`ShardManager::fence_op`] and sent in an era
+    /// of the store.
     pub fn on_fence_outcome(
         &mut self,
         now: BootInstant,
+        era: StoreEra,
         machine: &MachineName,
         op: &StoreOp<Lease>,
         outcome: StoreOutcome<Lease>,
     ) {
+        if era != self.era() {
+            return;
+        }
         let lease_expiry = with_drift(self.timing.lease);
         let overdue_after = self.overdue_after();
         let announced = self.announced_lease(machine);
@@ -146,7 +154,8 @@
 
     fn announced_lease(&self, machine: &MachineName) -> Option<(Versioned<Lease>, BootInstant)> {
         let peer = self.peers.get(machine)?;
-        Some((peer.lease.clone()?, peer.lease_received_at))
+        let lease = peer.lease_in(self.era())?;
+        Some((lease.clone(), peer.lease_received_at))
     }
 
     /// Reassigns the keys of suspected machines whose fenced lease has expired.
--- a/components/shards/src/manager/types.rs
+++ b/components/shards/src/manager/types.rs
@@ -7,7 +7,7 @@
 use crate::assignment::Holder;
 use crate::incarnation::BackEndIncarnation;
 use crate::lease::Lease;
-use crate::revision::Revision;
+use crate::revision::{Revision, StoreEra};
 
 /// Durations that every machine of a deployment shares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,13 +108,18 @@
 }
 
 impl PeerState {
-    /// Returns the holder entry that the machine needs; `None` without a back end or an unfenced
-    /// lease.
-    pub(super) fn holder(&self) -> Option<Holder> {
-        let lease = self.lease.as_ref().filter(|l| !l.value.fenced)?;
+    /// Returns the holder entry that the machine needs in an era; `None` without a back end or an
+    /// unfenced lease of that era.
+    pub(super) fn holder(&self, era: StoreEra) -> Option<Holder> {
+        let lease = self.lease_in(era).filter(|l| !l.value.fenced)?;
         Some(Holder {
             epoch: lease.value.epoch,
             incarnation: self.incarnation.clone()?,
         })
     }
+
+    /// Returns the machine's lease if it is of that era.
+    pub(super) fn lease_in(&self, era: StoreEra) -> Option<&Versioned<Lease>> {
+        self.lease.as_ref().filter(|l| l.revision.era() == era)
+    }
 }
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -7,10 +7,12 @@
 use world::name::MachineName;
 
 use super::ShardManager;
+use super::era::Handover;
 use super::types::{StoreOp, StoreOutcome, Versioned};
 use crate::assignment::{Assignment, Holder};
 use crate::placement::{Recipient, distribute};
 use crate::release::ReleasedSpan;
+use crate::revision::StoreEra;
 
 /// Ranges of one machine above which they are merged; a reply to a back end has room for about 180.
 const MAX_OWN_RANGES: usize = 100;
@@ -32,6 +34,8 @@
         };
         let mut next = assignment.value.clone();
         self.register(now, &mut next);
+        self.claim_own(&mut next);
+        self.confirm_unclaimed(now, &mut next);
         self.transfer_released(now, &mut next);
         self.reassign_fenced(now, &mut next);
         self.merge_ranges(now, &mut next);
@@ -39,6 +43,7 @@
             return None;
         }
         self.register_peers(&mut next);
+        self.confirm_claims(&mut next);
         next.merge_neighbours();
         Some(StoreOp::Replace(Versioned {
             revision: assignment.revision,
@@ -46,13 +51,35 @@
         }))
     }
 
-    /// Records the outcome of an operation on the assignment; returns whether a newer one was
-    /// found.
+    /// Records that an operation on the assignment is sent.
+    pub fn on_assignment_sent(&mut self, now: BootInstant, op: &StoreOp<Assignment>) {
+        let StoreOp::Replace(written) = op else {
+            return;
+        };
+        let complete = self.releases.iter().filter(|(r, _)| r.is_complete(now));
+        let spans = complete.map(|(r, _)| r.span()).collect();
+        let same_base = self
+            .handover
+            .as_ref()
+            .filter(|h| h.base == written.revision);
+        self.handover = Some(Handover {
+            base: written.revision,
+            in_flight: spans,
+            unknown: same_base.map_or_else(Vec::new, |h| h.unknown.clone()),
+        });
+    }
+
+    /// Records the outcome of an operation on the assignment sent in an era of the store; returns
+    /// whether a newer assignment was found.
     pub fn on_assignment_outcome(
         &mut self,
+        era: StoreEra,
         op: &StoreOp<Assignment>,
         outcome: StoreOutcome<Assignment>,
     ) -> bool {
+        if era != self.era() {
+            return false;
+        }
         match outcome {
             StoreOutcome::Done(stored) => {
                 self.needs_read = false;
@@ -61,6 +88,9 @@
             StoreOutcome::Conflict(Some(found)) => self.on_assignment(found),
             StoreOutcome::Conflict(None) | StoreOutcome::Unknown => {
                 self.needs_read = true;
+                if let Some(handover) = &mut self.handover {
+                    handover.unknown.append(&mut handover.in_flight);
+                }
                 false
             }
             StoreOutcome::Absent => {
@@ -68,7 +98,12 @@
                 self.assignment_absent = matches!(op, StoreOp::Read);
                 false
             }
-            StoreOutcome::Refused => false,
+            StoreOutcome::Refused => {
+                if let Some(handover) = &mut self.handover {
+                    handover.in_flight.clear();
+                }
+                false
+            }
         }
     }
 
@@ -98,7 +133,7 @@
         }
     }
 
-    fn own_holder(&self) -> Option<Holder> {
+    pub(super) fn own_holder(&self) -> Option<Holder> {
         Some(Holder {
             epoch: self.lease.as_ref()?.value.epoch,
             incarnation: self.incarnation.clone()?,
@@ -115,23 +150,25 @@
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 
+    /// Returns the first assignment of the service in the current era; `None` if it is too early.
     fn create_assignment(&self, now: BootInstant) -> Option<Assignment> {
-        let first_report_at = self.first_report_at?;
-        let wait = self.timing.initial_wait + RANK_DELAY * self.rank();
-        if !self.has_valid_lease(now)
-            || self.available_incarnation().is_none()
-            || now.since(first_report_at) < wait
-        {
+        if !self.has_valid_lease(now) || self.available_incarnation().is_none() {
             return None;
         }
-        let mut holders: BTreeMap<MachineName, Holder> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| p.connected)
-            .filter_map(|(m, p)| Some((m.clone(), p.holder()?)))
-            .collect();
-        holders.insert(self.machine.clone(), self.own_holder()?);
-        Assignment::new(holders)
+        let mut first = self.first_assignment(now, self.own_holder()?)?;
+        self.register_peers(&mut first);
+        self.claim_own(&mut first);
+        self.confirm_claims(&mut first);
+        first.merge_neighbours();
+        Some(first)
+    }
+
+    /// Returns the entries of the connected machines.
+    pub(super) fn announced_holders(&self) -> BTreeMap<MachineName, Holder> {
+        let connected = self.peers.iter().filter(|(_, p)| p.connected);
+        connected
+            .filter_map(|(m, p)| Some((m.clone(), p.holder(self.era())?)))
+            .collect()
     }
 
     /// Sets this machine's holder entry to its current epoch and back end.
@@ -162,19 +199,16 @@
     /// entry that another one wrote: its own earlier writes fail all the same, as the revision has
     /// changed.
     fn register_peers(&self, next: &mut Assignment) {
-        for (machine, peer) in self.peers.iter().filter(|(_, p)| p.connected) {
-            let Some(holder) = peer.holder() else {
-                continue;
-            };
-            let stored = next.holders.get(machine);
+        for (machine, holder) in self.announced_holders() {
+            let stored = next.holders.get(&machine);
             if stored.is_none_or(|s| holder.succeeds(s)) {
-                next.set_holder(machine, holder);
+                next.set_holder(&machine, holder);
             }
         }
     }
 
     /// Whether this machine's holder entry has its current epoch, as transfers of its keys require.
-    fn is_registered(&self, assignment: &Assignment) -> bool {
+    pub(super) fn is_registered(&self, assignment: &Assignment) -> bool {
         let epoch = self.lease.as_ref().map(|l| l.value.epoch);
         let holder = assignment.holders.get(&self.machine);
         holder.is_some_and(|h| Some(h.epoch) == epoch)
--- a/components/shards/src/revision.rs
+++ b/components/shards/src/revision.rs
@@ -93,8 +93,8 @@
     }
 }
 
-/// Makes a revision of a store that names no era.
 impl From<u32> for Revision {
+    /// Makes a revision of a store that names no era.
     fn from(number: u32) -> Self {
         Self(u64::from(number))
     }
--- a/components/shards/tests/one_holder/model/mod.rs
+++ b/components/shards/tests/one_holder/model/mod.rs
@@ -13,6 +13,7 @@
 use shards::key_report::GrantReply;
 use shards::lease::Lease;
 use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
+use shards::revision::StoreEra;
 use world::instant::BootInstant;
 use world::name::MachineName;
 
@@ -674,7 +675,9 @@
                     Some(Rule::GrantWithinLease) => at + Duration::from_secs(9),
                     _ => entry.sent,
                 };
-                let next = p.manager.on_lease_outcome(sent, op, outcome);
+                let next = p
+                    .manager
+                    .on_lease_outcome(sent, StoreEra::FIRST, op, outcome);
                 p.lease_pending = next.is_some();
                 if let Some(next) = next {
                     let next = self.apply_epoch_rule(next);
@@ -687,7 +690,8 @@
                     Some(Err(outcome)) => outcome.clone(),
                     _ => StoreOutcome::Unknown,
                 };
-                p.manager.on_assignment_outcome(op, outcome);
+                p.manager
+                    .on_assignment_outcome(StoreEra::FIRST, op, outcome);
             }
             Request::Fence(machine, op) => {
                 p.fence_pending = false;
@@ -699,7 +703,8 @@
                     Some(Rule::WaitAfterFence) => at - Duration::from_secs(9),
                     _ => at,
                 };
-                p.manager.on_fence_outcome(at, machine, op, outcome);
+                p.manager
+                    .on_fence_outcome(at, StoreEra::FIRST, machine, op, outcome);
             }
         }
     }
--- a/components/shards/tests/restart_of_all.rs
+++ b/components/shards/tests/restart_of_all.rs
@@ -11,7 +11,7 @@
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
 use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
-use shards::revision::Revision;
+use shards::revision::{Revision, StoreEra};
 use world::instant::BootInstant;
 use world::name::MachineName;
 
@@ -84,7 +84,7 @@
     let _ = manager.on_report(START, &report);
     let own = lease(2);
     let op = StoreOp::Replace(own.clone());
-    manager.on_lease_outcome(START, &op, StoreOutcome::Done(own));
+    manager.on_lease_outcome(START, StoreEra::FIRST, &op, StoreOutcome::Done(own));
     for other in (0..count).filter(|i| *i != index) {
         let state = PeerState {
             connected: true,
@@ -99,7 +99,11 @@
     manager.on_assignment(assignment.clone());
     // A process reads the assignment once before it writes.
     let read = StoreOp::Read;
-    manager.on_assignment_outcome(&read, StoreOutcome::Done(assignment.clone()));
+    manager.on_assignment_outcome(
+        StoreEra::FIRST,
+        &read,
+        StoreOutcome::Done(assignment.clone()),
+    );
     manager
 }
 
@@ -135,7 +139,7 @@
         round.shuffle(&mut rng);
         for (index, op) in round {
             let outcome = store.execute(&op);
-            managers[index].on_assignment_outcome(&op, outcome);
+            managers[index].on_assignment_outcome(StoreEra::FIRST, &op, outcome);
         }
     }
     let calls = store.writes + store.conflicts;
--- a/components/shards/tests/retry_report.rs
+++ b/components/shards/tests/retry_report.rs
@@ -8,7 +8,7 @@
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
 use shards::manager::{ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
-use shards::revision::Revision;
+use shards::revision::{Revision, StoreEra};
 use world::instant::BootInstant;
 use world::name::MachineName;
 
@@ -39,7 +39,7 @@
         revision: Revision::from(3),
         value: lease,
     });
-    manager.on_lease_outcome(at(100), &StoreOp::Create(lease), created);
+    manager.on_lease_outcome(at(100), StoreEra::FIRST, &StoreOp::Create(lease), created);
     assert!(manager.retry_report(at(0), at(150), &report(1)).is_none());
     let holder = Holder {
         epoch: lease.epoch,
--- a/components/shards/tests/takeover.rs
+++ b/components/shards/tests/takeover.rs
@@ -8,7 +8,7 @@
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
 use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
-use shards::revision::Revision;
+use shards::revision::{Revision, StoreEra};
 use world::instant::BootInstant;
 use world::name::MachineName;
 
@@ -46,7 +46,12 @@
     let _ = manager.on_report(at(0), &report);
     let lease = lease();
     let op = StoreOp::Create(lease);
-    manager.on_lease_outcome(at(0), &op, StoreOutcome::Done(stored(3, lease)));
+    manager.on_lease_outcome(
+        at(0),
+        StoreEra::FIRST,
+        &op,
+        StoreOutcome::Done(stored(3, lease)),
+    );
     let holders: BTreeMap<_, _> = [(own, "i-own"), (MachineName::new("other"), "i-other")]
         .into_iter()
         .map(|(machine, id)| {
