Order configurations by their version

A process put a configuration in force if the revision of its object was higher. After the store has come back from an older copy, revisions are below those known before: a process that knew a later one ignored what the operator wrote until they had passed it, also from peers that had it, and a process that knew none took the restored one and kept it, as its peers had no higher revision to offer than some later write of any kind.

Change: only the version counts, which the operator raises with each configuration; the store has no part in it. The same version changes nothing. What is not later but differs is logged (`event=configuration-outdated version=N in_force=M source=S`). Peers compare versions too (`catalog_version` in statuses, `version` in `Frame::Catalog`).

Beside processes of earlier versions, which have revisions in the same places of the encoding: a status or frame that says how late a configuration is counts only between processes that announce `configuration_versions`; of a document received, its own version counts. An earlier process that sees a number above its revision asks for the configuration every 0.2 s and gets no answer, as it would take the version for a revision and ignore later ones from the store. So during an upgrade it gets configurations from the store and from peers of its own version.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -12,11 +12,7 @@
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
     store_watch::run(store, KIND, |object| {
         if object.name == NAME {
-            node.on_configuration(
-                object.stored.revision.number(),
-                object.stored.value,
-                "store",
-            );
+            node.on_configuration(object.stored.value, "store");
         }
     })
     .await;
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -14,6 +14,9 @@
     /// [`StoreResponse::era`](platform::store::StoreResponse::era) and
     /// [`Frame::KeyClaim`](super::Frame::KeyClaim).
     pub store_eras: bool,
+    /// Versions of the configuration in [`NodeStatus`](super::NodeStatus) and
+    /// [`Frame::Catalog`](super::Frame::Catalog), which were revisions of its object before.
+    pub configuration_versions: bool,
 }
 
 impl Features {
@@ -23,11 +26,13 @@
         crash_exits: true,
         status_updates: true,
         store_eras: true,
+        configuration_versions: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
     const STATUS_UPDATES_BIT: u32 = 1 << 2;
     const STORE_ERAS_BIT: u32 = 1 << 3;
+    const CONFIGURATION_VERSIONS_BIT: u32 = 1 << 4;
 
     pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
@@ -35,6 +40,10 @@
             (self.crash_exits, Self::CRASH_EXITS_BIT),
             (self.status_updates, Self::STATUS_UPDATES_BIT),
             (self.store_eras, Self::STORE_ERAS_BIT),
+            (
+                self.configuration_versions,
+                Self::CONFIGURATION_VERSIONS_BIT,
+            ),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -52,6 +61,7 @@
             crash_exits: bits & Self::CRASH_EXITS_BIT != 0,
             status_updates: bits & Self::STATUS_UPDATES_BIT != 0,
             store_eras: bits & Self::STORE_ERAS_BIT != 0,
+            configuration_versions: bits & Self::CONFIGURATION_VERSIONS_BIT != 0,
         })
     }
 }
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -62,8 +62,8 @@
     },
     /// The operator's configuration.
     Catalog {
-        /// Revision of the stored object.
-        revision: u64,
+        /// Its version.
+        version: u64,
         /// The document as JSON.
         document: Vec<u8>,
     },
--- a/components/node/src/frame/status.rs
+++ b/components/node/src/frame/status.rs
@@ -31,8 +31,9 @@
     pub back_end: Option<BackEndStatus>,
     /// Revision and content of the machine's lease.
     pub lease: Option<(Revision, Lease)>,
-    /// Revision of the newest configuration that the process has, 0 for none.
-    pub catalog_revision: u64,
+    /// Version of the configuration in force, 0 for none; without meaning if the process does not
+    /// announce [`Features::configuration_versions`].
+    pub catalog_version: u64,
     /// Whether the process reaches the store.
     pub store_reachable: bool,
     /// Whether the process is shutting down.
@@ -52,8 +53,8 @@
     pub version: u64,
     /// See [`NodeStatus::lease`].
     pub lease: Option<(Revision, Lease)>,
-    /// See [`NodeStatus::catalog_revision`].
-    pub catalog_revision: u64,
+    /// See [`NodeStatus::catalog_version`].
+    pub catalog_version: u64,
     /// See [`NodeStatus::store_reachable`].
     pub store_reachable: bool,
     /// See [`NodeStatus::utilization_eighths`].
@@ -63,6 +64,12 @@
 }
 
 impl NodeStatus {
+    /// Returns whether the process has a configuration of a later version than `version`.
+    #[must_use]
+    pub fn has_later_configuration(&self, version: u64) -> bool {
+        self.features.configuration_versions && self.catalog_version > version
+    }
+
     /// Returns the change that leads from `previous` to this status; `None` if they also differ in
     /// what a [`StatusUpdate`] does not contain.
     #[must_use]
@@ -70,7 +77,7 @@
         let update = StatusUpdate {
             version: self.version,
             lease: self.lease,
-            catalog_revision: self.catalog_revision,
+            catalog_version: self.catalog_version,
             store_reachable: self.store_reachable,
             utilization_eighths: self.utilization_eighths,
             cold: self.back_end.as_ref().is_some_and(|b| b.cold),
@@ -89,7 +96,7 @@
             back_end,
             version: update.version,
             lease: update.lease,
-            catalog_revision: update.catalog_revision,
+            catalog_version: update.catalog_version,
             store_reachable: update.store_reachable,
             utilization_eighths: update.utilization_eighths,
             ..self.clone()
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -98,11 +98,7 @@
                 .borrow()
                 .lease()
                 .map(|l| (l.revision, l.value)),
-            catalog_revision: self
-                .active_config
-                .borrow()
-                .as_ref()
-                .map_or(0, |c| c.revision),
+            catalog_version: self.configuration_version(),
             store_reachable: self.store_reachable.get(),
             leaving: self.stopping.get(),
             utilization_eighths: self.announced_utilization(),
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -1,7 +1,8 @@
 //! State of the process, shared by its tasks on one thread.
 //!
-//! Configurations and assignments only move to higher revisions. A change of state that peers
-//! depend on is announced to them; one that affects the keys wakes [`Node::keys_changed`].
+//! Configurations only move to higher versions, whatever their revision in the store, assignments
+//! only to later revisions. A change of state that peers depend on is announced to them; one that
+//! affects the keys wakes [`Node::keys_changed`].
 
 mod keys;
 mod local;
@@ -51,8 +52,6 @@
 /// The configuration in force.
 #[derive(Clone, Debug)]
 pub struct ActiveConfig {
-    /// Revision of the stored object.
-    pub revision: u64,
     /// The decoded document.
     pub catalog: Rc<Catalog>,
     /// The document as stored, to send to peers.
@@ -178,27 +177,34 @@
         self.active_config.borrow().clone()
     }
 
-    /// Puts a configuration in force if it is valid and newer than the current one; returns whether
-    /// it did. `source` is logged.
-    pub fn on_configuration(&self, revision: u64, document: Value, source: &str) -> bool {
-        if let Some(current) = self.active_config()
-            && current.revision >= revision
-        {
-            if source == "store" && *current.document != document {
-                log::info!(event = "configuration-outdated", revision, in_force = current.revision; "");
-            }
-            return false;
-        }
+    /// Returns the version of the configuration in force, 0 until the first one arrives.
+    #[must_use]
+    pub fn configuration_version(&self) -> u64 {
+        let config = self.active_config.borrow();
+        config.as_ref().map_or(0, |c| c.catalog.version)
+    }
+
+    /// Puts a configuration in force if it is valid and of a higher version than the current one;
+    /// returns whether it did. `source` is logged.
+    pub fn on_configuration(&self, document: Value, source: &str) -> bool {
         let catalog = match configuration::decode(&document) {
             Ok(catalog) => catalog,
             Err(error) => {
-                log::error!(event = "configuration-refused", revision, source, error:% = error; "");
+                log::error!(event = "configuration-refused", source, error:% = error; "");
                 return false;
             }
         };
-        log::info!(event = "configuration-in-force", revision, version = catalog.version, source; "");
+        let version = catalog.version;
+        if let Some(current) = self.active_config()
+            && current.catalog.version >= version
+        {
+            if *current.document != document {
+                log::info!(event = "configuration-outdated", version, in_force = current.catalog.version, source; "");
+            }
+            return false;
+        }
+        log::info!(event = "configuration-in-force", version, source; "");
         *self.active_config.borrow_mut() = Some(ActiveConfig {
-            revision,
             catalog: Rc::new(catalog),
             document: Rc::new(document),
         });
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -103,12 +103,12 @@
     pub fn on_frame(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
         match frame {
             Frame::Hello(status) => self.on_hello(*status),
-            Frame::Catalog { revision, document } => match serde_json::from_slice(&document) {
+            Frame::Catalog { version, document } => match serde_json::from_slice(&document) {
                 Ok(document) => {
-                    self.on_configuration(revision, document, "peer");
+                    self.on_configuration(document, "peer");
                 }
                 Err(error) => {
-                    log::warn!(event = "configuration-refused", revision, error:% = error; "");
+                    log::warn!(event = "configuration-refused", version, error:% = error; "");
                 }
             },
             Frame::CatalogRequest => {
@@ -116,7 +116,7 @@
                     send_frame(
                         sender,
                         &Frame::Catalog {
-                            revision: c.revision,
+                            version: c.catalog.version,
                             document: c.document.to_string().into_bytes(),
                         },
                     );
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -62,6 +62,10 @@
             request.subtract_delay(delay);
             on_request(&node, &process, *request, &sender);
         }
+        Frame::CatalogRequest if !process.features.configuration_versions => {
+            // It would take the version for a revision, and ignore later ones of the store.
+            log::debug!(event = "configuration-not-sent"; "");
+        }
         Frame::Cancel { id } => {
             // A non-idempotent request that the back end runs goes on.
             let mut requests = node.peer_requests.borrow_mut();
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -1,8 +1,8 @@
 //! Fetches configurations and assignments from peers that have newer ones than this process.
 //!
 //! Normally both arrive without a request: each process watches the configuration in the store, and
-//! changes of assignments are broadcast. A request is therefore sent only if the newer revision is
-//! still missing one check later; otherwise every process would ask every other one after a restart
+//! changes of assignments are broadcast. A request is therefore sent only if the newer one is still
+//! missing one check later; otherwise every process would ask every other one after a restart
 //! of all.
 
 use std::rc::Rc;
@@ -12,17 +12,17 @@
 use crate::node::Node;
 use crate::pause;
 
-/// Time between two checks for newer revisions.
+/// Time between two checks for newer ones.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// What a connected peer had in a newer revision at the last check.
+/// What a connected peer had in a newer state at the last check.
 #[derive(Debug, Default)]
 struct Missing {
     configuration: bool,
     assignments: bool,
 }
 
-/// Checks periodically for newer revisions, for as long as the process runs.
+/// Checks periodically for newer configurations and assignments, for as long as the process runs.
 pub async fn run(node: Rc<Node>) {
     let mut missing = Missing::default();
     loop {
@@ -32,8 +32,8 @@
 }
 
 fn request_missing(node: &Node, previous: &Missing) -> Missing {
-    let current = node.active_config().map_or(0, |c| c.revision);
-    let config_source = node.random_peer(|m| m.catalog_revision > current);
+    let current = node.configuration_version();
+    let config_source = node.random_peer(|m| m.has_later_configuration(current));
     let outdated = node.assignments_to_fetch();
     let assignment_source = node.random_peer(|m| outdated.contains(&m.service));
     if let Some(peer) = config_source.as_ref().filter(|_| previous.configuration) {
--- a/components/node/tests/frames.rs
+++ b/components/node/tests/frames.rs
@@ -24,7 +24,7 @@
         version: 1,
         back_end: None,
         lease: None,
-        catalog_revision: 0,
+        catalog_version: 0,
         store_reachable: true,
         leaving: false,
         utilization_eighths: 3,
@@ -178,7 +178,7 @@
     let peer = Peer::new(MachineName::new("m"), ([127, 0, 0, 1], 1).into());
     let renewed = NodeStatus {
         version: 2,
-        catalog_revision: 9,
+        catalog_version: 9,
         ..status()
     };
     let update = renewed.update_since(&status()).expect("a small change");
--- a/components/node/tests/whole_path/delayed_peer.rs
+++ b/components/node/tests/whole_path/delayed_peer.rs
@@ -59,7 +59,7 @@
         version: 1,
         back_end: None,
         lease: None,
-        catalog_revision: 0,
+        catalog_version: 0,
         store_reachable: true,
         leaving: false,
         utilization_eighths: 0,
