List watched objects again in each era of the store

A watch names the revision from which it goes on. After the store has come back from an older copy that revision may have been given out again: the watch then gets no 410 and misses what the return has changed, such as a blocked request or a configuration that has been written again below it. A process that learns of the return elsewhere may have a watch open for up to 25 s on a connection that nobody has closed.

Change: a watch goes on only for as long as its era is the latest known one. If a response of another era arrives, or the era is learned elsewhere, it ends and the objects are listed again: the configuration at once, blocked requests after a random part of 2 s. A list of an earlier era than the known one is not applied; it is read again as after a failure.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the operator's configuration as the store has it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use platform::configuration::{KIND, NAME};
 
@@ -10,9 +11,11 @@
 
 /// Puts each new configuration in force, for as long as the process runs.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
-    store_watch::run(store, KIND, |object| {
+    let apply_node = Rc::clone(&node);
+    // Not spread over time: the operator's next configuration must not be late.
+    store_watch::run(node, store, KIND, Duration::ZERO, |object| {
         if object.name == NAME {
-            node.on_configuration(object.stored.value, "store");
+            apply_node.on_configuration(object.stored.value, "store");
         }
     })
     .await;
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -44,6 +44,7 @@
 use crate::suspects::Suspects;
 
 pub(crate) use local::UTILIZATION_STEPS;
+pub(crate) use store::ERA_SPREAD;
 
 /// Time after the start of the process within which a back end that refuses connections counts as
 /// still starting, not as exited.
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -1,11 +1,16 @@
 //! The store: whether it can be reached, and its era.
 
+use std::time::Duration;
+
 use platform::store::{RequestError, StoreRequest, StoreResponse, Transport, WatchTransport};
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 
 use super::Node;
 
+/// Time over which the processes spread the calls that they make in each new era and that can wait.
+pub(crate) const ERA_SPREAD: Duration = Duration::from_secs(2);
+
 impl Node {
     /// Sends a request to the store over this process's own connections.
     ///
--- a/components/node/src/quarantine_store.rs
+++ b/components/node/src/quarantine_store.rs
@@ -8,7 +8,7 @@
 use quarantine::fingerprint::Fingerprint;
 use serde::{Deserialize, Serialize};
 
-use crate::node::Node;
+use crate::node::{ERA_SPREAD, Node};
 use crate::relay::StoreClient;
 use crate::suspects::{self, CrashReport, Source};
 use crate::{store_update, store_watch, wall_clock};
@@ -27,9 +27,10 @@
 
 /// Learns of stored records, for as long as the process runs.
 pub async fn watch(node: Rc<Node>, store: Rc<StoreClient>) {
+    let apply_node = Rc::clone(&node);
     let apply_store = Rc::clone(&store);
-    let apply = |object| apply(&node, &apply_store, object);
-    store_watch::run(store, QUARANTINE, apply).await;
+    let apply = |object| apply(&apply_node, &apply_store, object);
+    store_watch::run(node, store, QUARANTINE, ERA_SPREAD, apply).await;
 }
 
 /// Updates the stored records of requests as [`suspects::Suspects`] asks for it, for as long as the
