Register again and list the members in each era of the store

A process writes its record once, at its start, and lists the others then and every five minutes. If the store comes back from a copy made before the record was written, a machine that starts later does not find this one. Two machines that started in the lost seconds without having found each other do so only when their lists are read, after up to five minutes.

Change: when a later era is known than that in which the store last confirmed the record, the process writes it again after a random part of 2 s, then lists all records. Mostly this is one refused creation, as the record is in the copy, and one list: for N processes N writes and N lists, spread over 2 s. `event=member-registered era=N` tells of it.

Why it works: of two processes, the one whose record is confirmed later lists after that and finds the other's record in the same era; a return in between begins both anew.

Test with a store that comes back twice without the records, each time with that of a new machine.

--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -7,9 +7,10 @@
 use platform::store::MEMBERS;
 use serde::{Deserialize, Serialize};
 use shards::manager::{StoreOp, StoreOutcome};
+use shards::revision::StoreEra;
 use world::name::MachineName;
 
-use crate::node::Node;
+use crate::node::{ERA_SPREAD, Node};
 use crate::relay::StoreClient;
 use crate::store_update::RETRY_PAUSE;
 use crate::{pause, store_update};
@@ -30,44 +31,59 @@
 }
 
 /// Writes the record of this process, then lists the records of the others for as long as the
-/// process runs.
+/// process runs; both again in each era of the store.
+///
+/// Of any two processes, the later one to write its record finds that of the other.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
-    register(&node, &store).await;
+    let mut era = register(&node, &store).await;
     loop {
-        match store.list(MEMBERS).await {
-            Ok(listing) => {
-                for object in listing.objects {
-                    match serde_json::from_value::<MemberRecord>(object.stored.value) {
-                        Ok(record) => node.add_peer(&record.machine, record.address),
-                        Err(error) => {
-                            log::warn!(event = "member-skipped", name = object.name.as_str(), error:% = error; "");
-                        }
-                    }
-                }
-                node.on_members_listed();
-                let isolated = !node.peers().iter().any(|p| p.is_connected());
-                let interval = if isolated {
-                    ISOLATED_LIST_INTERVAL
-                } else {
-                    LIST_INTERVAL
-                };
-                pause::jittered(interval).await;
+        let next_list = list(&node, &store).await;
+        tokio::select! {
+            () = pause::jittered(next_list) => {}
+            _ = node.later_store_era(era) => {
+                pause::random_part(ERA_SPREAD).await;
+                era = register(&node, &store).await;
             }
+        }
+    }
+}
+
+/// Lists the records and connects to the processes found; returns the time until the next list.
+async fn list(node: &Rc<Node>, store: &StoreClient) -> Duration {
+    let listing = match store.list(MEMBERS).await {
+        Ok(listing) => listing,
+        Err(error) => {
+            log::warn!(event = "members-unknown", error:% = error; "");
+            return RETRY_PAUSE;
+        }
+    };
+    for object in listing.objects {
+        match serde_json::from_value::<MemberRecord>(object.stored.value) {
+            Ok(record) => node.add_peer(&record.machine, record.address),
             Err(error) => {
-                log::warn!(event = "members-unknown", error:% = error; "");
-                pause::jittered(RETRY_PAUSE).await;
+                log::warn!(event = "member-skipped", name = object.name.as_str(), error:% = error; "");
             }
         }
     }
+    node.on_members_listed();
+    let isolated = !node.peers().iter().any(|p| p.is_connected());
+    if isolated {
+        ISOLATED_LIST_INTERVAL
+    } else {
+        LIST_INTERVAL
+    }
 }
 
-async fn register(node: &Rc<Node>, store: &Rc<StoreClient>) {
+/// Writes the record of this process; returns the era in which the store has it.
+async fn register(node: &Node, store: &StoreClient) -> StoreEra {
     let record = MemberRecord {
         machine: node.settings.machine.clone(),
         address: node.settings.advertised_address,
     };
     let name = record.machine.as_str();
-    store_update::converge(store, MEMBERS, name, |_| record.clone()).await;
+    let era = store_update::converge(store, MEMBERS, name, |_| record.clone()).await;
+    log::info!(event = "member-registered", era:% = era; "");
+    era
 }
 
 /// Removes the record of this process, when its machine leaves the deployment.
--- a/components/node/src/store_update.rs
+++ b/components/node/src/store_update.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use shards::manager::{StoreOp, StoreOutcome, Versioned};
+use shards::revision::StoreEra;
 
 use crate::pause;
 use crate::relay::StoreClient;
@@ -13,13 +14,14 @@
 pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
 /// Writes an object until the store has the value that `desired` returns for the stored one, `None`
-/// if there is none.
+/// if there is none; returns the era in which the store has it.
 pub async fn converge<V>(
     store: &StoreClient,
     kind: &str,
     name: &str,
     mut desired: impl FnMut(Option<&V>) -> V,
-) where
+) -> StoreEra
+where
     V: Clone + PartialEq + Serialize + DeserializeOwned,
 {
     let mut op = StoreOp::Create(desired(None));
@@ -27,10 +29,10 @@
         match store.execute(kind, name, &op).await {
             StoreOutcome::Done(stored) | StoreOutcome::Conflict(Some(stored)) => {
                 let value = desired(Some(&stored.value));
+                let revision = stored.revision;
                 if stored.value == value {
-                    return;
+                    return revision.era();
                 }
-                let revision = stored.revision;
                 op = StoreOp::Replace(Versioned { revision, value });
             }
             StoreOutcome::Conflict(None) => op = StoreOp::Read,
--- a/components/node/tests/configuration_order.rs
+++ b/components/node/tests/configuration_order.rs
@@ -1,26 +1,16 @@
 //! Of two configurations, the one of the higher version is in force, whatever their revisions.
 
+mod common;
+
 use std::rc::Rc;
 
 use node::frame::{Features, Frame, NodeStatus};
 use node::node::Node;
-use platform::settings::Settings;
 use rstest::rstest;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-fn node() -> Rc<Node> {
-    let settings = json!({
-        "nodeName": "m", "ip": "127.0.0.1", "zone": "z", "region": "r", "zones": {"z": "r"},
-        "listenAddresses": {"outbound": "127.0.0.1:1", "ready": "127.0.0.1:2",
-            "control": "127.0.0.1:3", "inbound": "127.0.0.1:4"},
-        "internalPortRange": [5, 6], "bounds": [],
-        "applicationAddress": "127.0.0.1:7", "service": "s",
-        "platform": {"address": "127.0.0.1:8"},
-    });
-    let settings = Settings::from_json(settings.to_string().as_bytes()).expect("well-formed");
-    Rc::new(Node::new(settings, 1))
-}
+use common::offline_node;
 
 fn document(version: impl Into<Value>, service: &str) -> Value {
     json!({
@@ -54,7 +44,7 @@
 // operator writes are below those known before.
 #[test]
 fn only_a_higher_version_is_put_in_force() {
-    let node = node();
+    let node = offline_node();
     assert!(node.on_configuration(document(5, "a"), "store"));
     assert!(!node.on_configuration(document(3, "old"), "store"));
     assert!(!node.on_configuration(document(5, "same"), "store"));
@@ -75,7 +65,7 @@
     #[case] service: &str,
     #[values(0, 6, 70_000)] claimed: u64,
 ) {
-    let node = node();
+    let node = offline_node();
     assert!(node.on_configuration(document(5, "a"), "store"));
     receive(&node, from_peer(claimed, &document(version, "b")));
     assert_eq!(in_force(&node), Some((expected, service.to_owned())));
@@ -87,7 +77,7 @@
 #[case::negative(json!(-7))]
 #[case::fraction(json!(7.5))]
 fn a_document_without_a_readable_version_is_refused(#[case] version: Value) {
-    let node = node();
+    let node = offline_node();
     assert!(!node.on_configuration(document(version.clone(), "b"), "store"));
     assert_eq!(in_force(&node), None);
     assert!(node.on_configuration(document(5, "a"), "store"));
@@ -110,14 +100,14 @@
     let status = NodeStatus {
         catalog_version: number,
         features,
-        ..node().status()
+        ..offline_node().status()
     };
     assert_eq!(status.has_later_configuration(7), expected);
 }
 
 #[test]
 fn a_configuration_is_sent_with_its_version() {
-    let node = node();
+    let node = offline_node();
     let sent = document(5, "a");
     assert!(node.on_configuration(sent.clone(), "store"));
     let (sender, mut frames) = mpsc::unbounded_channel();
--- a/components/node/tests/store_era.rs
+++ b/components/node/tests/store_era/known.rs
@@ -1,12 +1,7 @@
-//! What a process does when the store comes back from an older copy.
-
-use std::rc::Rc;
+//! A process knows the latest era of the store of which it has heard.
 
 use node::frame::{Frame, NodeStatus};
-use node::node::Node;
-use platform::settings::Settings;
 use rstest::rstest;
-use serde_json::json;
 use shards::assignment::{Assignment, Holder};
 use shards::incarnation::BackEndIncarnation;
 use shards::lease::Lease;
@@ -14,22 +9,8 @@
 use tokio::sync::mpsc;
 use world::name::{MachineName, ServiceName};
 
-fn node() -> Rc<Node> {
-    let settings = json!({
-        "nodeName": "m", "ip": "127.0.0.1", "zone": "z", "region": "r", "zones": {"z": "r"},
-        "listenAddresses": {"outbound": "127.0.0.1:1", "ready": "127.0.0.1:2",
-            "control": "127.0.0.1:3", "inbound": "127.0.0.1:4"},
-        "internalPortRange": [5, 6], "bounds": [],
-        "applicationAddress": "127.0.0.1:7", "service": "s",
-        "platform": {"address": "127.0.0.1:8"},
-    });
-    let settings = Settings::from_json(settings.to_string().as_bytes()).expect("well-formed");
-    Rc::new(Node::new(settings, 1))
-}
-
-fn era(number: u64) -> StoreEra {
-    StoreEra::new(number).expect("a small number")
-}
+use crate::common::offline_node;
+use crate::era;
 
 fn assignment() -> Assignment {
     let holder = Holder {
@@ -44,7 +25,7 @@
 
 #[tokio::test]
 async fn a_process_knows_the_latest_era_of_any_response() {
-    let node = node();
+    let node = offline_node();
     assert_eq!(node.store_era(), StoreEra::FIRST);
     node.on_store_era(era(2));
     node.on_store_era(era(1));
@@ -59,7 +40,7 @@
 
 #[tokio::test]
 async fn tasks_wait_for_an_era_later_than_theirs() {
-    let node = node();
+    let node = offline_node();
     node.on_store_era(era(2));
     assert_eq!(node.later_store_era(era(1)).await, era(2), "known already");
     let later = node.later_store_era(era(2));
@@ -78,7 +59,7 @@
 fn hello() -> Frame {
     Frame::Hello(Box::new(NodeStatus {
         lease: lease(4),
-        ..node().status()
+        ..offline_node().status()
     }))
 }
 
@@ -97,7 +78,7 @@
 })]
 #[tokio::test]
 async fn a_process_learns_of_an_era_from_its_peers(#[case] frame: Frame) {
-    let node = node();
+    let node = offline_node();
     let (sender, _frames) = mpsc::unbounded_channel();
     node.on_frame(frame, &sender);
     assert_eq!(node.store_era(), era(4));
@@ -105,7 +86,7 @@
 
 #[tokio::test]
 async fn a_process_learns_of_an_era_from_a_renewed_lease() {
-    let node = node();
+    let node = offline_node();
     let before = node.status();
     let renewed = NodeStatus {
         lease: lease(4),
--- /dev/null
+++ b/components/node/tests/store_era/main.rs
@@ -0,0 +1,14 @@
+//! What a process does when the store comes back from an older copy.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod known;
+mod rewrites;
+mod small_store;
+mod watches;
+
+use shards::revision::StoreEra;
+
+fn era(number: u64) -> StoreEra {
+    StoreEra::new(number).expect("a small number")
+}
