Write the record of a blocked request once for each change, not in a loop

The store takes a bounded number of writes a second from all processes, so that renewals of leases are refused meanwhile.

Cause: since the count of crashes names the back ends that exited, which are left out of its encoding. The loop that saves a record went on until the stored value equals the one to be written, which it never did.

Change: the value to be written has no back ends either, and an update ends when the store has confirmed a write.

Test with a small store: four crashes of one request, two records each: 8 creations, 6 replacements.

--- a/components/node/src/quarantine_store.rs
+++ b/components/node/src/quarantine_store.rs
@@ -5,6 +5,7 @@
 
 use platform::store::{NamedObject, QUARANTINE};
 use quarantine::crash_count::CrashCount;
+use quarantine::exits::Exits;
 use quarantine::fingerprint::Fingerprint;
 use serde::{Deserialize, Serialize};
 
@@ -16,7 +17,7 @@
 /// Stored record of a request, under its fingerprint as name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct StoredCount {
-    /// Crashes attributed to the request.
+    /// Crashes attributed to the request, without the back ends that exited, which are not stored.
     #[serde(flatten)]
     count: CrashCount,
     /// Unix time in milliseconds of the last change of the count. Machines' clocks may differ by
@@ -49,7 +50,10 @@
         return;
     };
     let known = StoredCount {
-        count: report.count,
+        count: CrashCount {
+            exits: Exits::default(),
+            ..report.count
+        },
         changed_unix_ms: wall_clock::unix_ms().saturating_sub(report.age_ms),
     };
     let name = fingerprint.to_string();
--- a/components/node/src/store_update.rs
+++ b/components/node/src/store_update.rs
@@ -27,6 +27,9 @@
     let mut op = StoreOp::Create(desired(None));
     loop {
         match store.execute(kind, name, &op).await {
+            StoreOutcome::Done(stored) if !matches!(op, StoreOp::Read) => {
+                return stored.revision.era();
+            }
             StoreOutcome::Done(stored) | StoreOutcome::Conflict(Some(stored)) => {
                 let value = desired(Some(&stored.value));
                 let revision = stored.revision;
--- a/components/node/tests/store_era/rewrites.rs
+++ b/components/node/tests/store_era/rewrites.rs
@@ -1,15 +1,26 @@
 //! A process writes what is its own again in each era of the store.
 
+use std::ops::Range;
 use std::rc::Rc;
+use std::time::Duration;
 
-use node::{members, relay};
-use platform::store::MEMBERS;
+use node::node::Node;
+use node::{members, quarantine_store, relay, suspects};
+use platform::store::{MEMBERS, QUARANTINE};
+use quarantine::fingerprint::{Fingerprint, RequestIdentity};
+use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
+use quarantine::quarantine::MAX_CRASHES;
 use serde_json::json;
+use shards::incarnation::BackEndIncarnation;
+use timer::{BootClock, Clock};
 use tokio::task::{LocalSet, spawn_local};
 use world::name::MachineName;
 
 use crate::small_store::{SmallStore, until};
 
+/// Time in which further calls would show.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 // Guards against two machines that do not find each other, as both were added in the seconds that the
 // store has lost.
 #[tokio::test]
@@ -34,3 +45,75 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+fn fingerprint(target: &[u8]) -> Fingerprint {
+    Fingerprint::new(&RequestIdentity {
+        method: b"GET",
+        host: b"h",
+        target,
+        caller: b"c",
+        body: b"",
+    })
+}
+
+/// Makes the local back end exit under a request as often as it takes to block it.
+fn block(node: &Node, target: &[u8]) {
+    crash(node, target, 0..MAX_CRASHES);
+}
+
+/// Makes the local back end exit under a request of which these numbers of crashes were known.
+fn crash(node: &Node, target: &[u8], known: Range<u32>) {
+    let now = BootClock.now();
+    for crash in known {
+        let incarnation = BackEndIncarnation {
+            id: "i".to_owned(),
+            born: u64::from(crash) + 1,
+        };
+        let interrupted = InterruptedRequest {
+            fingerprint: fingerprint(target),
+            known: KnownCrashes {
+                own: crash,
+                any_caller: crash,
+            },
+            sent: now,
+            at: now,
+        };
+        suspects::on_exit(node, &incarnation, &[interrupted]);
+    }
+}
+
+fn records(targets: &[&[u8]]) -> Vec<String> {
+    let scopes = targets
+        .iter()
+        .map(|t| fingerprint(t))
+        .flat_map(|f| [f, f.any_caller()]);
+    let mut names: Vec<String> = scopes.map(|f| f.to_string()).collect();
+    names.sort();
+    names
+}
+
+// Guards against a record that never equals what is to be saved, as the back ends that exited are not
+// stored, and is written in a loop that takes the calls of all machines.
+#[tokio::test]
+async fn a_record_is_written_once_for_each_crash() {
+    let test = async {
+        let (store, node) = SmallStore::start().await;
+        let client = Rc::new(relay::client(&node));
+        spawn_local(quarantine_store::save(Rc::clone(&node), client));
+        block(&node, b"/a");
+        let expected = records(&[b"/a"]);
+        until("the records", || store.names(QUARANTINE) == expected).await;
+        for crashes in MAX_CRASHES..MAX_CRASHES + 3 {
+            crash(&node, b"/a", crashes..crashes + 1);
+            let is_saved = |name: &String| {
+                let record = store.object(QUARANTINE, name);
+                record.is_some_and(|r| r["crashes"] == crashes + 1)
+            };
+            until("the crash", || expected.iter().all(is_saved)).await;
+        }
+        tokio::time::sleep(SETTLE_TIME).await;
+        assert_eq!(store.count(0, "PUT", QUARANTINE), 2 * 3);
+        assert_eq!(store.count(0, "POST", QUARANTINE), 2 * 4);
+    };
+    LocalSet::new().run_until(test).await;
+}
