Save blocked requests again in each era of the store

A request that crashes back ends is blocked in the memory of the processes and by a record in the store, for those that start later or are cut off from their peers. If the store comes back from a copy made before the record was written, these do not know of it: the request crashes three more back ends.

Change: the process that has saved a record saves it again in each era, after a random part of 2 s, for as long as it remembers the request itself (at most 1,024, as before). Others do not, so that this takes one or two calls a record. A record of before that was cleared in the lost seconds is overwritten in the same way, as a cleared request is remembered for 60 s.

--- a/components/node/src/quarantine_store.rs
+++ b/components/node/src/quarantine_store.rs
@@ -12,7 +12,7 @@
 use crate::node::{ERA_SPREAD, Node};
 use crate::relay::StoreClient;
 use crate::suspects::{self, CrashReport, Source};
-use crate::{store_update, store_watch, wall_clock};
+use crate::{pause, store_update, store_watch, wall_clock};
 
 /// Stored record of a request, under its fingerprint as name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +34,17 @@
     store_watch::run(node, store, QUARANTINE, ERA_SPREAD, apply).await;
 }
 
+/// Asks in each era of the store for what this process has saved to be saved again, for as long as
+/// the process runs.
+pub async fn save_in_each_era(node: Rc<Node>) {
+    let mut era = node.store_era();
+    loop {
+        era = node.later_store_era(era).await;
+        pause::random_part(ERA_SPREAD).await;
+        node.suspects.save_again();
+    }
+}
+
 /// Updates the stored records of requests as [`suspects::Suspects`] asks for it, for as long as the
 /// process runs.
 pub async fn save(node: Rc<Node>, store: Rc<StoreClient>) {
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -107,6 +107,7 @@
     spawn_local(catalog_watch::run(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(quarantine_store::watch(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(quarantine_store::save(Rc::clone(&node), Rc::clone(&store)));
+    spawn_local(quarantine_store::save_in_each_era(Rc::clone(&node)));
     spawn_local(members::run(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(shard_driver::run(
         Rc::clone(&node),
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -95,6 +95,8 @@
     quarantine: RefCell<Quarantine>,
     /// Requests whose record in the store is to be updated.
     unsaved: RefCell<BTreeSet<Fingerprint>>,
+    /// Requests whose record this process has ever asked to be updated, as long as it knows of them.
+    saved: RefCell<BTreeSet<Fingerprint>>,
     /// Notified when [`Self::take_unsaved`] may return something.
     pub save_needed: Notify,
 }
@@ -185,13 +187,27 @@
 
     /// Drops what has been remembered for long enough.
     pub fn evict_expired(&self, now: BootInstant) {
-        self.quarantine.borrow_mut().evict_expired(now);
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.evict_expired(now);
+        let is_known = |f: &Fingerprint| quarantine.record(f).is_some();
+        self.saved.borrow_mut().retain(is_known);
     }
 
     fn save(&self, fingerprint: Fingerprint) {
+        self.saved.borrow_mut().insert(fingerprint);
         self.unsaved.borrow_mut().insert(fingerprint);
         self.save_needed.notify_one();
     }
+
+    /// Asks for all records that this process has saved to be updated again, for a store that may
+    /// have lost them.
+    pub fn save_again(&self) {
+        let saved = self.saved.borrow();
+        if !saved.is_empty() {
+            self.unsaved.borrow_mut().extend(saved.iter());
+            self.save_needed.notify_one();
+        }
+    }
 }
 
 /// Checks whether a request may be sent to a back end of its service.
--- a/components/node/tests/store_era/rewrites.rs
+++ b/components/node/tests/store_era/rewrites.rs
@@ -9,7 +9,7 @@
 use platform::store::{MEMBERS, QUARANTINE};
 use quarantine::fingerprint::{Fingerprint, RequestIdentity};
 use quarantine::interrupted::{InterruptedRequest, KnownCrashes};
-use quarantine::quarantine::MAX_CRASHES;
+use quarantine::quarantine::{MAX_CRASHES, SUSPECT_RETENTION};
 use serde_json::json;
 use shards::incarnation::BackEndIncarnation;
 use timer::{BootClock, Clock};
@@ -117,3 +117,50 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+// Guards against a request that crashes back ends again because the store has lost its record.
+#[tokio::test]
+async fn records_of_blocked_requests_are_saved_in_each_era() {
+    let test = async {
+        let (store, node) = SmallStore::start().await;
+        let client = Rc::new(relay::client(&node));
+        spawn_local(quarantine_store::save(Rc::clone(&node), client));
+        spawn_local(quarantine_store::save_in_each_era(Rc::clone(&node)));
+        let mut blocked: Vec<&[u8]> = Vec::new();
+        for (number, target) in [(0, &b"/a"[..]), (1, b"/b"), (2, b"/c")] {
+            node.on_store_era(crate::era(number));
+            block(&node, target);
+            blocked.push(target);
+            let expected = records(&blocked);
+            until("the records", || store.names(QUARANTINE) == expected).await;
+            store.come_back_empty();
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn what_the_process_has_forgotten_is_not_saved_again() {
+    let node = crate::common::offline_node();
+    block(&node, b"/a");
+    assert_eq!(node.suspects.take_unsaved().len(), 2);
+    assert!(node.suspects.take_unsaved().is_empty());
+    node.suspects.save_again();
+    assert_eq!(node.suspects.take_unsaved().len(), 2);
+    node.suspects
+        .evict_expired(BootClock.now() + SUSPECT_RETENTION * 100);
+    node.suspects.save_again();
+    assert!(node.suspects.take_unsaved().is_empty());
+}
+
+#[tokio::test]
+async fn what_others_have_saved_is_not_saved_by_all() {
+    let (saver, other) = (crate::common::offline_node(), crate::common::offline_node());
+    block(&saver, b"/a");
+    for report in saver.suspects.reports() {
+        suspects::on_report(&other, &report, suspects::Source::Peer);
+    }
+    assert_eq!(other.suspects.blocked_count(), 1);
+    other.suspects.save_again();
+    assert!(other.suspects.take_unsaved().is_empty());
+}
