Tell all peers of the store's era at once

A process learns of a return of the store from a response, or from a peer's lease or assignment. Where nothing is divided by key, or only other services are, it makes no call of its own but its watches, each of which may wait for 25 s: if the store goes on with the watches of before and gives out revisions again, a configuration that is written below the revision watched from arrives only after that, and not at all with that watch.

Change: a process that learns of a later era sends it to every connected peer (`Frame::StoreEra`, about six bytes), also when a connection opens, if the peer announces `store_eras`. Each peer passes it on once, so that it also reaches those that only some can reach. For N processes this takes N frames each, once for each return. A store without eras takes none.

--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -11,8 +11,8 @@
     pub crash_exits: bool,
     /// [`Frame::StatusUpdate`](super::Frame::StatusUpdate).
     pub status_updates: bool,
-    /// [`StoreResponse::era`](platform::store::StoreResponse::era) and
-    /// [`Frame::KeyClaim`](super::Frame::KeyClaim).
+    /// [`StoreResponse::era`](platform::store::StoreResponse::era),
+    /// [`Frame::KeyClaim`](super::Frame::KeyClaim) and [`Frame::StoreEra`](super::Frame::StoreEra).
     pub store_eras: bool,
     /// Versions of the configuration in [`NodeStatus`](super::NodeStatus) and
     /// [`Frame::Catalog`](super::Frame::Catalog), which were revisions of its object before.
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -124,4 +124,6 @@
         /// The keys, and its entry in the assignment.
         claim: Box<KeyClaim>,
     },
+    /// The latest era of the store that the sender knows.
+    StoreEra(StoreEra),
 }
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use tokio::sync::{Notify, mpsc};
 use world::instant::BootInstant;
@@ -89,6 +90,9 @@
                         send_frame(&sender, &announcement);
                     }
                     peer.send_crashes(&node.suspects.reports());
+                    if node.store_era() > StoreEra::FIRST {
+                        peer.send_store_era(node.store_era());
+                    }
                 }
                 node.on_link_change();
             }
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -170,6 +170,7 @@
                 let mut manager = self.shard_manager.borrow_mut();
                 manager.on_claim(machine, era, *claim);
             }
+            Frame::StoreEra(era) => self.on_store_era(era),
             Frame::Ping { probe } => {
                 send_frame(sender, &Frame::Pong { probe });
             }
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -43,7 +43,8 @@
         }
     }
 
-    /// Begins an era of the store, unless it or a later one is known.
+    /// Begins an era of the store, unless it or a later one is known, and tells all peers: each of
+    /// them may wait in a watch that nothing else ends.
     pub fn on_store_era(&self, era: StoreEra) {
         self.shard_manager.borrow_mut().on_era(BootClock.now(), era);
         let previous = self.store_era();
@@ -58,6 +59,9 @@
             self.metrics.on_store_era();
             log::warn!(event = "store-era", era:% = era, previous:% = previous; "");
             self.keys_changed.notify_one();
+            for peer in self.peers() {
+                peer.send_store_era(era);
+            }
         }
     }
 
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use platform::store::{RequestError, StoreRequest, StoreResponse};
+use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use tokio::sync::oneshot;
 use world::instant::BootInstant;
@@ -200,6 +201,13 @@
         }
     }
 
+    /// Tells its process of the era of the store, if it decodes that.
+    pub(crate) fn send_store_era(&self, era: StoreEra) {
+        if self.features().store_eras {
+            self.send(&Frame::StoreEra(era));
+        }
+    }
+
     /// Returns the id for a new request.
     #[must_use]
     pub fn next_id(&self) -> u64 {
--- a/components/node/tests/store_era/known.rs
+++ b/components/node/tests/store_era/known.rs
@@ -76,6 +76,7 @@
     revision: Revision::new(era(4), 2).expect("a small number"),
     change: Box::new(assignment().diff(&assignment())),
 })]
+#[case::era(Frame::StoreEra(era(4)))]
 #[tokio::test]
 async fn a_process_learns_of_an_era_from_its_peers(#[case] frame: Frame) {
     let node = offline_node();
--- a/components/node/tests/store_era/main.rs
+++ b/components/node/tests/store_era/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod known;
+mod peers;
 mod rewrites;
 mod small_store;
 mod watches;
