Run the simulation of one_holder over eras of the store

Processes learn the era from responses, each second by a read, and from peers' leases, assignments and claims; claims take up to 1.5 s and arrive in later eras too. The store keeps kinds of objects for each era and gives revisions out again after a return; requests of before may take effect in the next era. Histories get a handover and a takeover that only the lost seconds knew, late writes, and faults that leave writes without an outcome.

The simulation is divided into machines, processes, requests and checks.

--- a/components/shards/tests/one_holder/model/history.rs
+++ b/components/shards/tests/one_holder/model/history.rs
@@ -3,6 +3,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::restores::Restore;
+
 /// An event on the machine of the given index; durations are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Event {
@@ -51,27 +53,6 @@
     };
 }
 
-/// A return of the store from an older copy; times in milliseconds.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Restore {
-    /// When the copy was taken.
-    pub(crate) copied_at: f64,
-    /// When the store goes away; later changes are lost.
-    pub(crate) away_at: f64,
-    /// When the store is back with the state of the copy.
-    pub(crate) back_at: f64,
-}
-
-impl Restore {
-    fn random(rng: &mut StdRng, away_at: f64) -> Self {
-        Self {
-            copied_at: (away_at - rng.random_range(500.0..8_000.0)).max(0.0),
-            away_at,
-            back_at: away_at + rng.random_range(0.0..2_000.0),
-        }
-    }
-}
-
 /// Events and store faults of one simulation.
 #[derive(Clone, Debug)]
 pub(crate) struct History {
@@ -90,7 +71,7 @@
 }
 
 /// End of the faults in a recovering history.
-const FAULTS_END_MS: f64 = 25_000.0;
+pub(super) const FAULTS_END_MS: f64 = 25_000.0;
 
 impl History {
     /// Returns a history without events and faults.
@@ -105,6 +86,18 @@
         }
     }
 
+    /// Returns a history in which a machine loses its peers after it has begun to move keys to them.
+    pub(crate) fn without_recipients() -> Self {
+        Self {
+            machines: 2,
+            events: vec![
+                (5_000.0, Event::SetLoad(0, 1.5)),
+                (5_100.0, Event::PartitionFromPeers(0, 7_000.0)),
+            ],
+            ..Self::without_faults()
+        }
+    }
+
     /// Returns a history with faults to its end.
     pub(crate) fn with_faults(seed: u64) -> Self {
         Self::random(seed, 40_000.0, 40_000.0)
@@ -116,14 +109,7 @@
         Self::random(seed, FAULTS_END_MS, FAULTS_END_MS + 45_000.0)
     }
 
-    /// Returns a history with faults to its end and one or two restores of the store.
-    pub(crate) fn with_restores(seed: u64) -> Self {
-        let mut history = Self::with_faults(seed);
-        history.add_restores(history.end);
-        history
-    }
-
-    fn random(seed: u64, faults_end: f64, end: f64) -> Self {
+    pub(super) fn random(seed: u64, faults_end: f64, end: f64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
         let machines = rng.random_range(2..=5);
         let count = rng.random_range(2..14);
@@ -152,62 +138,6 @@
         }
     }
 
-    /// Adds one or two restores, each with events close to it; keeps all other events and faults.
-    fn add_restores(&mut self, faults_end: f64) {
-        let mut rng = StdRng::seed_from_u64(self.seed ^ 0x0e4a);
-        let last = faults_end - 6_000.0;
-        let away_at = rng.random_range(3_000.0..last);
-        let first = Restore::random(&mut rng, away_at);
-        self.restores.push(first);
-        let next = first.back_at + 50.0;
-        if next < last && rng.random_bool(0.4) {
-            // Often before everything is settled after the first one.
-            let latest = if rng.random_bool(0.6) {
-                last.min(next + 8_000.0)
-            } else {
-                last
-            };
-            let away_at = rng.random_range(next..latest);
-            self.restores.push(Restore::random(&mut rng, away_at));
-        }
-        for restore in self.restores.clone() {
-            for _ in 0..rng.random_range(0..7) {
-                let (at, event) = Self::event_near(&mut rng, self.machines, restore);
-                self.events.push((at.max(1_000.0), event));
-            }
-        }
-        self.events.sort_by(|a, b| a.0.total_cmp(&b.0));
-    }
-
-    /// Returns an event that changes the keys in the lost seconds, or that spans the return.
-    fn event_near(rng: &mut StdRng, machines: usize, restore: Restore) -> (f64, Event) {
-        let i = rng.random_range(0..machines);
-        let restarts = i == 0 || rng.random_bool(0.7);
-        let lost = rng.random_range(restore.copied_at..restore.away_at);
-        let around = rng.random_range(restore.away_at - 1_000.0..restore.back_at + 2_000.0);
-        let before = rng.random_range(restore.away_at - 9_000.0..restore.back_at);
-        let beyond_return = restore.back_at - before + rng.random_range(0.0..7_000.0);
-        let restart_delay = rng.random_range(300.0..2_500.0);
-        match rng.random_range(0..14) {
-            0..=2 => (lost, Event::SetLoad(i, rng.random_range(0.9..1.5))),
-            3 if i != 0 => (lost, Event::Drain(i)),
-            4 => (
-                lost,
-                Event::CrashBackEnd(i, restarts.then_some(restart_delay)),
-            ),
-            5 => (
-                before,
-                Event::PowerOff(i, restarts.then_some(restart_delay)),
-            ),
-            6 | 7 => (around, Event::KillProcess(i, restart_delay)),
-            8 => (around, Event::KillAllProcesses(restart_delay)),
-            9 | 10 => (before, Event::PauseProcess(i, beyond_return)),
-            11 => (before, Event::Partition(i, beyond_return)),
-            12 => (before, Event::PartitionFromStore(i, beyond_return)),
-            _ => (before, Event::PartitionFromPeers(i, beyond_return)),
-        }
-    }
-
     fn random_event(rng: &mut StdRng, machines: usize) -> Event {
         let i = rng.random_range(0..machines);
         // The first machine always restarts, so that keys can be held in the end.
--- a/components/shards/tests/one_holder/model/rules.rs
+++ b/components/shards/tests/one_holder/model/rules.rs
@@ -15,4 +15,17 @@
     WriteBeforeGranting,
     /// A new incarnation of a back end gets new fencing tokens.
     NewFencePerIncarnation,
+    /// A process without memory waits until every lease of an earlier era has expired before it
+    /// assigns keys that nobody has claimed.
+    WaitForEarlierLeases,
+    /// Only a machine whose lease of the earlier era is valid claims its keys.
+    ClaimWithValidLease,
+    /// Keys that a write without an outcome hands over are not claimed.
+    KeepHandoversWithoutOutcome,
+    /// Late requests of an earlier era do not change objects of this one.
+    KindsPerEra,
+    /// A response counts only in the era in which the request was sent.
+    OutcomesOfTheirEra,
+    /// Fencing tokens of a later era are higher.
+    FencesCarryEra,
 }
