Assign keys at once only if no machine can have had any in an earlier era

Cause: the first start was taken as proof that no earlier era had granted keys; a later first contact is not.

Change: the first era that a process knows must be known within 1.2 s of its start. All machines start within 0.3 s of each other and wait for 1.5 s before they divide keys, so none had any before.

In shards store_era the era now begins at the start of the machines, as it does in a deployment; the former case of the first start has one for each side of the bound.

--- a/components/shards/src/manager/era.rs
+++ b/components/shards/src/manager/era.rs
@@ -18,6 +18,8 @@
 use crate::revision::{Revision, StoreEra};
 use crate::span::{Span, subtract};
 
+/// Longest time between the starts of two machines when the whole system starts for the first time.
+const START_SPREAD: Duration = Duration::from_millis(300);
 /// Time for the claims of other machines to arrive before the first assignment of an era is written.
 const CLAIM_WAIT: Duration = Duration::from_millis(200);
 
@@ -210,7 +212,7 @@
         }
         let mut holders = self.announced_holders();
         holders.insert(self.machine.clone(), own);
-        if era == StoreEra::FIRST || (self.first_start && !self.era_changed) {
+        if self.is_unassigned() {
             return Assignment::new_in(era, holders);
         }
         let mut next = Assignment::new(holders.clone())?.carried_into(era);
@@ -218,6 +220,15 @@
         Some(next)
     }
 
+    /// Whether no machine can have been assigned keys before this era: there is none before, or it has
+    /// been known since a time at which no machine had waited long enough to assign keys for the first
+    /// time.
+    fn is_unassigned(&self) -> bool {
+        let known_after = self.era_began_at.since(self.started);
+        let is_early = known_after + START_SPREAD <= self.timing.initial_wait;
+        self.era() == StoreEra::FIRST || (self.first_start && !self.era_changed && is_early)
+    }
+
     /// Assigns the keys that nobody has claimed, once no machine can hold them by a lease of an
     /// earlier era any more: to the owner that is stated if it is there, else to others.
     pub(super) fn confirm_unclaimed(&self, now: BootInstant, next: &mut Assignment) {
--- a/components/shards/tests/store_era.rs
+++ b/components/shards/tests/store_era.rs
@@ -67,7 +67,8 @@
             number: 100,
             calls: 0,
         };
-        cluster.begin_era(SETTLED, first);
+        cluster.begin_era(START, first);
+        cluster.renew_leases(SETTLED);
         cluster.settle(SETTLED);
         cluster
     }
@@ -376,20 +377,26 @@
     assert_eq!(claim.is_some(), is_claimed);
 }
 
-/// Guards against a wait at the first start of the system, and against none at a later one.
+/// Guards against a wait at the first start of the system, against none at a later one, and against
+/// two holders when a machine that was cut off at the first start reads a later era first.
 #[rstest]
-#[case(true)]
-#[case(false)]
-fn only_the_first_start_of_the_system_assigns_keys_at_once(#[case] first_start: bool) {
+#[case(true, Duration::from_millis(1_200), true)]
+#[case(true, Duration::from_millis(1_201), false)]
+#[case(false, Duration::ZERO, false)]
+fn only_the_first_start_of_the_system_assigns_keys_at_once(
+    #[case] first_start: bool,
+    #[case] known_after: Duration,
+    #[case] at_once: bool,
+) {
     let mut cluster = Cluster {
         managers: (0..2).map(|i| started(i, first_start)).collect(),
         store: BTreeMap::new(),
         number: 100,
         calls: 0,
     };
-    cluster.begin_era(START, era(1));
+    cluster.begin_era(START + known_after, era(1));
     cluster.settle(START + Duration::from_secs(3));
-    assert_eq!(all_confirmed(cluster.assignment(era(1))), first_start);
+    assert_eq!(all_confirmed(cluster.assignment(era(1))), at_once);
 }
 
 /// Guards against a peer whose lease of an earlier era registers it in this one.
