End the release of keys that return to their holder

Cause: a release ended only when the machine no longer owned the keys. So it stayed, its keys were left out of every grant, and as it was complete, the next write gave them back again, under a token higher by one.

Change: a release also ends when its keys have been assigned under a later token than those issued before it began. That is so after the keys have returned, and in a new era of the store.

--- a/components/shards/src/manager/mod.rs
+++ b/components/shards/src/manager/mod.rs
@@ -252,17 +252,14 @@
         newer
     }
 
-    /// Drops releases of keys that this machine no longer owns.
+    /// Drops releases of keys that this machine no longer owns or that have been assigned to it anew.
     fn drop_moved_releases(&mut self) {
         let Some(assignment) = &self.assignment else {
             return;
         };
         let machine = &self.machine;
-        self.releases.retain(|(r, _)| {
-            assignment
-                .value
-                .owned(machine)
-                .any(|o| o.span.overlap(r.span()).is_some())
-        });
+        let owned = || assignment.value.owned(machine);
+        self.releases
+            .retain(|(release, _)| owned().any(|range| release.concerns(range)));
     }
 }
--- a/components/shards/src/manager/moves.rs
+++ b/components/shards/src/manager/moves.rs
@@ -57,11 +57,17 @@
                 .collect();
         }
         for (span, recipient) in distribute(&spans, &self.load, &self.recipients()) {
-            let release = Release::new(span, self.grants_expired_at);
-            self.releases.push((release, Some(recipient)));
+            self.release(span, recipient);
         }
     }
 
+    /// Starts the release of keys that a recipient is to get.
+    fn release(&mut self, span: Span, recipient: MachineName) {
+        let fence = self.assignment.as_ref().map_or(0, |a| a.value.fence);
+        let release = Release::new(span, fence, self.grants_expired_at);
+        self.releases.push((release, Some(recipient)));
+    }
+
     /// Starts to move keys to less loaded machines if `utilization`, that of this one, is
     /// well above the mean, or to a machine without keys.
     ///
@@ -82,8 +88,7 @@
         for (recipient, fraction) in &shares {
             for span in self.select_keys(&spans, total * fraction) {
                 spans = subtract(&spans, span);
-                let release = Release::new(span, self.grants_expired_at);
-                self.releases.push((release, Some(recipient.clone())));
+                self.release(span, recipient.clone());
             }
         }
         if !self.releases.is_empty() {
--- a/components/shards/src/release.rs
+++ b/components/shards/src/release.rs
@@ -2,6 +2,7 @@
 
 use world::instant::BootInstant;
 
+use crate::assignment::Range;
 use crate::key_report::{HeldKeys, ReleasedKeys};
 use crate::span::{Span, subtract};
 
@@ -18,6 +19,8 @@
 #[derive(Clone, Debug)]
 pub struct Release {
     span: Span,
+    /// Highest fencing token issued before the release began.
+    fence: u64,
     /// Instant by which every grant of these keys has expired.
     expires: BootInstant,
     /// Parts that the back end has reported as released.
@@ -31,11 +34,13 @@
 }
 
 impl Release {
-    /// Starts the release of `span`, every grant of which has expired at `expires`.
+    /// Starts the release of `span`, every grant of which has expired at `expires`, when tokens up to
+    /// `fence` have been issued.
     #[must_use]
-    pub fn new(span: Span, expires: BootInstant) -> Self {
+    pub fn new(span: Span, fence: u64, expires: BootInstant) -> Self {
         Self {
             span,
+            fence,
             expires,
             released: Vec::new(),
             unreleased: vec![span],
@@ -50,6 +55,12 @@
         self.span
     }
 
+    /// Whether a range is still to be released: one with a later token has been assigned since.
+    #[must_use]
+    pub fn concerns(&self, range: &Range) -> bool {
+        range.fence <= self.fence && range.span.overlap(self.span).is_some()
+    }
+
     /// Records that a reply without these keys has been sent to the back end.
     pub fn mark_sent(&mut self) {
         self.release_sent = true;
