Ask peers before the first configuration of a store in a later era

A process that starts after the store has come back from an older copy reads the restored configuration, puts it in force and is ready. If a later version was lost, requests are handled by the older one, though the later one has been in force for long, until the second check of the peers' versions shows it, 0.2 to 0.5 s later.

Change: in a later era than the first, the first configuration that a process reads from the store waits until a connected peer has told its version, for at most 0.5 s; a later one is fetched from the peer at once and is the first in force. Until then callers get 503, as from any process that starts. In the first era the store has lost nothing, and nothing waits.

Price: without a peer that has a configuration, as after a restart of all, a start takes 0.5 s longer once the store has come back.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -3,8 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::configuration::{KIND, NAME};
+use platform::configuration::{self, KIND, NAME};
+use serde_json::Value;
+use shards::revision::StoreEra;
+use timer::{BootClock, Clock};
+use tokio::task::spawn_local;
 
+use crate::frame::Frame;
 use crate::node::Node;
 use crate::relay::StoreClient;
 use crate::store_watch;
@@ -12,14 +17,46 @@
 /// Time over which the processes spread their lists in a new era; short, as the operator's next
 /// configuration must not be late.
 const ERA_SPREAD: Duration = Duration::from_millis(500);
+/// Longest time for which the first configuration waits for the version of a peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two checks whether a peer has told its version.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Puts each new configuration in force, for as long as the process runs.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
     let apply_node = Rc::clone(&node);
     store_watch::run(node, store, KIND, ERA_SPREAD, |object| {
         if object.name == NAME {
-            apply_node.on_configuration(object.stored.value, "store");
+            apply(&apply_node, object.stored.value);
         }
     })
     .await;
 }
+
+fn apply(node: &Rc<Node>, document: Value) {
+    let is_first = node.active_config().is_none();
+    if is_first && node.store_era() > StoreEra::FIRST {
+        spawn_local(apply_first(Rc::clone(node), document));
+    } else {
+        node.on_configuration(document, "store");
+    }
+}
+
+/// Puts the first configuration of this process in force, unless a peer has a later one: the store
+/// may have come back without the version that is in force elsewhere.
+///
+/// Waits at most `PEER_TIMEOUT` for a peer with a configuration, and for the later one.
+async fn apply_first(node: Rc<Node>, document: Value) {
+    let started = BootClock.now();
+    let version = configuration::decode(&document).map_or(0, |c| c.version);
+    let mut requested = false;
+    while node.active_config().is_none() && BootClock.now().since(started) < PEER_TIMEOUT {
+        if let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) {
+            requested = requested || peer.send(&Frame::CatalogRequest);
+        } else if node.random_peer(|s| s.has_later_configuration(0)).is_some() {
+            break;
+        }
+        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+    }
+    node.on_configuration(document, "store");
+}
--- a/components/node/tests/store_era/main.rs
+++ b/components/node/tests/store_era/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod fake_peer;
+mod first_configuration;
 mod known;
 mod peers;
 mod rewrites;
--- a/components/node/tests/store_era/small_store.rs
+++ b/components/node/tests/store_era/small_store.rs
@@ -19,7 +19,7 @@
 use crate::common;
 
 /// Time after which a test that waits has failed.
-const TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 /// Time between two checks of what a test waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const BOUNDS: Bounds = Bounds {
