Soak stores that come back from an earlier copy

New faults, drawn with the others and overlapping them: the store is away for 0.1 to 2 s and comes back from a copy that is 0.5 to 8 s older, the operator writes the same newest version again up to 1.5 s later; every second write is executed up to 6 s late, also after a restore. New promise: a version is in force 2.5 s after it was confirmed, or confirmed again, at machines undisturbed for as long; without it a process that ignores a new version for seconds passed. Violations that are found again and again are listed once.

--- a/components/stand-ins/src/store/mod.rs
+++ b/components/stand-ins/src/store/mod.rs
@@ -106,7 +106,19 @@
         self.lock().compact();
     }
 
-    /// Goes back to the copy that it had `age` ago and begins the next era.
+    /// Makes the store unavailable until it is restored, whatever other fault it has.
+    pub fn go_away(&self) {
+        self.lock().away = true;
+        self.notify();
+    }
+
+    /// Returns whether [`Self::go_away`] has made the store unavailable.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.lock().away
+    }
+
+    /// Comes back from the copy that it had `age` ago and begins the next era.
     ///
     /// Objects, history and revision are those of the copy; a watch from a revision that it does not
     /// have gets a 410.
@@ -160,10 +172,11 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Response> {
-        match self.fault() {
-            StoreFault::Unavailable => return Some(self.lock().empty_response(503)),
-            StoreFault::Slow(delay) => std::thread::sleep(delay),
-            StoreFault::None | StoreFault::LoseResponses | StoreFault::DelayWrites(_) => {}
+        if let StoreFault::Slow(delay) = self.fault() {
+            std::thread::sleep(delay);
+        }
+        if let Some(refusal) = self.refusal() {
+            return Some(refusal);
         }
         match Call::decode(request)? {
             Call::Watch {
@@ -177,6 +190,11 @@
         }
     }
 
+    fn refusal(&self) -> Option<Response> {
+        let state = self.lock();
+        state.is_unavailable().then(|| state.empty_response(503))
+    }
+
     fn on_write(&self, write: Write) -> Option<Response> {
         let mut state = self.lock();
         *state.writes_by_kind.entry(write.kind.clone()).or_default() += 1;
@@ -202,7 +220,7 @@
     fn execute_late(&self, write: &Write, delay: Duration) {
         std::thread::sleep(delay);
         let mut state = self.lock();
-        while state.fault == StoreFault::Unavailable {
+        while state.is_unavailable() {
             state = self.state.1.wait(state).expect("no panic under the lock");
         }
         state.execute(write);
--- a/components/stand-ins/src/store/state.rs
+++ b/components/stand-ins/src/store/state.rs
@@ -48,6 +48,8 @@
 pub(super) struct State {
     pub(super) era: u64,
     pub(super) fault: StoreFault,
+    /// Whether the store is away until the next restore.
+    pub(super) away: bool,
     /// Number of write requests received.
     pub(super) writes: u64,
     /// The same by the kind of the object.
@@ -89,6 +91,11 @@
         response
     }
 
+    /// Returns whether every request gets a 503.
+    pub(super) fn is_unavailable(&self) -> bool {
+        self.away || self.fault == StoreFault::Unavailable
+    }
+
     /// Returns how often the store has been restored.
     pub(super) fn restore_count(&self) -> usize {
         self.restored.len()
@@ -100,7 +107,7 @@
         self.history.clear();
     }
 
-    /// Goes back to the state at `at` and begins the next era.
+    /// Comes back with the state at `at` and begins the next era.
     pub(super) fn restore(&mut self, at: Instant) {
         let kept = self.undo.partition_point(|u| u.at <= at);
         for undo in self.undo.split_off(kept).into_iter().rev() {
@@ -114,6 +121,7 @@
         self.compacted = self.compacted.min(self.revision);
         self.restored.push(self.revision);
         self.era += 1;
+        self.away = false;
         self.execute_held();
     }
 
@@ -138,7 +146,7 @@
         if since < self.compacted || since > self.revision || is_lost {
             return Some(self.empty_response(410));
         }
-        if self.fault == StoreFault::Unavailable {
+        if self.is_unavailable() {
             return Some(self.empty_response(503));
         }
         let is_new = |c: &&Change| c.revision > since && c.kind == kind;
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -11,6 +11,7 @@
 use stand_ins::http::Connection;
 use stand_ins::layout;
 
+use crate::configuration::{APPLY_LIMIT, Configuration, version_path};
 use crate::crashing::{CrashingRequest, Target};
 use crate::fleet::{Environment, Fleet};
 use crate::invariants::{InvariantChecker, ReportedOutcome};
@@ -69,8 +70,8 @@
     pub fleet: Mutex<Fleet>,
     /// Checks what callers and back ends see.
     pub checker: Arc<InvariantChecker>,
-    /// Latest version of the configuration written to the store.
-    pub config_version: AtomicU64,
+    /// The configuration that the operator has written.
+    pub configuration: Mutex<Configuration>,
     /// Whether callers continue to send requests.
     pub running: AtomicBool,
     /// Whether faults are injected.
@@ -79,14 +80,19 @@
 }
 
 impl SharedState {
-    /// Creates the state with configuration version 1.
+    /// Creates the state at the start of a soak.
     #[must_use]
-    pub fn new(environment: Environment, fleet: Fleet, checker: Arc<InvariantChecker>) -> Self {
+    pub fn new(
+        environment: Environment,
+        fleet: Fleet,
+        checker: Arc<InvariantChecker>,
+        configuration: Configuration,
+    ) -> Self {
         Self {
             environment,
             fleet: Mutex::new(fleet),
             checker,
-            config_version: AtomicU64::new(1),
+            configuration: Mutex::new(configuration),
             running: AtomicBool::new(true),
             faulty: AtomicBool::new(true),
             next_id: AtomicU64::new(1),
@@ -101,6 +107,14 @@
         self.fleet.lock().expect("no panic under the lock")
     }
 
+    /// Locks the configuration; not to be held while [`Self::fleet`] is called.
+    ///
+    /// # Panics
+    /// Panics if another thread panicked while it held the lock.
+    pub fn configuration(&self) -> MutexGuard<'_, Configuration> {
+        self.configuration.lock().expect("no panic under the lock")
+    }
+
     fn next_id(&self, kind: RequestKind) -> String {
         let number = self.next_id.fetch_add(1, Ordering::SeqCst);
         format!("{}{number}", kind.id_prefix())
@@ -135,7 +149,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         while self.shared.running.load(Ordering::SeqCst) {
             let kind = match rng.random_range(0..10) {
-                0 => RequestKind::Version(self.shared.config_version.load(Ordering::SeqCst)),
+                0 => RequestKind::Version(self.shared.configuration().version()),
                 1 if self.last_served.0 > 0 => RequestKind::Version(self.last_served.0),
                 2 if rng.random_bool(SLOW_ORDER_PROBABILITY) => RequestKind::SlowOrder,
                 1..=4 => RequestKind::Order,
@@ -175,6 +189,9 @@
         let Ok(response) = response else { return 0 };
         if let RequestKind::Version(version) = kind {
             self.check_version(version, run, response.status);
+            if response.status == 404 {
+                self.check_in_force(version, sent_at);
+            }
         }
         if !response.headers.has_token("Connection", "close") {
             self.connection = Some((connection, Instant::now()));
@@ -230,6 +247,20 @@
         self.shared.checker.add_violation(violation);
     }
 
+    /// Records a violation if a version that was not served at `sent_at` was due at a machine that has
+    /// been undisturbed for long enough.
+    fn check_in_force(&self, version: u64, sent_at: Instant) {
+        let is_due = self.shared.configuration().is_due(sent_at);
+        let checker = &self.shared.checker;
+        if is_due && checker.was_undisturbed(self.machine, sent_at - APPLY_LIMIT) {
+            let violation = format!(
+                "m-{} does not serve version {version} {APPLY_LIMIT:?} after it was confirmed",
+                self.machine
+            );
+            checker.add_violation(violation);
+        }
+    }
+
     /// Records a violation if a node that has served a version no longer serves it in the same run.
     fn check_version(&mut self, version: u64, run: u64, status: u16) {
         let same_run = self.shared.fleet().process_run(self.machine) == run;
@@ -273,12 +304,6 @@
     request.to_string()
 }
 
-/// Returns the path that exists from this version of the configuration on.
-#[must_use]
-pub fn version_path(version: u64) -> String {
-    format!("/v/{version}/")
-}
-
 /// Checks that the response belongs to the request, and returns the outcome that it reports.
 fn check_response(id: &str, response: &Response, checker: &InvariantChecker) -> ReportedOutcome {
     let text = |name| response.headers.text(name);
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -68,9 +68,12 @@
         self.0.lock().expect("no panic under the lock")
     }
 
-    /// Records a violation that was found elsewhere.
+    /// Records a violation that was found elsewhere; once, if it is found again and again.
     pub fn add_violation(&self, violation: String) {
-        self.state().violations.push(violation);
+        let violations = &mut self.state().violations;
+        if !violations.contains(&violation) {
+            violations.push(violation);
+        }
     }
 
     /// Records that these machines are under a fault at this moment, and that the processes of those
@@ -90,6 +93,13 @@
         }
     }
 
+    /// Returns whether a machine has been under no fault since `since`.
+    #[must_use]
+    pub fn was_undisturbed(&self, machine: usize, since: Instant) -> bool {
+        let state = self.state();
+        state.disturbances.is_free(machine, since, Instant::now())
+    }
+
     /// Records that a caller sends a request at a machine.
     pub fn on_send(&self, request: &str, machine: usize) {
         let now = Instant::now();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers and back ends report what they see to an [`invariants::InvariantChecker`] throughout.
 
 pub mod callers;
+pub mod configuration;
 pub mod crashing;
 pub mod disturbances;
 pub mod fleet;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -28,6 +28,8 @@
     no_crashing: bool,
     /// Leave out back ends that name limits and say that they leave
     no_notices: bool,
+    /// Leave out stores that come back from earlier copies and execute writes late
+    no_restores: bool,
     /// Program to soak; plantaingauge-node beside this program if left out
     #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
@@ -67,6 +69,7 @@
             duration: Duration::from_secs(arguments.seconds),
             crashing: !arguments.no_crashing,
             notices: !arguments.no_notices,
+            restores: !arguments.no_restores,
             environment: Environment::new(directory, program.clone(), seed),
         };
         let verdict = run::run(&options)?;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -14,6 +14,14 @@
 const MAX_GAP_MS: u64 = 1_400;
 /// Range of a fault's duration in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 150..9_000;
+/// Range of the time for which the store is away before it is restored, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 100..2_000;
+/// Range of the age of the copy when the store goes away, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 500..8_000;
+/// Range of the time from the restore until the operator writes again, in milliseconds.
+const REWRITE_DELAY_MS: std::ops::Range<u64> = 0..1_500;
+/// Range of the delay of writes, in milliseconds.
+const WRITE_DELAY_MS: std::ops::Range<u64> = 200..6_000;
 
 /// Connections of one node into which faults can be injected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,6 +57,17 @@
     Compact,
     /// A new version of the configuration is written.
     ChangeConfig,
+    /// The store goes away and comes back from a copy.
+    RestoreStore(Restore),
+}
+
+/// From what the store comes back, and when it has the newest configuration again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restore {
+    /// Age of the copy when the store goes away.
+    pub copy_age: Duration,
+    /// Time from the return until the operator writes the newest configuration again.
+    pub rewrite_delay: Duration,
 }
 
 /// A fault with its time, duration and machine.
@@ -65,47 +84,72 @@
 }
 
 /// Generates the faults of a soak of the given duration, ordered by start.
+///
+/// Without `restores`, the store is not restored and executes no write late.
 #[must_use]
-pub fn generate(seed: u64, machines: usize, total: Duration) -> Vec<ScheduledFault> {
+pub fn generate(
+    seed: u64,
+    machines: usize,
+    total: Duration,
+    restores: bool,
+) -> Vec<ScheduledFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut faults = Vec::new();
     let mut start = Duration::ZERO;
     loop {
-        start += Duration::from_millis(rng.random_range(0..MAX_GAP_MS));
+        start += random_ms(&mut rng, 0..MAX_GAP_MS);
         if start >= total {
             return faults;
         }
-        let duration = Duration::from_millis(rng.random_range(DURATION_MS));
+        let duration = random_ms(&mut rng, DURATION_MS);
+        let machine = rng.random_range(0..machines);
+        let fault = random_fault(&mut rng, restores);
+        let duration = match fault {
+            Fault::RestoreStore(_) => random_ms(&mut rng, AWAY_MS),
+            _ => duration,
+        };
         faults.push(ScheduledFault {
             start,
-            machine: rng.random_range(0..machines),
-            fault: random_fault(&mut rng),
+            machine,
+            fault,
             duration: duration.min(total - start),
         });
     }
 }
 
-fn random_fault(rng: &mut StdRng) -> Fault {
-    match rng.random_range(0..12) {
+fn random_ms(rng: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
+fn random_fault(rng: &mut StdRng, restores: bool) -> Fault {
+    let kinds = if restores { 14 } else { 12 };
+    match rng.random_range(0..kinds) {
         0 | 1 => Fault::Pause,
         2 => Fault::Kill,
         3 => Fault::Stop,
         4 => Fault::Reload,
         5 => Fault::CrashBackEnd,
-        6 => Fault::Store(random_store_fault(rng)),
+        6 => Fault::Store(random_store_fault(rng, restores)),
         7 => Fault::Compact,
-        8 => Fault::ChangeConfig,
+        8 | 13 => Fault::ChangeConfig,
+        12 => Fault::RestoreStore(Restore {
+            copy_age: random_ms(rng, COPY_AGE_MS),
+            rewrite_delay: random_ms(rng, REWRITE_DELAY_MS),
+        }),
         _ => Fault::Link(random_link(rng), random_link_fault(rng)),
     }
 }
 
-fn random_store_fault(rng: &mut StdRng) -> StoreFault {
-    let delay = Duration::from_millis(rng.random_range(50..600));
-    let choices = [
+fn random_store_fault(rng: &mut StdRng, late_writes: bool) -> StoreFault {
+    let delay = random_ms(rng, 50..600);
+    let mut choices = vec![
         StoreFault::Unavailable,
         StoreFault::Slow(delay),
         StoreFault::LoseResponses,
     ];
+    if late_writes {
+        choices.push(StoreFault::DelayWrites(random_ms(rng, WRITE_DELAY_MS)));
+    }
     *choices.choose(rng).expect("not empty")
 }
 
@@ -115,7 +159,7 @@
 }
 
 fn random_link_fault(rng: &mut StdRng) -> LinkFault {
-    let delay = Duration::from_millis(rng.random_range(20..800));
+    let delay = random_ms(rng, 20..800);
     let choices = [
         LinkFault::Stall,
         LinkFault::StallInbound,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -9,7 +9,8 @@
 use stand_ins::layout;
 use stand_ins::store::{Store, StoreFault};
 
-use crate::callers::{Caller, RequestKind, SharedState, version_path};
+use crate::callers::{Caller, RequestKind, SharedState};
+use crate::configuration::Configuration;
 use crate::crashing::{self, CrashingRequest};
 use crate::fleet::{Environment, Fleet, FleetError};
 use crate::invariants::{Counts, InvariantChecker};
@@ -41,6 +42,8 @@
     pub crashing: bool,
     /// Whether back ends name limits and say that they leave.
     pub notices: bool,
+    /// Whether the store comes back from earlier copies and executes writes late.
+    pub restores: bool,
     /// Addresses, files and the program to run.
     pub environment: Environment,
 }
@@ -58,12 +61,16 @@
     pub recovery: Duration,
 }
 
-/// How a fault is reverted.
+/// What ends a fault.
 #[derive(Clone, Copy)]
 enum Revert {
     Resume(usize),
     Link(usize, Link),
     Store,
+    /// The store comes back as it was at this time.
+    RestoreStore(Instant),
+    /// The operator writes the newest configuration again.
+    RewriteConfig,
 }
 
 /// Runs a soak.
@@ -77,7 +84,7 @@
             .layout
             .address(STORE_MACHINE, layout::STORE_PORT),
     );
-    store.write_config(1, &[&version_path(1)]);
+    let configuration = Configuration::write_first(&store);
     let checker = Arc::new(InvariantChecker::default());
     let environment = options.environment.clone();
     let fleet = Fleet::start(
@@ -86,9 +93,14 @@
         &store,
         Arc::clone(&checker),
     )?;
-    let shared = Arc::new(SharedState::new(environment, fleet, checker));
+    let shared = Arc::new(SharedState::new(environment, fleet, checker, configuration));
     await_served(&shared)?;
-    let faults = plan::generate(options.seed, options.machines, options.duration);
+    let faults = plan::generate(
+        options.seed,
+        options.machines,
+        options.duration,
+        options.restores,
+    );
     let mut senders = start_crashing_requests(&shared, options);
     senders.extend(start_notices(&shared, options));
     let callers: Vec<_> = (0..options.machines)
@@ -155,8 +167,7 @@
     while start.elapsed() < duration {
         let now = start.elapsed();
         while let Some(fault) = pending.next_if(|f| f.start <= now) {
-            let revert = begin_fault(shared, store, fault)?;
-            reverts.extend(revert.map(|r| (fault.start + fault.duration, r)));
+            reverts.extend(begin_fault(shared, store, fault)?);
         }
         reverts.retain(|(revert_at, revert)| {
             let is_over = *revert_at <= now;
@@ -177,26 +188,29 @@
 
 fn record_disturbances(shared: &SharedState, store: &Store) {
     let fleet = shared.fleet();
-    let disturbed = match store.fault() {
-        StoreFault::None => fleet.disturbed(),
-        _ => (0..fleet.len()).collect(),
+    let disturbed = if store.is_away() || store.fault() != StoreFault::None {
+        (0..fleet.len()).collect()
+    } else {
+        fleet.disturbed()
     };
     let halted = fleet.halted();
     drop(fleet);
     shared.checker.on_disturbed(disturbed, halted);
 }
 
+/// Begins a fault; returns when what is to be done to end it.
 fn begin_fault(
     shared: &SharedState,
     store: &Store,
     fault: &ScheduledFault,
-) -> Result<Option<Revert>, FleetError> {
+) -> Result<Vec<(Duration, Revert)>, FleetError> {
     let machine = fault.machine;
+    let end = fault.start + fault.duration;
     let mut fleet = shared.fleet();
     match fault.fault {
         Fault::Pause => {
             fleet.pause(machine);
-            return Ok(Some(Revert::Resume(machine)));
+            return Ok(vec![(end, Revert::Resume(machine))]);
         }
         Fault::Kill => fleet.kill(machine),
         Fault::Stop => fleet.stop(machine),
@@ -204,24 +218,27 @@
         Fault::CrashBackEnd => fleet.crash_back_end(machine),
         Fault::Link(link, link_fault) => {
             fleet.set_link_fault(machine, link, link_fault);
-            return Ok(Some(Revert::Link(machine, link)));
+            return Ok(vec![(end, Revert::Link(machine, link))]);
         }
         Fault::Store(store_fault) => {
             store.set_fault(store_fault);
-            return Ok(Some(Revert::Store));
+            return Ok(vec![(end, Revert::Store)]);
         }
         Fault::Compact => store.compact(),
-        Fault::ChangeConfig => add_config_version(shared, store),
+        Fault::ChangeConfig => {
+            drop(fleet);
+            shared.configuration().write_next(store);
+        }
+        Fault::RestoreStore(restore) => {
+            store.go_away();
+            let copied_at = Instant::now() - restore.copy_age;
+            return Ok(vec![
+                (end, Revert::RestoreStore(copied_at)),
+                (end + restore.rewrite_delay, Revert::RewriteConfig),
+            ]);
+        }
     }
-    Ok(None)
-}
-
-fn add_config_version(shared: &SharedState, store: &Store) {
-    let version = shared.config_version.load(Ordering::SeqCst) + 1;
-    let paths: Vec<String> = (1..=version).map(version_path).collect();
-    let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
-    store.write_config(version, &paths);
-    shared.config_version.store(version, Ordering::SeqCst);
+    Ok(Vec::new())
 }
 
 fn end_fault(shared: &SharedState, store: &Store, revert: Revert) {
@@ -233,6 +250,11 @@
                 .set_link_fault(machine, link, LinkFault::None)
         }
         Revert::Store => store.set_fault(StoreFault::None),
+        Revert::RestoreStore(copied_at) => {
+            shared.configuration().on_restore();
+            store.restore_to(copied_at);
+        }
+        Revert::RewriteConfig => shared.configuration().write_again(store),
     }
 }
 
@@ -242,7 +264,7 @@
 fn await_served(shared: &Arc<SharedState>) -> Result<Duration, FleetError> {
     let start = Instant::now();
     let machines = shared.fleet().len();
-    let version = shared.config_version.load(Ordering::SeqCst);
+    let version = shared.configuration().version();
     let keys = SAMPLE_KEYS.map(RequestKind::Listing);
     for machine in 0..machines {
         let mut caller = Caller::new(Arc::clone(shared), machine);
--- a/soak/tests/invariants.rs
+++ b/soak/tests/invariants.rs
@@ -73,3 +73,13 @@
     checker.on_outcome("s1", &ReportedOutcome::Ran("b".to_owned()));
     assert_eq!(violation_count(&checker), 1);
 }
+
+#[test]
+fn a_machine_is_undisturbed_from_when_its_last_fault_is_over() {
+    let checker = InvariantChecker::default();
+    let before = Instant::now();
+    checker.on_disturbed([1], []);
+    assert!(!checker.was_undisturbed(1, before));
+    assert!(checker.was_undisturbed(2, before));
+    assert!(checker.was_undisturbed(1, future()));
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,7 @@
     seconds: u64,
     crashing: bool,
     notices: bool,
+    restores: bool,
 }
 
 const CASES: [Case; 6] = [
@@ -22,6 +23,7 @@
         seconds: 12,
         crashing: false,
         notices: false,
+        restores: false,
     },
     // Guards against a stopping node that forwards a request to itself forever, because it rejects
     // the request each time.
@@ -31,6 +33,7 @@
         seconds: 25,
         crashing: false,
         notices: false,
+        restores: false,
     },
     // Guards against an order that runs twice, because a copy of it arrives after its cancellation.
     Case {
@@ -39,6 +42,7 @@
         seconds: 25,
         crashing: true,
         notices: false,
+        restores: false,
     },
     // These two guard against crash-causing requests that are not recognised.
     Case {
@@ -47,6 +51,7 @@
         seconds: 25,
         crashing: true,
         notices: false,
+        restores: false,
     },
     Case {
         seed: 6,
@@ -54,6 +59,7 @@
         seconds: 25,
         crashing: true,
         notices: false,
+        restores: false,
     },
     // Guards against limits and leaving of back ends that are not kept.
     Case {
@@ -62,6 +68,7 @@
         seconds: 20,
         crashing: false,
         notices: true,
+        restores: false,
     },
 ];
 
@@ -79,6 +86,7 @@
             duration: Duration::from_secs(case.seconds),
             crashing: case.crashing,
             notices: case.notices,
+            restores: case.restores,
             environment: Environment::new(directory.clone(), program, addresses),
         })
         .expect("the processes start");
