Count a relayed request without a response as possibly executed

A write that the store has refused directly goes to a peer; if the peer's response was lost, the write counted as refused, though the peer may have sent it. So a machine forgot that it may have handed keys over: if the store came back from an older copy then, it claimed them beside the machine that had got them, and could grant them for up to 3.5 s while that one's back end held them.

Change: only a relay that has not sent the request leaves the outcome to the direct one.

--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -95,10 +95,11 @@
         let reachable = direct.is_ok() && !refused;
         self.node.on_store_result(reachable);
         self.last_direct_failure.set((!reachable).then_some(now));
-        if (refused || direct == Err(RequestError::NotExecuted))
-            && let Ok(response) = self.send_through_peer(request).await
-        {
-            return Ok(response);
+        if refused || direct == Err(RequestError::NotExecuted) {
+            let relayed = self.send_through_peer(request).await;
+            if relayed != Err(RequestError::NotExecuted) {
+                return relayed;
+            }
         }
         direct
     }
