Name the service in a claim of keys

Found by the review, not seen: a claim sent while a machine's service changes could be recorded by a manager of another service, and confirmed in its assignment, where nobody would grant those keys. A process ignores claims for another service than its own now. No test of its own.

--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -119,6 +119,8 @@
     KeyClaim {
         /// The machine.
         machine: MachineName,
+        /// The service of its back end.
+        service: ServiceName,
         /// The era in which it claims them.
         era: StoreEra,
         /// The keys, and its entry in the assignment.
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -57,6 +57,7 @@
         let service = self.service();
         let frame = Frame::KeyClaim {
             machine: self.settings.machine.clone(),
+            service: service.clone(),
             era,
             claim: Box::new(claim.clone()),
         };
@@ -163,12 +164,15 @@
             }
             Frame::KeyClaim {
                 machine,
+                service,
                 era,
                 claim,
             } => {
                 self.on_store_era(era);
-                let mut manager = self.shard_manager.borrow_mut();
-                manager.on_claim(machine, era, *claim);
+                if service == self.service() {
+                    let mut manager = self.shard_manager.borrow_mut();
+                    manager.on_claim(machine, era, *claim);
+                }
             }
             Frame::StoreEra(era) => self.on_store_era(era),
             Frame::Ping { probe } => {
