Keep replies with tokens of a later era below 4 KiB

Found by the review: a back end takes replies of up to 4 KiB. Fencing tokens of later eras have up to 16 digits, so that 100 ranges, above which a machine merges its own, take 5 KB with handover records; the back end would turn to another process and lose its keys. Merged above 80 now.

--- a/components/shards/src/manager/mod.rs
+++ b/components/shards/src/manager/mod.rs
@@ -39,6 +39,7 @@
 pub use era::KeyClaim;
 use era::{CarriedKeys, Handover};
 pub use types::{PeerState, StoreOp, StoreOutcome, Timing, Versioned, with_drift};
+pub use updates::MAX_OWN_RANGES;
 
 /// Progress of taking over the keys of an unreachable machine.
 #[derive(Clone, Debug)]
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -14,8 +14,8 @@
 use crate::release::ReleasedSpan;
 use crate::revision::StoreEra;
 
-/// Ranges of one machine above which they are merged; a reply to a back end has room for about 180.
-const MAX_OWN_RANGES: usize = 100;
+/// Ranges of one machine above which they are merged; a reply to a back end has room for about 140.
+pub const MAX_OWN_RANGES: usize = 80;
 /// Smallest number of ranges that a merge must save.
 const MIN_RANGES_SAVED: usize = 20;
 
