Carry keys into an era while all back ends leave, and before machines without memory

Found by the review, each with a pure test that failed before: - Nobody wrote the first assignment of an era while all back ends of the service were leaving, so that they were not granted their keys to the end. A machine that knows the keys writes it now, whatever its back end. - A machine that knew none, but whose back end had reported long ago, wrote the first assignment at once, with an even split, before those with claims. It waits as after its back end's first report now, from the beginning of the era.

--- a/components/shards/src/manager/era.rs
+++ b/components/shards/src/manager/era.rs
@@ -206,8 +206,9 @@
             next.set_holder(&self.machine, own);
             return (now >= due).then_some(next);
         }
-        let first_report_at = self.first_report_at?;
-        if now.since(first_report_at) < self.timing.initial_wait + rank_delay {
+        // Machines with claims write before those without.
+        let ready_at = self.first_report_at?.max(self.era_began_at);
+        if now.since(ready_at) < self.timing.initial_wait + rank_delay {
             return None;
         }
         let mut holders = self.announced_holders();
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -152,7 +152,9 @@
 
     /// Returns the first assignment of the service in the current era; `None` if it is too early.
     fn create_assignment(&self, now: BootInstant) -> Option<Assignment> {
-        if !self.has_valid_lease(now) || self.available_incarnation().is_none() {
+        // Keys of back ends that all leave are carried into a new era as well.
+        let has_keys = self.available_incarnation().is_some() || self.carried.is_some();
+        if !self.has_valid_lease(now) || !has_keys {
             return None;
         }
         let mut first = self.first_assignment(now, self.own_holder()?)?;
--- a/components/shards/tests/store_era.rs
+++ b/components/shards/tests/store_era.rs
@@ -437,3 +437,42 @@
     let grants = reply.expect("it holds every key").grants;
     assert!(grants.iter().all(|g| g.handover.is_empty()));
 }
+
+/// Guards against an era without an assignment while all back ends of the service leave: they were not
+/// granted their keys to the end.
+#[test]
+fn keys_of_back_ends_that_all_leave_are_carried_into_an_era() {
+    let mut cluster = Cluster::start(2, era(1));
+    let before = cluster.assignment(era(1)).clone();
+    let now = SETTLED + UPTIME;
+    for index in 0..2 {
+        let draining = KeyReport {
+            draining: true,
+            ..report(index, 500_000)
+        };
+        let _ = cluster.managers[index].on_report(now, &draining);
+    }
+    cluster.begin_era(now, era(2));
+    cluster.settle(now + Duration::from_secs(1));
+    let after = cluster.assignment(era(2)).clone();
+    assert!(all_confirmed(&after));
+    assert_eq!(owner(&after, 0), owner(&before, 0));
+    assert_eq!(owner(&after, u16::MAX), owner(&before, u16::MAX));
+}
+
+/// Guards against an even split of all keys by a machine that knows none, before the others claim theirs.
+#[test]
+fn a_machine_without_memory_lets_those_with_claims_write_first() {
+    let mut cluster = Cluster::start(2, era(1));
+    let before = cluster.assignment(era(1)).clone();
+    let now = SETTLED + UPTIME;
+    cluster.managers[0] = started(0, false);
+    cluster.begin_era(now, era(2));
+    cluster.settle(now + Duration::from_millis(300));
+    assert!(!cluster.store.contains_key(&era(2)));
+    cluster.settle(now + Duration::from_millis(1_000));
+    let after = cluster.assignment(era(2));
+    assert_eq!(owner(after, u16::MAX), owner(&before, u16::MAX));
+    let stated = after.range(0).map(|r| &r.machine);
+    assert_eq!(stated, before.range(0).map(|r| &r.machine));
+}
