Name the parts of the claims, and split them from the beginning of an era

No change of behaviour. One more pure test: a process that has not registered claims nothing (it fails without the check, which no other test had shown to be needed).

--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -252,10 +252,7 @@
         while let Some(op) = next {
             let sent = BootClock.now();
             let outcome = self.store.execute_in(era, LEASES, name.as_str(), &op).await;
-            failed = !matches!(
-                outcome,
-                StoreOutcome::Done(_) | StoreOutcome::Conflict(_) | StoreOutcome::Absent
-            );
+            failed = is_failure(&outcome);
             if failed {
                 log::warn!(event = "lease-not-renewed", outcome:? = outcome; "");
             }
@@ -276,10 +273,7 @@
             .store
             .execute_in(era, ASSIGNMENTS, service.as_str(), &op)
             .await;
-        let failed = !matches!(
-            outcome,
-            StoreOutcome::Done(_) | StoreOutcome::Conflict(_) | StoreOutcome::Absent
-        );
+        let failed = is_failure(&outcome);
         log::info!(event = "assignment-call", call = op_name(&op), outcome = outcome_name(&outcome); "");
         let wrote = !matches!(op, StoreOp::Read) && matches!(outcome, StoreOutcome::Done(_));
         let overtaken = matches!(outcome, StoreOutcome::Conflict(_));
@@ -314,10 +308,7 @@
             .store
             .execute_in(era, LEASES, machine.as_str(), &op)
             .await;
-        let failed = !matches!(
-            outcome,
-            StoreOutcome::Done(_) | StoreOutcome::Conflict(_) | StoreOutcome::Absent
-        );
+        let failed = is_failure(&outcome);
         log::info!(event = "fence", machine = machine.as_str(), call = op_name(&op), outcome = outcome_name(&outcome); "");
         let now = BootClock.now();
         self.node
@@ -347,6 +338,11 @@
     }
 }
 
+/// Returns whether the store has not answered the operation.
+fn is_failure<T>(outcome: &StoreOutcome<T>) -> bool {
+    matches!(outcome, StoreOutcome::Unknown | StoreOutcome::Refused)
+}
+
 /// Returns whether the operation replaces the object at that revision.
 fn replaces_revision<T>(op: &StoreOp<T>, revision: Revision) -> bool {
     matches!(op, StoreOp::Replace(stored) if stored.revision == revision)
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -18,7 +18,7 @@
 
 /// Reads the objects of a kind, possibly through a peer, then watches them on a direct connection;
 /// starts over when the store no longer has the history since the last revision, and, after a
-/// random part of `era_spread`, when it comes back from an older copy. Passes each object to
+/// random part of `era_spread`, when it is restored from a snapshot. Passes each object to
 /// `apply`, at the start and on every change.
 pub async fn run(
     node: Rc<Node>,
--- a/components/node/tests/configuration_order.rs
+++ b/components/node/tests/configuration_order.rs
@@ -40,7 +40,7 @@
     Some((config.catalog.version, service.as_str().to_owned()))
 }
 
-// Guards against a store that has come back from an older copy, where the revisions of what the
+// Guards against a store that has been restored from a snapshot, where the revisions of what the
 // operator writes are below those known before.
 #[test]
 fn only_a_higher_version_is_put_in_force() {
--- a/components/node/tests/store_era/first_configuration.rs
+++ b/components/node/tests/store_era/first_configuration.rs
@@ -18,7 +18,7 @@
     json!({"version": version, "routes": empty, "services": empty})
 }
 
-/// Starts a process whose store has version 2, after so many returns from an older copy.
+/// Starts a process whose store has version 2, after so many restores from a snapshot.
 async fn start(returns: u32) -> Rc<Node> {
     let (store, node) = SmallStore::start().await;
     for _ in 0..returns {
--- a/components/node/tests/store_era/main.rs
+++ b/components/node/tests/store_era/main.rs
@@ -1,4 +1,4 @@
-//! What a process does when the store comes back from an older copy.
+//! What a process does when the store is restored from a snapshot.
 
 #[path = "../common/mod.rs"]
 mod common;
--- a/components/node/tests/store_era/small_store.rs
+++ b/components/node/tests/store_era/small_store.rs
@@ -1,4 +1,4 @@
-//! A store that comes back from an older copy when a test says so, for one process.
+//! A store that is restored from a snapshot when a test says so, for one process.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/components/node/tests/whole_path/restored_store.rs
+++ b/components/node/tests/whole_path/restored_store.rs
@@ -1,4 +1,4 @@
-//! A store that comes back from an earlier copy: what it has lost, and revisions that it gives out
+//! A store that is restored from a snapshot: what it has lost, and revisions that it gives out
 //! again.
 
 use std::time::{Duration, Instant};
--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -123,7 +123,7 @@
     /// Distributes all keys evenly among `holders`; `None` if there are none.
     #[must_use]
     pub fn new_in(era: StoreEra, holders: BTreeMap<MachineName, Holder>) -> Option<Self> {
-        let first_fence = era.first_fence();
+        let base = era.fence_base();
         let count = u32::try_from(holders.len()).ok().filter(|n| *n > 0)?;
         let first_key = |i: u32| ALL.len() * i / count;
         let ranges = holders
@@ -135,13 +135,13 @@
                 Some(Range {
                     span: Span::new(from, to)?,
                     machine: machine.clone(),
-                    fence: first_fence + u64::from(i) + 1,
+                    fence: base + u64::from(i) + 1,
                     handover: String::new(),
                 })
             })
             .collect();
         Some(Self {
-            fence: first_fence + u64::from(count),
+            fence: base + u64::from(count),
             holders,
             ranges,
         })
@@ -152,7 +152,7 @@
     #[must_use]
     pub fn carried_into(&self, era: StoreEra) -> Self {
         let mut next = self.clone();
-        next.fence = era.first_fence();
+        next.fence = era.fence_base();
         for holder in next.holders.values_mut() {
             holder.epoch = 0;
         }
--- /dev/null
+++ b/components/shards/src/manager/claims.rs
@@ -0,0 +1,157 @@
+//! Keys that the machine held alone in the earlier era of the store, and may claim in this one.
+//!
+//! A machine whose lease of the earlier era is valid holds its keys alone: they leave it only by its own
+//! write, or after its lease has expired. So it needs no other machine's word to claim them.
+
+use serde::{Deserialize, Serialize};
+use world::instant::BootInstant;
+use world::name::MachineName;
+
+use super::ShardManager;
+use crate::assignment::{Assignment, Holder};
+use crate::revision::{Revision, StoreEra};
+use crate::span::{Span, subtract};
+
+/// What a machine knows of its service's keys from the earlier era.
+#[derive(Clone, Debug)]
+pub(super) struct CarriedKeys {
+    /// Newest assignment of the earlier era.
+    pub(super) assignment: Assignment,
+    /// Keys that the machine held alone and that nobody has been assigned in this era.
+    spans: Vec<Span>,
+    /// End of the lease under which it held them.
+    valid_until: BootInstant,
+}
+
+/// Writes of the machine that hand keys over to others and whose outcome is not known. A write that has not taken effect by the
+/// time the assignment has another revision than `base` never does.
+#[derive(Clone, Debug)]
+pub(super) struct UnsettledWrites {
+    /// Revision that the writes replace.
+    pub(super) base: Revision,
+    /// Keys handed over by the write that has no response yet.
+    pub(super) in_flight: Vec<Span>,
+    /// Keys handed over by writes whose outcome will not be known.
+    pub(super) unknown: Vec<Span>,
+}
+
+/// Keys that a machine holds alone since the earlier era, as it tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyClaim {
+    /// The machine's entry in the assignment of the era.
+    pub holder: Holder,
+    /// The keys.
+    pub spans: Vec<Span>,
+}
+
+impl ShardManager {
+    /// Returns what is known of the keys at the end of an era.
+    pub(super) fn carry(&self, now: BootInstant) -> Option<CarriedKeys> {
+        let unclaimed = self.unclaimed_spans();
+        let earlier = self.carried.as_ref().filter(|c| now < c.valid_until);
+        let Some(stored) = &self.assignment else {
+            return self.carried.clone().map(|c| CarriedKeys {
+                spans: earlier.map(|_| unclaimed).unwrap_or_default(),
+                ..c
+            });
+        };
+        let mut valid_until = self.valid_until;
+        let mut spans = Vec::new();
+        if self.has_valid_lease(now) && self.is_registered(&stored.value) {
+            spans = self.owned_spans();
+            for handed_over in self.unsettled_spans() {
+                spans = subtract(&spans, handed_over);
+            }
+        }
+        if let Some(earlier) = earlier.filter(|_| !unclaimed.is_empty()) {
+            spans.extend(unclaimed);
+            valid_until = valid_until.min(earlier.valid_until);
+        }
+        Some(CarriedKeys {
+            assignment: stored.value.clone(),
+            spans,
+            valid_until,
+        })
+    }
+
+    /// Returns the keys that a write without a known outcome may have handed over.
+    fn unsettled_spans(&self) -> impl Iterator<Item = Span> {
+        let current = self.assignment.as_ref().map(|a| a.revision);
+        let unsettled = self
+            .unsettled
+            .iter()
+            .filter(move |h| Some(h.base) == current);
+        unsettled.flat_map(|h| h.in_flight.iter().chain(&h.unknown).copied())
+    }
+
+    /// Returns the keys that the machine may claim and that nobody has been assigned yet.
+    fn unclaimed_spans(&self) -> Vec<Span> {
+        let Some(carried) = &self.carried else {
+            return Vec::new();
+        };
+        let Some(stored) = &self.assignment else {
+            return carried.spans.clone();
+        };
+        let unconfirmed = stored.value.unconfirmed();
+        unconfirmed
+            .flat_map(|r| carried.spans.iter().filter_map(|s| s.overlap(r.span)))
+            .collect()
+    }
+
+    /// Whether the machine holds keys since the earlier era that it has not been assigned in this one.
+    pub(super) fn has_unclaimed_keys(&self) -> bool {
+        self.carried.is_some() && !self.unclaimed_spans().is_empty()
+    }
+
+    /// Whether the machine holds the key since the earlier era.
+    pub(super) fn carries(&self, key: u16) -> bool {
+        let carried = self.carried.iter().flat_map(|c| &c.spans);
+        carried.into_iter().any(|s| s.contains(key))
+    }
+
+    /// Returns the claim to send to the other machines of the service, if there is one.
+    #[must_use]
+    pub fn key_claim(&self, now: BootInstant) -> Option<KeyClaim> {
+        if self.exited || !self.has_unclaimed_keys() || !self.has_valid_lease(now) {
+            return None;
+        }
+        Some(KeyClaim {
+            holder: self.own_holder()?,
+            spans: self.unclaimed_spans(),
+        })
+    }
+
+    /// Records the claim of another machine; it is part of this machine's next write.
+    pub fn on_claim(&mut self, machine: MachineName, era: StoreEra, claim: KeyClaim) {
+        if era == self.era() && machine != self.machine {
+            self.claims.insert(machine, claim);
+        }
+    }
+
+    /// Assigns the keys that this machine holds since the earlier era to it, once it is registered.
+    pub(super) fn claim_own(&self, next: &mut Assignment) {
+        if let Some(carried) = self.carried.as_ref().filter(|_| self.is_registered(next)) {
+            next.confirm(&self.machine, &carried.spans);
+        }
+    }
+
+    /// Assigns the keys that connected machines claim to them.
+    pub(super) fn confirm_claims(&self, next: &mut Assignment) {
+        let is_connected = |m: &MachineName| self.peers.get(m).is_some_and(|p| p.connected);
+        for (machine, claim) in self.claims.iter().filter(|(m, _)| is_connected(m)) {
+            let stored = next.holders.get(machine);
+            if stored.is_none_or(|s| claim.holder.succeeds(s)) {
+                next.set_holder(machine, claim.holder.clone());
+            }
+            next.confirm(machine, &claim.spans);
+        }
+    }
+
+    /// Forgets the carried keys that somebody has been assigned in this era.
+    pub(super) fn drop_assigned_carried(&mut self) {
+        let unclaimed = self.unclaimed_spans();
+        if let Some(carried) = &mut self.carried {
+            carried.spans = unclaimed;
+        }
+    }
+}
--- a/components/shards/src/manager/mod.rs
+++ b/components/shards/src/manager/mod.rs
@@ -1,7 +1,7 @@
 //! Decides for one machine which keys it grants to its local back end and which stored objects it
 //! changes.
 //!
-//! That no two back ends hold a key at once rests on four rules:
+//! That no two back ends hold a key at once rests on five rules:
 //!
 //! - A machine grants only while its stored lease, counted from the sending of the last confirmed
 //!   renewal, has not expired.
@@ -14,6 +14,7 @@
 //! - In a new era of the store, a machine is assigned keys that it held alone in the earlier one, or
 //!   that nobody can hold any more.
 
+mod claims;
 mod era;
 mod grants;
 mod moves;
@@ -36,8 +37,8 @@
 use crate::revision::StoreEra;
 use crate::span::Span;
 
-pub use era::KeyClaim;
-use era::{CarriedKeys, Handover};
+pub use claims::KeyClaim;
+use claims::{CarriedKeys, UnsettledWrites};
 pub use types::{PeerState, StoreOp, StoreOutcome, Timing, Versioned, with_drift};
 pub use updates::MAX_OWN_RANGES;
 
@@ -106,8 +107,8 @@
     carried: Option<CarriedKeys>,
     /// Claims of other machines in this era.
     claims: BTreeMap<MachineName, KeyClaim>,
-    /// What the last writes hand over.
-    handover: Option<Handover>,
+    /// Writes that hand keys over.
+    unsettled: Option<UnsettledWrites>,
 }
 
 impl ShardManager {
@@ -146,7 +147,7 @@
             first_start: false,
             carried: None,
             claims: BTreeMap::new(),
-            handover: None,
+            unsettled: None,
         }
     }
 
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -7,7 +7,7 @@
 use world::name::MachineName;
 
 use super::ShardManager;
-use super::era::Handover;
+use super::claims::UnsettledWrites;
 use super::types::{StoreOp, StoreOutcome, Versioned};
 use crate::assignment::{Assignment, Holder};
 use crate::placement::{Recipient, distribute};
@@ -58,14 +58,14 @@
         };
         let complete = self.releases.iter().filter(|(r, _)| r.is_complete(now));
         let spans = complete.map(|(r, _)| r.span()).collect();
-        let same_base = self
-            .handover
+        let earlier = self
+            .unsettled
             .as_ref()
-            .filter(|h| h.base == written.revision);
-        self.handover = Some(Handover {
+            .filter(|u| u.base == written.revision);
+        self.unsettled = Some(UnsettledWrites {
             base: written.revision,
             in_flight: spans,
-            unknown: same_base.map_or_else(Vec::new, |h| h.unknown.clone()),
+            unknown: earlier.map_or_else(Vec::new, |u| u.unknown.clone()),
         });
     }
 
@@ -88,8 +88,8 @@
             StoreOutcome::Conflict(Some(found)) => self.on_assignment(found),
             StoreOutcome::Conflict(None) | StoreOutcome::Unknown => {
                 self.needs_read = true;
-                if let Some(handover) = &mut self.handover {
-                    handover.unknown.append(&mut handover.in_flight);
+                if let Some(writes) = &mut self.unsettled {
+                    writes.unknown.append(&mut writes.in_flight);
                 }
                 false
             }
@@ -99,8 +99,8 @@
                 false
             }
             StoreOutcome::Refused => {
-                if let Some(handover) = &mut self.handover {
-                    handover.in_flight.clear();
+                if let Some(writes) = &mut self.unsettled {
+                    writes.in_flight.clear();
                 }
                 false
             }
--- a/components/shards/src/revision.rs
+++ b/components/shards/src/revision.rs
@@ -1,4 +1,4 @@
-//! The order of the store's writes, which also holds when the store comes back from an older copy
+//! The order of the store's writes, which also holds when the store is restored from a snapshot
 //! and gives out revision numbers again.
 
 use std::fmt::{self, Display, Formatter};
@@ -13,7 +13,7 @@
 /// Largest era for which revisions and fencing tokens have room.
 const MAX_ERA: u32 = (1 << 20) - 1;
 
-/// Time between two returns of the store from an older copy; rises with each return.
+/// Time between two restores of the store from a snapshot; rises with each.
 ///
 /// Never above `MAX_ERA`.
 #[derive(
@@ -41,7 +41,7 @@
 
     /// Returns a fencing token above all of earlier eras and not above any of this one.
     #[must_use]
-    pub fn first_fence(self) -> u64 {
+    pub fn fence_base(self) -> u64 {
         u64::from(self.0) << FENCE_COUNTER_BITS
     }
 
--- a/components/shards/tests/one_holder/main.rs
+++ b/components/shards/tests/one_holder/main.rs
@@ -3,7 +3,7 @@
 //! Several shard managers with their back ends run against one store in simulated time, under
 //! random faults: store requests are slow, lost before or after they took effect, or take effect
 //! late; processes pause, crash and restart; back ends crash and restart; machines are partitioned;
-//! clocks drift; the store comes back from an older copy. After each step the simulation checks for
+//! clocks drift; the store is restored from a snapshot. After each step the simulation checks for
 //! keys that two back ends hold.
 
 mod model;
@@ -47,7 +47,7 @@
     }
 
     #[test]
-    fn no_key_has_two_holders_when_the_store_comes_back_from_an_older_copy(seed in any::<u64>()) {
+    fn no_key_has_two_holders_when_the_store_is_restored_from_a_snapshot(seed in any::<u64>()) {
         let mut simulation = Simulation::new(History::with_restores(seed), None);
         let found = simulation.run();
         prop_assert_eq!(found, None, "seed {}", seed);
--- a/components/shards/tests/one_holder/model/history.rs
+++ b/components/shards/tests/one_holder/model/history.rs
@@ -66,7 +66,7 @@
     pub(crate) events: Vec<(f64, Event)>,
     /// Store faults with the start and end of their period.
     pub(crate) store_faults: Vec<(f64, f64, StoreFaults)>,
-    /// Returns of the store from an older copy, in order and without overlap.
+    /// Restores of the store from a snapshot, in order and without overlap.
     pub(crate) restores: Vec<Restore>,
 }
 
--- a/components/shards/tests/one_holder/model/restores.rs
+++ b/components/shards/tests/one_holder/model/restores.rs
@@ -1,11 +1,11 @@
-//! Histories in which the store comes back from an older copy.
+//! Histories in which the store is restored from a snapshot.
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::history::{Event, FAULTS_END_MS, History, StoreFaults};
 
-/// A return of the store from an older copy; times in milliseconds.
+/// A restore of the store from a snapshot; times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Restore {
     /// When the copy was taken.
--- a/components/shards/tests/one_holder/model/store.rs
+++ b/components/shards/tests/one_holder/model/store.rs
@@ -1,5 +1,5 @@
-//! A simulated object store: conditional writes with one revision counter, and returns from older
-//! copies.
+//! A simulated object store: conditional writes with one revision counter, and restores from
+//! snapshots.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Returns the era, which rises with each return from an older copy.
+    /// Returns the era, which rises with each restore from a snapshot.
     pub(crate) fn era(&self) -> StoreEra {
         self.era
     }
--- a/components/shards/tests/store_era.rs
+++ b/components/shards/tests/store_era.rs
@@ -1,4 +1,4 @@
-//! Eras of the store: who is assigned which keys after the store has come back from an older copy.
+//! Eras of the store: who is assigned which keys after the store has been restored from a snapshot.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 const START: BootInstant = BootInstant::from_millis(1_000_000);
 /// When all keys are assigned and all leases begin; the machine with the last rank waits for 96 s.
 const SETTLED: BootInstant = BootInstant::from_millis(1_120_000);
-/// Time until the store returns from an older copy, within the leases.
+/// Time until the store is restored from a snapshot, within the leases.
 const UPTIME: Duration = Duration::from_secs(2);
 
 fn era(number: u64) -> StoreEra {
@@ -476,3 +476,27 @@
     let stated = after.range(0).map(|r| &r.machine);
     assert_eq!(stated, before.range(0).map(|r| &r.machine));
 }
+
+/// Guards against two holders: a process that had just started claimed keys by the entry of the one before
+/// it, a late write of which could still hand them over.
+#[test]
+fn a_process_that_has_not_registered_claims_nothing() {
+    let mut cluster = Cluster::start(2, era(1));
+    let now = SETTLED + UPTIME;
+    let stored = cluster.store[&era(1)].clone();
+    let mut restarted = started(0, false);
+    restarted.on_era(now, era(1));
+    assert!(restarted.on_assignment(stored));
+    let second = Lease::default().next_epoch().next_epoch();
+    let revision = Revision::new(era(1), 900).expect("few revisions");
+    let op = StoreOp::Create(second);
+    let created = StoreOutcome::Done(Versioned {
+        revision,
+        value: second,
+    });
+    restarted.on_lease_outcome(now, era(1), &op, created);
+    restarted.on_era(now, era(2));
+    cluster.managers[0] = restarted;
+    cluster.renew_lease(0, now);
+    assert_eq!(cluster.managers[0].key_claim(now), None);
+}
--- a/components/stand-ins/src/store/mod.rs
+++ b/components/stand-ins/src/store/mod.rs
@@ -1,5 +1,5 @@
 //! Stand-in for the platform's object store: revisions, conditional writes, watches, and restores
-//! from an earlier copy.
+//! from a snapshot.
 
 mod call;
 mod config;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -28,7 +28,7 @@
     no_crashing: bool,
     /// Leave out back ends that name limits and say that they leave
     no_notices: bool,
-    /// Leave out stores that come back from earlier copies and execute writes late
+    /// Leave out stores that are restored from snapshots and execute writes late
     no_restores: bool,
     /// Program to soak; plantaingauge-node beside this program if left out
     #[bpaf(argument("FILE"))]
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -57,7 +57,7 @@
     Compact,
     /// A new version of the configuration is written.
     ChangeConfig,
-    /// The store goes away and comes back from a copy.
+    /// The store goes away and is restored from a snapshot.
     RestoreStore(Restore),
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -42,7 +42,7 @@
     pub crashing: bool,
     /// Whether back ends name limits and say that they leave.
     pub notices: bool,
-    /// Whether the store comes back from earlier copies and executes writes late.
+    /// Whether the store is restored from snapshots and executes writes late.
     pub restores: bool,
     /// Addresses, files and the program to run.
     pub environment: Environment,
