--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,7 +16,7 @@
     restores: bool,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         seed: 1,
         machines: 4,
@@ -70,6 +70,16 @@
         notices: true,
         restores: false,
     },
+    // Guards against keys and configurations that go back with a store that comes back from an
+    // earlier copy.
+    Case {
+        seed: 10,
+        machines: 5,
+        seconds: 25,
+        crashing: false,
+        notices: false,
+        restores: true,
+    },
 ];
 
 #[test]
