--- a/components/shards/tests/releases.rs
+++ b/components/shards/tests/releases.rs
@@ -1,36 +1,22 @@
 //! Keys that a machine withdraws from its back end.
 
+mod common;
+
 use std::collections::BTreeMap;
 
 use shards::assignment::{Assignment, Holder};
-use shards::incarnation::BackEndIncarnation;
 use shards::key_report::{HeldKeys, KeyReport, ReleasedKeys};
 use shards::lease::Lease;
-use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
-use shards::revision::{Revision, StoreEra};
+use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing};
+use shards::revision::StoreEra;
 use shards::span::{ALL, Span, subtract};
-use world::instant::BootInstant;
 use world::name::MachineName;
 
+use common::{at, incarnation, stored};
+
 /// Most writes that it may take to give keys back to the back end.
 const MAX_WRITES: u32 = 3;
 
-fn at(ms: u64) -> BootInstant {
-    BootInstant::from_millis(1_000_000 + ms)
-}
-
-fn incarnation(id: &str) -> BackEndIncarnation {
-    BackEndIncarnation {
-        id: id.to_owned(),
-        born: 1,
-    }
-}
-
-fn stored<T>(revision: u32, value: T) -> Versioned<T> {
-    let revision = Revision::from(revision);
-    Versioned { revision, value }
-}
-
 fn report(sequence: u64) -> KeyReport {
     KeyReport {
         incarnation: incarnation("i-own"),
--- a/components/shards/tests/takeover.rs
+++ b/components/shards/tests/takeover.rs
@@ -1,32 +1,18 @@
 //! When the lease of an unreachable machine is fenced.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use shards::assignment::{Assignment, Holder};
-use shards::incarnation::BackEndIncarnation;
 use shards::key_report::KeyReport;
 use shards::lease::Lease;
-use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing, Versioned};
-use shards::revision::{Revision, StoreEra};
-use world::instant::BootInstant;
+use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing};
+use shards::revision::StoreEra;
 use world::name::MachineName;
 
-fn at(ms: u64) -> BootInstant {
-    BootInstant::from_millis(1_000_000 + ms)
-}
-
-fn incarnation(id: &str) -> BackEndIncarnation {
-    BackEndIncarnation {
-        id: id.to_owned(),
-        born: 1,
-    }
-}
-
-fn stored<T>(revision: u32, value: T) -> Versioned<T> {
-    let revision = Revision::from(revision);
-    Versioned { revision, value }
-}
+use common::{at, incarnation, stored};
 
 fn lease() -> Lease {
     Lease::default().next_epoch()
