--- a/components/shards/tests/common/mod.rs
+++ b/components/shards/tests/common/mod.rs
@@ -6,12 +6,12 @@
 use world::instant::BootInstant;
 
 /// Returns the instant `ms` milliseconds after the start of a test.
-pub fn at(ms: u64) -> BootInstant {
+pub(crate) fn at(ms: u64) -> BootInstant {
     BootInstant::from_millis(1_000_000 + ms)
 }
 
 /// Returns the first incarnation of a back end.
-pub fn incarnation(id: &str) -> BackEndIncarnation {
+pub(crate) fn incarnation(id: &str) -> BackEndIncarnation {
     BackEndIncarnation {
         id: id.to_owned(),
         born: 1,
@@ -19,7 +19,7 @@
 }
 
 /// Returns an object as the store has it in its first era.
-pub fn stored<T>(revision: u32, value: T) -> Versioned<T> {
+pub(crate) fn stored<T>(revision: u32, value: T) -> Versioned<T> {
     let revision = Revision::from(revision);
     Versioned { revision, value }
 }
