Log what a machine carries into an era of the store

An on-call engineer could not tell from the logs why a machine claims no keys after a restore: because it has restarted, or because its lease had run out.

The line event=store-era now states the keys that the machine held alone and how long the lease behind them is still valid. No decision changed.

--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -5,6 +5,7 @@
 use platform::store::{RequestError, StoreRequest, StoreResponse, Transport, WatchTransport};
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
+use world::instant::BootInstant;
 
 use super::Node;
 
@@ -46,7 +47,8 @@
     /// Begins an era of the store, unless it or a later one is known, and tells all peers: each of
     /// them may wait in a watch that nothing else ends.
     pub fn on_store_era(&self, era: StoreEra) {
-        self.shard_manager.borrow_mut().on_era(BootClock.now(), era);
+        let now = BootClock.now();
+        self.shard_manager.borrow_mut().on_era(now, era);
         let previous = self.store_era();
         let is_new = self.store_era.send_if_modified(|known| {
             let is_new = era > *known;
@@ -57,7 +59,7 @@
         });
         if is_new {
             self.metrics.on_store_era();
-            log::warn!(event = "store-era", era:% = era, previous:% = previous; "");
+            self.log_store_era(now, era, previous);
             self.keys_changed.notify_one();
             for peer in self.peers() {
                 peer.send_store_era(era);
@@ -65,6 +67,18 @@
         }
     }
 
+    fn log_store_era(&self, now: BootInstant, era: StoreEra, previous: StoreEra) {
+        let manager = self.shard_manager.borrow();
+        log::warn!(
+            event = "store-era",
+            era:% = era,
+            previous:% = previous,
+            carried_keys = manager.carried_keys(),
+            lease_left_ms = manager.carried_lease_left(now).as_millis() as u64;
+            ""
+        );
+    }
+
     /// Returns the latest known era of the store, the first one before any response.
     #[must_use]
     pub fn store_era(&self) -> StoreEra {
--- a/components/shards/src/manager/claims.rs
+++ b/components/shards/src/manager/claims.rs
@@ -3,6 +3,8 @@
 //! A machine whose lease of the earlier era is valid holds its keys alone: they leave it only by its own
 //! write, or after its lease has expired. So it needs no other machine's word to claim them.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use world::instant::BootInstant;
 use world::name::MachineName;
@@ -23,8 +25,10 @@
     valid_until: BootInstant,
 }
 
-/// Writes of the machine that hand keys over to others and whose outcome is not known. A write that has not taken effect by the
-/// time the assignment has another revision than `base` never does.
+/// Writes of the machine that hand keys over to others and whose outcome is not known.
+///
+/// A write that has not taken effect by the time the assignment has another revision than `base` never
+/// does.
 #[derive(Clone, Debug)]
 pub(super) struct UnsettledWrites {
     /// Revision that the writes replace.
@@ -109,6 +113,19 @@
         carried.into_iter().any(|s| s.contains(key))
     }
 
+    /// Returns the number of keys that the machine holds since the earlier era and may still claim.
+    #[must_use]
+    pub fn carried_keys(&self) -> u32 {
+        self.unclaimed_spans().iter().map(|s| s.len()).sum()
+    }
+
+    /// Returns for how long the machine's lease of the earlier era is still valid.
+    #[must_use]
+    pub fn carried_lease_left(&self, now: BootInstant) -> Duration {
+        let carried = self.carried.as_ref();
+        carried.map_or(Duration::ZERO, |c| c.valid_until.since(now))
+    }
+
     /// Returns the claim to send to the other machines of the service, if there is one.
     #[must_use]
     pub fn key_claim(&self, now: BootInstant) -> Option<KeyClaim> {
--- a/components/shards/tests/store_era.rs
+++ b/components/shards/tests/store_era.rs
@@ -318,6 +318,27 @@
     assert_eq!(carried.unconfirmed().count(), carried.ranges.len());
 }
 
+/// Guards against logs that do not tell why a machine claims no keys.
+#[rstest]
+#[case(0, 65_536, 8_000)]
+#[case(2_000, 65_536, 6_000)]
+#[case(8_000, 0, 0)]
+fn a_machine_states_its_carried_keys_and_what_is_left_of_their_lease(
+    #[case] uptime_ms: u64,
+    #[case] keys: u32,
+    #[case] lease_left_ms: u64,
+) {
+    let mut cluster = Cluster::start(1, era(1));
+    let now = SETTLED + Duration::from_millis(uptime_ms);
+    let manager = &mut cluster.managers[0];
+    manager.on_era(now, era(2));
+    assert_eq!(manager.carried_keys(), keys);
+    assert_eq!(
+        manager.carried_lease_left(now),
+        Duration::from_millis(lease_left_ms)
+    );
+}
+
 /// Guards against two holders: keys whose handover had no outcome were claimed by both sides.
 #[rstest]
 #[case(StoreOutcome::Unknown, false)]
