--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -86,12 +86,12 @@
         }
         let direct = self.node.perform(request).await;
         self.node.metrics.on_store_request(match &direct {
-            Ok(response) if matches!(response.status, 429 | 503) => "refused",
+            Ok(response) if response.is_refusal() => "refused",
             Ok(_) => "answered",
             Err(RequestError::NotExecuted) => "not-done",
             Err(RequestError::MaybeExecuted) => "unknown",
         });
-        let refused = matches!(&direct, Ok(response) if matches!(response.status, 429 | 503));
+        let refused = direct.as_ref().is_ok_and(StoreResponse::is_refusal);
         let reachable = direct.is_ok() && !refused;
         self.node.on_store_result(reachable);
         self.last_direct_failure.set((!reachable).then_some(now));
