Ask a range of an assignment for its era

The comparison of a fencing token's era stood in three places, and a check of the carried keys repeated what their list already answers. No change of behaviour.

--- a/components/shards/src/assignment.rs
+++ b/components/shards/src/assignment.rs
@@ -63,6 +63,13 @@
     pub handover: String,
 }
 
+impl Range {
+    /// Returns the era of the store in which the owner was assigned.
+    fn era(&self) -> StoreEra {
+        StoreEra::of_fence(self.fence)
+    }
+}
+
 /// Difference between two successive versions of an assignment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -172,7 +179,7 @@
     /// Whether a range of this assignment has been assigned in its era.
     #[must_use]
     pub fn is_confirmed(&self, range: &Range) -> bool {
-        StoreEra::of_fence(range.fence) == self.era()
+        range.era() == self.era()
     }
 
     /// Returns the ranges that have not been assigned in the assignment's era.
@@ -276,7 +283,7 @@
         let era = self.era();
         self.fence += 1;
         for r in &mut self.ranges {
-            if r.machine == *machine && StoreEra::of_fence(r.fence) == era {
+            if r.machine == *machine && r.era() == era {
                 r.fence = self.fence;
                 r.handover = String::new();
             }
@@ -300,7 +307,7 @@
         let fence = self.fence + 1;
         let mut ranges = Vec::with_capacity(self.ranges.len() + 2);
         for r in std::mem::take(&mut self.ranges) {
-            let is_owned = r.machine == *from && StoreEra::of_fence(r.fence) == era;
+            let is_owned = r.machine == *from && r.era() == era;
             let moved = r.span.overlap(released.span).filter(|_| is_owned);
             let Some(moved) = moved else {
                 ranges.push(r);
--- a/components/shards/src/manager/claims.rs
+++ b/components/shards/src/manager/claims.rs
@@ -104,7 +104,7 @@
 
     /// Whether the machine holds keys since the earlier era that it has not been assigned in this one.
     pub(super) fn has_unclaimed_keys(&self) -> bool {
-        self.carried.is_some() && !self.unclaimed_spans().is_empty()
+        !self.unclaimed_spans().is_empty()
     }
 
     /// Whether the machine holds the key since the earlier era.
