Simplify how a process takes note of an era

The era was compared inside and outside a closure, the revision of the known assignment was looked up in two forms, and the claimed keys were counted in two places. No change of behaviour.

--- a/components/node/src/node/keys.rs
+++ b/components/node/src/node/keys.rs
@@ -18,6 +18,13 @@
         self.assignments.borrow().get(service).cloned()
     }
 
+    /// Returns the revision of the newest known assignment of a service's keys.
+    fn assignment_revision(&self, service: &ServiceName) -> Revision {
+        let assignments = self.assignments.borrow();
+        let known = assignments.get(service);
+        known.map_or(Revision::NONE, |a| a.revision)
+    }
+
     /// Applies a change to the assignment at its base revision, then the pending changes that
     /// follow; a change whose base revision has not arrived is kept until it does.
     pub(super) fn on_assignment_change(
@@ -27,9 +34,7 @@
         revision: Revision,
         change: Change,
     ) {
-        let current = self
-            .assignment(service)
-            .map_or(Revision::NONE, |a| a.revision);
+        let current = self.assignment_revision(service);
         if current >= revision {
             return;
         }
@@ -56,19 +61,15 @@
     #[must_use]
     pub fn assignments_to_fetch(&self) -> BTreeSet<ServiceName> {
         let pending = self.pending_changes.borrow();
-        let known_revision = |service: &ServiceName| {
-            self.assignment(service)
-                .map_or(Revision::NONE, |a| a.revision)
-        };
         let behind = pending
             .latest()
-            .filter(|(s, revision)| known_revision(s) < *revision);
+            .filter(|(s, revision)| self.assignment_revision(s) < *revision);
         let mut outdated: BTreeSet<ServiceName> = behind.map(|(s, _)| s.clone()).collect();
         if let Some(active_config) = self.active_config() {
             let unknown = active_config
                 .catalog
                 .keyed_services()
-                .filter(|s| known_revision(s) == Revision::NONE);
+                .filter(|s| self.assignment_revision(s) == Revision::NONE);
             outdated.extend(unknown.cloned());
         }
         outdated
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -50,20 +50,15 @@
         let now = BootClock.now();
         self.shard_manager.borrow_mut().on_era(now, era);
         let previous = self.store_era();
-        let is_new = self.store_era.send_if_modified(|known| {
-            let is_new = era > *known;
-            if is_new {
-                *known = era;
-            }
-            is_new
-        });
-        if is_new {
-            self.metrics.on_store_era();
-            self.log_store_era(now, era, previous);
-            self.keys_changed.notify_one();
-            for peer in self.peers() {
-                peer.send_store_era(era);
-            }
+        if era <= previous {
+            return;
+        }
+        self.store_era.send_replace(era);
+        self.metrics.on_store_era();
+        self.log_store_era(now, era, previous);
+        self.keys_changed.notify_one();
+        for peer in self.peers() {
+            peer.send_store_era(era);
         }
     }
 
--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -203,8 +203,7 @@
             return;
         }
         if let Some(claim) = &claim {
-            let keys: u32 = claim.spans.iter().map(|s| s.len()).sum();
-            log::info!(event = "keys-claimed", era:% = manager.era(), keys, spans = claim.spans.len(); "");
+            log::info!(event = "keys-claimed", era:% = manager.era(), keys = manager.carried_keys(), spans = claim.spans.len(); "");
             self.node.broadcast_claim(manager.era(), claim);
         }
         drop(manager);
