Share what tests of restores repeat

The relay's test made its own process beside the shared one, and is now a module of store_era; six cases began with the same three lines; spans granted were collected three times. All assertions are as before.

--- a/components/node/tests/store_era/main.rs
+++ b/components/node/tests/store_era/main.rs
@@ -6,6 +6,7 @@
 mod first_configuration;
 mod known;
 mod peers;
+mod relay;
 mod rewrites;
 mod small_store;
 mod watches;
--- a/components/node/tests/relay.rs
+++ b/components/node/tests/store_era/relay.rs
@@ -1,15 +1,11 @@
 //! Store requests that are sent through a peer.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use http1::response::{Response, encode};
-use node::node::Node;
 use node::{peer_server, relay};
-use platform::settings::Settings;
 use platform::store::LEASES;
-use serde_json::json;
 use shards::lease::Lease;
 use shards::manager::{StoreOp, StoreOutcome};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,21 +13,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use world::name::MachineName;
 
-/// Time after which a test that waits has failed.
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-fn node(machine: &str, store: SocketAddr) -> Rc<Node> {
-    let settings = json!({
-        "nodeName": machine, "ip": "127.0.0.1", "zone": "z", "region": "r", "zones": {"z": "r"},
-        "listenAddresses": {"outbound": "127.0.0.1:1", "ready": "127.0.0.1:2",
-            "control": "127.0.0.1:3", "inbound": "127.0.0.1:4"},
-        "internalPortRange": [5, 6], "bounds": [],
-        "applicationAddress": "127.0.0.1:7", "service": "s",
-        "platform": {"address": store},
-    });
-    let settings = Settings::from_json(settings.to_string().as_bytes()).expect("well-formed");
-    Rc::new(Node::new(settings, 1))
-}
+use crate::common::node;
+use crate::small_store::TIMEOUT;
 
 async fn listen() -> (TcpListener, SocketAddr) {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/components/node/tests/store_era/small_store.rs
+++ b/components/node/tests/store_era/small_store.rs
@@ -49,11 +49,11 @@
 }
 
 impl SmallStore {
-    /// Starts a store and makes a process that uses it.
+    /// Starts a store and makes a process on machine `m` that uses it.
     pub(crate) async fn start() -> (Rc<Self>, Rc<Node>) {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener = TcpListener::bind(any_port).await.expect("a free port");
-        let node = common::node(listener.local_addr().expect("a bound listener"));
+        let node = common::node("m", listener.local_addr().expect("a bound listener"));
         let store: Rc<Self> = Rc::default();
         spawn_local(Rc::clone(&store).serve(listener));
         (store, node)
--- a/components/node/tests/whole_path/restored_store.rs
+++ b/components/node/tests/whole_path/restored_store.rs
@@ -38,6 +38,14 @@
     deployment.store.restore_to(copied_at);
 }
 
+/// Starts machines; returns them when they serve and nothing more is to be written.
+fn start_settled(net: u8, machines: usize) -> Deployment {
+    let deployment = Deployment::start(net, machines);
+    deployment.await_serving(SETTLE_TIMEOUT);
+    std::thread::sleep(QUIET_TIME);
+    deployment
+}
+
 /// Raises the revision of the store.
 fn write_fillers(deployment: &Deployment) {
     for number in 0..FILLER_WRITES {
@@ -178,9 +186,7 @@
     #[case] restarted: &[usize],
     #[case] restarted_later: &[usize],
 ) {
-    let mut deployment = Deployment::start(net, 3);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    std::thread::sleep(QUIET_TIME);
+    let mut deployment = start_settled(net, 3);
     let copied_at = Instant::now();
     move_keys_by_crash(&mut deployment, "i-2");
     for machine in restarted.iter().chain(restarted_later) {
@@ -203,9 +209,7 @@
 // when the revisions have passed the lost ones.
 #[test]
 fn a_process_without_memory_brings_back_no_earlier_holder_under_a_higher_revision() {
-    let mut deployment = Deployment::start(109, 5);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    std::thread::sleep(QUIET_TIME);
+    let mut deployment = start_settled(109, 5);
     let copied_at = Instant::now();
     deployment.drain(1);
     for key in KEYS {
@@ -259,9 +263,7 @@
 // when its revision has been given out again.
 #[test]
 fn a_late_write_of_an_assignment_brings_back_no_earlier_holder() {
-    let mut deployment = Deployment::start(111, 3);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    std::thread::sleep(QUIET_TIME);
+    let mut deployment = start_settled(111, 3);
     let copied_at = Instant::now();
     write_fillers(&deployment);
     move_keys_by_crash(&mut deployment, "i-2");
@@ -318,9 +320,7 @@
     #[case] moves: bool,
     #[case] restores: u32,
 ) {
-    let mut deployment = Deployment::start(net, 3);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    std::thread::sleep(QUIET_TIME);
+    let mut deployment = start_settled(net, 3);
     let copied_at = Instant::now();
     if moves {
         move_keys_by_crash(&mut deployment, "i-2");
@@ -345,9 +345,7 @@
 // than the one that the processes know.
 #[test]
 fn keys_of_a_back_end_that_crashes_after_a_restore_are_served_by_others() {
-    let mut deployment = Deployment::start(116, 3);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    std::thread::sleep(QUIET_TIME);
+    let mut deployment = start_settled(116, 3);
     let copied_at = Instant::now();
     move_keys_by_crash(&mut deployment, "i-2");
     restore(&deployment, copied_at);
@@ -360,9 +358,7 @@
 // Guards against a machine that joined in the lost seconds and is found by nobody who starts later.
 #[test]
 fn a_machine_whose_record_was_lost_is_found_by_one_that_joins_later() {
-    let mut deployment = Deployment::start(117, 3);
-    deployment.await_serving(SETTLE_TIMEOUT);
-    std::thread::sleep(QUIET_TIME);
+    let mut deployment = start_settled(117, 3);
     let copied_at = Instant::now();
     let joined = deployment.add_machine();
     deployment.crash_back_end(0);
--- a/components/shards/tests/releases.rs
+++ b/components/shards/tests/releases.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use shards::assignment::{Assignment, Holder};
-use shards::key_report::{HeldKeys, KeyReport, ReleasedKeys};
+use shards::key_report::{GrantReply, HeldKeys, KeyReport, ReleasedKeys};
 use shards::lease::Lease;
 use shards::manager::{PeerState, ShardManager, StoreOp, StoreOutcome, Timing};
 use shards::revision::StoreEra;
@@ -62,6 +62,11 @@
     manager.set_peer(MachineName::new("other"), peer);
 }
 
+fn granted_spans(reply: Option<GrantReply>) -> Vec<Span> {
+    let reply = reply.expect("it holds keys");
+    reply.grants.iter().map(|g| g.span).collect()
+}
+
 /// Guards against writes without end, and keys that nobody holds, when the only machine that should
 /// receive released keys is lost before they are handed over.
 #[test]
@@ -69,20 +74,10 @@
     let mut manager = manager();
     set_connected(&mut manager, true);
     let first = manager.on_report(at(3_000), &report(2));
-    let before: Vec<Span> = first
-        .expect("it holds keys")
-        .grants
-        .iter()
-        .map(|g| g.span)
-        .collect();
+    let before = granted_spans(first);
     assert_eq!(manager.rebalance(at(3_000), 0.9), 1);
     let shrunk = manager.on_report(at(3_050), &report(3));
-    let kept: Vec<Span> = shrunk
-        .expect("it keeps keys")
-        .grants
-        .iter()
-        .map(|g| g.span)
-        .collect();
+    let kept = granted_spans(shrunk);
     let released = kept
         .iter()
         .fold(before.clone(), |rest, k| subtract(&rest, *k));
@@ -113,10 +108,8 @@
         writes += 1;
         assert!(writes <= MAX_WRITES, "writes do not end");
     }
-    let reply = manager
-        .on_report(at(3_300), &report(5))
-        .expect("it holds keys");
-    let granted: u32 = reply.grants.iter().map(|g| g.span.len()).sum();
+    let after = granted_spans(manager.on_report(at(3_300), &report(5)));
+    let granted: u32 = after.iter().map(|s| s.len()).sum();
     assert_eq!(granted, before.iter().map(|s| s.len()).sum::<u32>());
     assert!(granted < ALL.len());
 }
