Log why a request is denied for good, and the age of what that rests on

Of a 404 nobody could tell whether the configuration behind it was outdated, a 404 for a route without a service left no line, a 400, 413 or 431 had neither id nor status, and a failure that a back end had not signed looked like its own.

Two counters. No decision changed.

--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -43,6 +43,8 @@
 enum State {
     Head,
     Body(Box<Request>, Decoder),
+    /// The stated length of the body exceeds the limit.
+    Refused(Box<Request>),
 }
 
 /// Decodes consecutive requests from the bytes of one connection.
@@ -61,7 +63,16 @@
     /// Returns whether part of a request has been received.
     #[must_use]
     pub fn has_partial_request(&self, buf: &BytesMut) -> bool {
-        !buf.is_empty() || matches!(self.state, State::Body(..))
+        !buf.is_empty() || self.incomplete().is_some()
+    }
+
+    /// Returns the request of which the head has been received, but not the whole body; without its body.
+    #[must_use]
+    pub fn incomplete(&self) -> Option<&Request> {
+        match &self.state {
+            State::Head => None,
+            State::Body(request, _) | State::Refused(request) => Some(request),
+        }
     }
 
     /// Consumes the next request from `buf`; `None` if it is incomplete.
@@ -77,8 +88,14 @@
             let Some((request, framing)) = parse_head(buf, bounds.head_bytes)? else {
                 return Ok(None);
             };
-            let decoder = Decoder::new(framing, bounds.body_bytes)?;
-            self.state = State::Body(Box::new(request), decoder);
+            let request = Box::new(request);
+            match Decoder::new(framing, bounds.body_bytes) {
+                Ok(decoder) => self.state = State::Body(request, decoder),
+                Err(error) => {
+                    self.state = State::Refused(request);
+                    return Err(error);
+                }
+            }
         }
         if let State::Body(_, decoder) = &mut self.state {
             decoder.decode(buf)?;
@@ -91,7 +108,7 @@
                 request.body = decoder.into_body();
                 Ok(Some(*request))
             }
-            State::Head => Ok(None),
+            State::Head | State::Refused(_) => Ok(None),
         }
     }
 }
--- a/components/http1/tests/framing.rs
+++ b/components/http1/tests/framing.rs
@@ -141,3 +141,16 @@
         prop_assert_eq!(found.headers.text("x-field"), Some("v w"));
     }
 }
+
+#[test]
+fn the_head_of_a_request_with_too_long_a_body_can_be_named() {
+    let mut reader = RequestReader::default();
+    let text = "POST /a HTTP/1.1\r\nRequest-Id: r-1\r\nContent-Length: 65\r\n\r\n";
+    let mut buf = BytesMut::from(text);
+    assert_eq!(reader.incomplete(), None);
+    assert_eq!(reader.next(&mut buf, BOUNDS), Err(ParseError::BodyTooLong));
+    let id = reader
+        .incomplete()
+        .and_then(|r| r.headers.text("Request-Id"));
+    assert_eq!(id, Some("r-1"));
+}
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -182,6 +182,16 @@
         Err(_) => RequestOutcome::Lost(LossCause::TimedOut),
         Ok(Ok((response, check))) => {
             node.on_back_end_response(slot.started);
+            if check == ResponseCheck::Valid && !message::is_signed(&response) {
+                node.metrics.on_unsigned_response();
+                log::info!(
+                    event = "unsigned-response",
+                    id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
+                    back_end = back_end.incarnation.id.as_str(),
+                    status = response.status;
+                    ""
+                );
+            }
             if matches!(check, ResponseCheck::Valid | ResponseCheck::NotExecuted) {
                 let incarnation = &back_end.incarnation;
                 named_limit::on_response(&node, incarnation, &response, slot.started);
--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use platform::configuration::{self, KIND, NAME};
+use platform::store::NamedObject;
 use serde_json::Value;
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use tokio::task::spawn_local;
+use world::instant::BootInstant;
 
 use crate::frame::Frame;
 use crate::node::Node;
 use crate::relay::StoreClient;
-use crate::store_watch;
+use crate::store_watch::{self, Observer};
 
 /// Time over which the processes spread their lists in a new era; short, as the operator's next
 /// configuration must not be late.
@@ -24,13 +26,22 @@
 
 /// Puts each new configuration in force, for as long as the process runs.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
-    let apply_node = Rc::clone(&node);
-    store_watch::run(node, store, KIND, ERA_SPREAD, |object| {
+    let observer = ConfigurationObserver(Rc::clone(&node));
+    store_watch::run(node, store, KIND, ERA_SPREAD, observer).await;
+}
+
+struct ConfigurationObserver(Rc<Node>);
+
+impl Observer for ConfigurationObserver {
+    fn on_object(&self, object: NamedObject) {
         if object.name == NAME {
-            apply(&apply_node, object.stored.value);
+            apply(&self.0, object.stored.value);
         }
-    })
-    .await;
+    }
+
+    fn on_listed(&self, sent: BootInstant) {
+        self.0.on_configuration_listed(sent);
+    }
 }
 
 fn apply(node: &Rc<Node>, document: Value) {
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 use world::name::{MachineName, ServiceName};
 use xxhash_rust::xxh3;
 
+use crate::denial::{self, Denial};
 use crate::frame::{ForwardedRequest, ForwardedResponse, RequestOutcome, pack_headers};
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::{ActiveConfig, Node};
@@ -145,21 +146,10 @@
     };
     let catalog = Rc::clone(&active_config.catalog);
     let Some(route) = catalog.route(&incoming.host, request.path()) else {
-        node.metrics.on_request("no-route", Duration::ZERO);
-        log_completion(
-            &node,
-            &id,
-            None,
-            404,
-            "no-route",
-            received,
-            &active_config,
-            0,
-        );
-        return message::error_response(404, &id, None);
+        return deny(&node, &id, Denial::NoRoute, received, &active_config);
     };
     let Some(service) = route.pick_service(samples.next()).cloned() else {
-        return message::error_response(404, &id, None);
+        return deny(&node, &id, Denial::NoTarget, received, &active_config);
     };
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = received + timeout.min(route.timeout);
@@ -215,6 +205,30 @@
     completion.response
 }
 
+/// Returns the response to a request that is denied, and records it.
+fn deny(
+    node: &Node,
+    id: &Bytes,
+    denial: Denial,
+    received: BootInstant,
+    active_config: &ActiveConfig,
+) -> Response {
+    let status = denial.status();
+    denial::record(node, id, denial);
+    node.metrics.on_request(denial.name(), Duration::ZERO);
+    log_completion(
+        node,
+        id,
+        None,
+        status,
+        denial.name(),
+        received,
+        active_config,
+        0,
+    );
+    message::error_response(status, id, None)
+}
+
 #[allow(clippy::too_many_arguments)]
 fn log_completion(
     node: &Node,
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
+use crate::denial::{self, Denial};
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::Node;
 use crate::{accept, dispatch};
@@ -139,7 +140,7 @@
         match self.reader.next(&mut self.buf, bounds) {
             Ok(request) => request,
             Err(error) => {
-                log::info!(event = "request-refused", fault:% = error; "");
+                self.record_denial(error);
                 self.parse_error = Some(error);
                 self.stop_reading = true;
                 None
@@ -147,6 +148,22 @@
         }
     }
 
+    fn record_denial(&self, error: ParseError) {
+        let request = self.reader.incomplete();
+        let id = request.map(|r| message::decode_metadata(r).id);
+        let id = id.unwrap_or_default();
+        let limits = self.limits();
+        log::info!(
+            event = "request-refused",
+            id = std::str::from_utf8(&id).unwrap_or("?"),
+            fault:% = error,
+            max_head_bytes = limits.head_bytes,
+            max_body_bytes = limits.body_bytes;
+            ""
+        );
+        denial::record(&self.node, &id, Denial::from(error));
+    }
+
     /// Returns whether the connection has been idle, or its partial request incomplete, for too
     /// long.
     fn is_timed_out(&mut self) -> bool {
@@ -177,11 +194,8 @@
     }
 
     async fn send_parse_error(&mut self) {
-        let status = match self.parse_error {
-            Some(ParseError::HeadTooLong) => 431,
-            Some(ParseError::BodyTooLong) => 413,
-            _ => 400,
-        };
+        let denial = self.parse_error.map_or(Denial::Malformed, Denial::from);
+        let status = denial.status();
         let response = message::error_response(status, &Bytes::new(), None);
         if self.write_response(&response, true).await {
             drain(&mut self.read).await;
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod back_end_proxy;
 pub mod catalog_watch;
 pub mod crash_watch;
+pub mod denial;
 pub mod dispatch;
 pub mod entry;
 pub mod failure_rate;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -32,6 +32,8 @@
     retries: Cell<u64>,
     back_end_sends: Cell<u64>,
     rejections: LabelledCounter,
+    denials: LabelledCounter,
+    unsigned_responses: Cell<u64>,
     store_requests: LabelledCounter,
     store_eras: Cell<u64>,
     back_end_exits: LabelledCounter,
@@ -47,6 +49,8 @@
             retries: Cell::new(0),
             back_end_sends: Cell::new(0),
             rejections: LabelledCounter::default(),
+            denials: LabelledCounter::default(),
+            unsigned_responses: Cell::new(0),
             store_requests: LabelledCounter::default(),
             store_eras: Cell::new(0),
             back_end_exits: LabelledCounter::default(),
@@ -87,6 +91,17 @@
         self.rejections.increment(cause);
     }
 
+    /// Counts a caller's request that is refused for good, by the reason.
+    pub fn on_denial(&self, reason: &'static str) {
+        self.denials.increment(reason);
+    }
+
+    /// Counts a failure of a back end without its signature.
+    pub fn on_unsigned_response(&self) {
+        self.unsigned_responses
+            .set(self.unsigned_responses.get() + 1);
+    }
+
     /// Counts a request to the store by its outcome.
     pub fn on_store_request(&self, outcome: &'static str) {
         self.store_requests.increment(outcome);
@@ -115,6 +130,7 @@
             ("plantaingauge_requests_total", "outcome", &self.requests),
             ("plantaingauge_sends_total", "outcome", &self.sends),
             ("plantaingauge_rejections_total", "cause", &self.rejections),
+            ("plantaingauge_denials_total", "reason", &self.denials),
             (
                 "plantaingauge_store_calls_total",
                 "outcome",
@@ -140,6 +156,10 @@
             ("plantaingauge_retries_total", &self.retries),
             ("plantaingauge_back_end_sends_total", &self.back_end_sends),
             ("plantaingauge_store_era_changes_total", &self.store_eras),
+            (
+                "plantaingauge_unsigned_responses_total",
+                &self.unsigned_responses,
+            ),
         ];
         for (name, count) in counters {
             let _ = writeln!(out, "# TYPE {name} counter\n{name} {}", count.get());
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -57,6 +57,8 @@
     pub catalog: Rc<Catalog>,
     /// The document as stored, to send to peers.
     pub document: Rc<Value>,
+    /// When it was put in force.
+    pub since: BootInstant,
 }
 
 /// Connections to a back end that carry no request.
@@ -95,6 +97,8 @@
     /// Notified shortly before the process exits: callers get their final responses at once.
     pub abort_requests: Notify,
     active_config: RefCell<Option<ActiveConfig>>,
+    /// When the last listing of the configuration that the store has answered was sent.
+    config_confirmed_at: Cell<Option<BootInstant>>,
     assignments: RefCell<HashMap<ServiceName, Rc<Versioned<Assignment>>>>,
     peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -153,6 +157,7 @@
             keys_changed: Notify::new(),
             abort_requests: Notify::new(),
             active_config: RefCell::default(),
+            config_confirmed_at: Cell::default(),
             assignments: RefCell::default(),
             peers: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -185,6 +190,17 @@
         config.as_ref().map_or(0, |c| c.catalog.version)
     }
 
+    /// Records that a listing of the configuration sent at `sent` has been applied.
+    pub fn on_configuration_listed(&self, sent: BootInstant) {
+        self.config_confirmed_at.set(Some(sent));
+    }
+
+    /// Returns when the last listing of the configuration that the store has answered was sent.
+    #[must_use]
+    pub fn config_confirmed_at(&self) -> Option<BootInstant> {
+        self.config_confirmed_at.get()
+    }
+
     /// Puts a configuration in force if it is valid and of a higher version than the current one;
     /// returns whether it did. `source` is logged.
     pub fn on_configuration(&self, document: Value, source: &str) -> bool {
@@ -208,6 +224,7 @@
         *self.active_config.borrow_mut() = Some(ActiveConfig {
             catalog: Rc::new(catalog),
             document: Rc::new(document),
+            since: BootClock.now(),
         });
         self.keys_changed.notify_one();
         self.announce();
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -6,6 +6,8 @@
 use platform::store::{Listing, NamedObject, StoreError};
 use rand::Rng;
 use shards::revision::Revision;
+use timer::{BootClock, Clock};
+use world::instant::BootInstant;
 
 use crate::node::Node;
 use crate::pause;
@@ -16,20 +18,35 @@
 /// Longest pause after a failed request.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
+/// Receives what a watch finds.
+pub trait Observer {
+    /// Handles an object, at the start and on every change.
+    fn on_object(&self, object: NamedObject);
+
+    /// Handles the end of a listing that was sent at `sent`: all objects of the kind have been handled.
+    fn on_listed(&self, _sent: BootInstant) {}
+}
+
+impl<F: Fn(NamedObject)> Observer for F {
+    fn on_object(&self, object: NamedObject) {
+        self(object);
+    }
+}
+
 /// Reads the objects of a kind, possibly through a peer, then watches them on a direct connection;
 /// starts over when the store no longer has the history since the last revision, and, after a
-/// random part of `era_spread`, when it is restored from a snapshot. Passes each object to
-/// `apply`, at the start and on every change.
+/// random part of `era_spread`, when it is restored from a snapshot.
 pub async fn run(
     node: Rc<Node>,
     store: Rc<StoreClient>,
     kind: &'static str,
     era_spread: Duration,
-    apply: impl Fn(NamedObject),
+    observer: impl Observer,
 ) {
     let mut backoff = FIRST_BACKOFF;
     let mut last_revision: Option<Revision> = None;
     loop {
+        let sent = BootClock.now();
         let listing = match last_revision {
             None => list(&node, &store, kind).await,
             Some(since) => watch(&node, &store, kind, since).await,
@@ -37,8 +54,13 @@
         match listing {
             Ok(listing) => {
                 backoff = FIRST_BACKOFF;
-                last_revision = Some(listing.revision);
-                listing.objects.into_iter().for_each(&apply);
+                let is_list = last_revision.replace(listing.revision).is_none();
+                for object in listing.objects {
+                    observer.on_object(object);
+                }
+                if is_list {
+                    observer.on_listed(sent);
+                }
             }
             Err(StoreError::HistoryGone) => last_revision = None,
             Err(StoreError::EraChanged) if last_revision.is_some() => {
