--- /dev/null
+++ b/components/node/tests/whole_path/denials.rs
@@ -0,0 +1,111 @@
+//! Which requests are denied for good, so that their callers do not try again.
+
+use std::time::{Duration, Instant};
+
+use crate::SETTLE_TIMEOUT;
+use crate::deployment::{Deployment, Reply};
+use crate::restored_store::{
+    CONFIG_APPLY_LIMIT, assert_in_force, await_in_force, restore, write_fillers,
+};
+
+/// Time for which requests are sent.
+const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Longer than a request head may be without a configuration.
+const LONG_HEADER_BYTES: usize = 17_000;
+
+/// Requests `path` from each machine for [`OBSERVED_TIME`]; returns how many of the responses were 404, and
+/// how many there were.
+fn count_denials(deployment: &Deployment, machines: &[usize], path: &str) -> (usize, usize) {
+    let mut statuses = Vec::new();
+    let began = Instant::now();
+    while began.elapsed() < OBSERVED_TIME {
+        for machine in machines {
+            let reply = deployment.request(*machine, "GET", path, None);
+            statuses.push(reply.status);
+        }
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    let denials = statuses.iter().filter(|s| **s == 404).count();
+    (denials, statuses.len())
+}
+
+fn assert_no_denials(deployment: &Deployment, machines: &[usize], path: &str) {
+    let (denials, requests) = count_denials(deployment, machines, path);
+    assert_eq!(denials, 0, "{denials} of {requests} requests were denied");
+}
+
+// Guards against 404 for routes that were added after a restore of the store, under revisions below those
+// that were lost.
+#[test]
+fn routes_added_after_a_restore_are_not_denied() {
+    let machines = [0, 1, 2];
+    let deployment = Deployment::start(121, machines.len());
+    deployment.await_serving(SETTLE_TIMEOUT);
+    let copied_at = Instant::now();
+    write_fillers(&deployment);
+    deployment.store.write_config(2, &["/second/"]);
+    await_in_force(&deployment, &machines, "/second/");
+    restore(&deployment, copied_at);
+    deployment.store.write_config(2, &["/second/"]);
+    deployment.store.write_config(3, &["/second/", "/third/"]);
+    std::thread::sleep(CONFIG_APPLY_LIMIT);
+    assert_no_denials(&deployment, &machines, "/third/");
+}
+
+// Guards against 404 for routes of a version that the store has lost, when every process has restarted and
+// only the operator still knows it.
+#[test]
+fn routes_of_a_lost_version_are_not_denied_when_all_processes_have_restarted() {
+    let machines = [0, 1, 2];
+    let mut deployment = Deployment::start(122, machines.len());
+    deployment.await_serving(SETTLE_TIMEOUT);
+    let copied_at = Instant::now();
+    deployment.store.write_config(2, &["/second/"]);
+    await_in_force(&deployment, &machines, "/second/");
+    for machine in machines {
+        deployment.kill_process(machine);
+    }
+    restore(&deployment, copied_at);
+    for machine in machines {
+        deployment.start_process(machine);
+    }
+    assert_no_denials(&deployment, &machines, "/second/");
+    deployment.store.write_config(2, &["/second/"]);
+    assert_in_force(&deployment, &machines, "/second/", Instant::now());
+}
+
+// Guards against 404 for routes of a version that a process cannot know, as neither the store nor a peer
+// has told it anything for long.
+#[test]
+fn routes_of_a_later_version_are_not_denied_by_a_process_that_is_cut_off() {
+    let deployment = Deployment::start_isolated(123, 1);
+    deployment.await_status(0, "/added/", 200, SETTLE_TIMEOUT);
+    deployment.store.go_away();
+    deployment.store.write_config(2, &["/added/", "/second/"]);
+    std::thread::sleep(CONFIG_APPLY_LIMIT);
+    assert_no_denials(&deployment, &[0], "/second/");
+    let reply = deployment.request(0, "GET", "/added/", None);
+    assert_eq!(reply.status, 200, "what is known is served: {reply:?}");
+}
+
+// Guards against 431 by the limit that holds without a configuration, which the operator may have raised.
+#[test]
+fn a_long_head_is_not_denied_before_the_first_configuration() {
+    let deployment = Deployment::start_unconfigured(124, 1);
+    let path = format!("/{}", "a".repeat(LONG_HEADER_BYTES));
+    let is_response = |r: &Reply| r.status != 0;
+    let reply = deployment.await_reply(0, &path, None, is_response, SETTLE_TIMEOUT);
+    assert_eq!(reply.status, 503);
+    assert!(reply.text("Retry-After").is_some(), "{reply:?}");
+}
+
+// Guards against denials that are withheld where nothing is in doubt.
+#[test]
+fn a_route_that_no_version_has_is_denied_while_the_store_responds() {
+    let deployment = Deployment::start(125, 2);
+    deployment.await_serving(SETTLE_TIMEOUT);
+    let (denials, requests) = count_denials(&deployment, &[0, 1], "/nowhere/");
+    assert_eq!(denials, requests);
+}
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -3,6 +3,7 @@
 mod crash_causing_copies;
 mod crash_causing_requests;
 mod delayed_peer;
+mod denials;
 mod deployment;
 mod endless;
 mod late_copies;
--- a/components/node/tests/whole_path/restored_store.rs
+++ b/components/node/tests/whole_path/restored_store.rs
@@ -13,7 +13,7 @@
 /// Time for which the store is away before it comes back.
 const AWAY: Duration = Duration::from_millis(300);
 /// Longest time from the confirmation of a configuration until it is in force (`configApplyMs`).
-const CONFIG_APPLY_LIMIT: Duration = Duration::from_millis(2_500);
+pub(crate) const CONFIG_APPLY_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time in which the keys of a lost machine are served again.
 const LOST_MACHINE_LIMIT: Duration = Duration::from_secs(8);
 /// Longest time until keys are served whose holder nobody knows.
@@ -32,7 +32,7 @@
 const KEYS: [u16; 6] = [0, 9_000, 25_000, 40_000, 52_000, 65_535];
 
 /// Lets the store be away for a moment and come back as it was at `copied_at`.
-fn restore(deployment: &Deployment, copied_at: Instant) {
+pub(crate) fn restore(deployment: &Deployment, copied_at: Instant) {
     deployment.store.go_away();
     std::thread::sleep(AWAY);
     deployment.store.restore_to(copied_at);
@@ -47,14 +47,19 @@
 }
 
 /// Raises the revision of the store.
-fn write_fillers(deployment: &Deployment) {
+pub(crate) fn write_fillers(deployment: &Deployment) {
     for number in 0..FILLER_WRITES {
         deployment.store.write("filler", "filler", json!(number));
     }
 }
 
 /// Panics unless every machine serves `path` within [`CONFIG_APPLY_LIMIT`] from `since`.
-fn assert_in_force(deployment: &Deployment, machines: &[usize], path: &str, since: Instant) {
+pub(crate) fn assert_in_force(
+    deployment: &Deployment,
+    machines: &[usize],
+    path: &str,
+    since: Instant,
+) {
     for machine in machines {
         deployment.await_status(*machine, path, 200, SETTLE_TIMEOUT);
         let elapsed = since.elapsed();
@@ -65,7 +70,7 @@
     }
 }
 
-fn await_in_force(deployment: &Deployment, machines: &[usize], path: &str) {
+pub(crate) fn await_in_force(deployment: &Deployment, machines: &[usize], path: &str) {
     for machine in machines {
         deployment.await_status(*machine, path, 200, SETTLE_TIMEOUT);
     }
