Deny a request for good only by a configuration that is not in doubt

Callers got 404, 413 or 431 from a process whose configuration was outdated, and no caller repeats these: 404 for 174 of 177 requests on a route of a version that the store had lost while all processes restarted, for 60 of 60 at a process that reached neither store nor peers, 431 by a built-in limit before the first configuration.

Cause: a denial was given from the configuration in force, however old that was. The class: a final refusal that rests on a belief which may be out of date.

A denial now needs proof that is younger than half of configApplyMs: a request to the store, sent then, that showed no later version. If there is none, the first denied request asks the store (one call that all waiting requests share, of a few bytes, as it asks for changes since the last revision); a peer that has a later version is asked for that. So no version that must be in force can be missing behind a denial. What the configuration allows is handled as before.

Also: the wait for a peer's later version at a start after a restore ended at the first peer that has connected, also at one without any configuration; it has to have one.

Weighed: a peer's silence as proof costs no call, but a peer may be as cut off as this process; reading the whole configuration costs up to a megabyte a machine.

--- /dev/null
+++ b/components/catalog/src/evidence.rs
@@ -0,0 +1,83 @@
+//! Whether the configuration in force may be outdated, so that what it lacks may exist.
+//!
+//! A request that it allows is handled in any case. One that it does not allow is denied for good only
+//! without a [`Doubt`]: no caller repeats it.
+
+use std::time::Duration;
+
+use world::instant::BootInstant;
+
+/// Time after a restore of the store in which the operator writes again what the store has lost.
+pub const REWRITE_TIME: Duration = Duration::from_secs(10);
+
+/// Why the configuration in force may be outdated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// There is none yet.
+    NoConfiguration,
+    /// Another one has come into force since the request was checked.
+    Replaced,
+    /// A peer has a later one.
+    LaterAtPeer,
+    /// The store was restored from a snapshot lately and may lack the latest one.
+    StoreRestored,
+    /// The store has not confirmed it lately.
+    Unconfirmed,
+}
+
+impl Doubt {
+    /// Returns its name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no-configuration",
+            Self::Replaced => "replaced",
+            Self::LaterAtPeer => "later-at-peer",
+            Self::StoreRestored => "store-restored",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
+/// What the store has told a process about the configuration in force.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Evidence {
+    /// When the last request was sent whose response showed it to be the newest; not from before
+    /// `restored_at`.
+    confirmed_at: Option<BootInstant>,
+    /// When the process learned of the last restore of the store, by its own start at the latest.
+    restored_at: Option<BootInstant>,
+}
+
+impl Evidence {
+    /// Records that a request sent at `sent` has shown the configuration in force to be the newest.
+    pub fn on_confirmed(&mut self, sent: BootInstant) {
+        self.confirmed_at = self.confirmed_at.max(Some(sent));
+    }
+
+    /// Records that the process has learned at `now` of a restore of the store from a snapshot.
+    pub fn on_restored(&mut self, now: BootInstant) {
+        self.confirmed_at = None;
+        self.restored_at = Some(now);
+    }
+
+    /// Returns when the request was sent that last showed the configuration to be the newest.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<BootInstant> {
+        self.confirmed_at
+    }
+
+    /// Returns why the configuration may be outdated at `now`, if it may; a confirmation counts for
+    /// `max_age`.
+    #[must_use]
+    pub fn doubt(&self, now: BootInstant, max_age: Duration) -> Option<Doubt> {
+        let is_recent = |at: Option<BootInstant>, age| at.is_some_and(|at| now.since(at) <= age);
+        if is_recent(self.restored_at, REWRITE_TIME) {
+            Some(Doubt::StoreRestored)
+        } else if is_recent(self.confirmed_at, max_age) {
+            None
+        } else {
+            Some(Doubt::Unconfirmed)
+        }
+    }
+}
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -1,5 +1,7 @@
 //! Decoded form of the operator's configuration: routes, services and limits.
 
+pub mod evidence;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 use world::instant::BootInstant;
 
-use crate::frame::Frame;
+use crate::frame::{Frame, NodeStatus};
 use crate::node::Node;
 use crate::relay::StoreClient;
 use crate::store_watch::{self, Observer};
@@ -39,8 +39,17 @@
         }
     }
 
-    fn on_listed(&self, sent: BootInstant) {
-        self.0.on_configuration_listed(sent);
+    fn on_current(&self, sent: BootInstant) {
+        self.0.on_configuration_confirmed(sent);
+        self.0.config_check.on_success();
+    }
+
+    fn on_failure(&self) {
+        self.0.config_check.on_failure();
+    }
+
+    async fn check_requested(&self) {
+        self.0.config_check.requested().await;
     }
 }
 
@@ -64,7 +73,7 @@
     while node.active_config().is_none() && BootClock.now().since(started) < PEER_TIMEOUT {
         if let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) {
             requested = requested || peer.send(&Frame::CatalogRequest);
-        } else if node.random_peer(|_| true).is_some() {
+        } else if node.random_peer(NodeStatus::has_configuration).is_some() {
             break;
         }
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -1,10 +1,26 @@
 //! Refusals after which a caller does not try again: its request matches no route, exceeds the limits or
 //! is malformed.
+//!
+//! One that rests on a configuration which may be outdated is withheld: the request is refused with 503,
+//! so that the caller comes back.
 
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catalog::evidence::Doubt;
 use http1::error::ParseError;
+use http1::response::Response;
+use platform::message;
 use timer::{BootClock, Clock};
 
-use crate::node::Node;
+use crate::node::{ActiveConfig, Node};
+use crate::peer_sync;
+
+/// `Retry-After` of responses while the configuration may be outdated.
+const DOUBT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest time for which a request waits for a peer's later configuration.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a request is refused for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +49,11 @@
         }
     }
 
+    /// Returns whether another configuration might allow the request.
+    fn rests_on_configuration(self) -> bool {
+        self != Self::Malformed
+    }
+
     /// Returns its name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -56,10 +77,54 @@
     }
 }
 
-/// Logs and counts the denial of the request `id`, which is empty if it is not known, with the age of the
-/// configuration on which it rests.
-pub(crate) fn record(node: &Node, id: &[u8], denial: Denial) {
-    node.metrics.on_denial(denial.name());
+/// Returns the configuration by which a request to `path` of `host` is handled, `None` if there is none.
+///
+/// If the one in force would deny the request and may be outdated, that is the one in force after the peer
+/// that has a later one, or the store, has been asked for it.
+pub async fn config_for(node: &Rc<Node>, host: &str, path: &str) -> Option<ActiveConfig> {
+    let config = node.active_config()?;
+    if config.catalog.route(host, path).is_none() {
+        dispel_doubt(node).await;
+    }
+    node.active_config()
+}
+
+/// Asks for the newest configuration if the one in force may be outdated and somebody may know a later one.
+pub async fn dispel_doubt(node: &Rc<Node>) {
+    match node.config_doubt() {
+        Some(Doubt::LaterAtPeer) => {
+            let version = node.configuration_version();
+            peer_sync::fetch_later_configuration(node, version, PEER_TIMEOUT).await;
+        }
+        Some(Doubt::Unconfirmed) => node.config_check.wait().await,
+        Some(Doubt::NoConfiguration | Doubt::Replaced | Doubt::StoreRestored) | None => {}
+    }
+}
+
+/// Returns the response to the request `id`, empty if it is not known, which the configuration of `version`
+/// denies: the denial, or 503 if that configuration may be outdated.
+pub(crate) fn respond(node: &Node, id: &Bytes, denial: Denial, version: u64) -> Response {
+    let doubt = if !denial.rests_on_configuration() {
+        None
+    } else if version != node.configuration_version() {
+        Some(Doubt::Replaced)
+    } else {
+        node.config_doubt()
+    };
+    record(node, id, denial, doubt);
+    match doubt {
+        None => message::error_response(denial.status(), id, None),
+        Some(_) => message::error_response(503, id, Some(DOUBT_RETRY_AFTER)),
+    }
+}
+
+/// Logs and counts a denial, or why it is withheld, with the age of the configuration on which it rests.
+fn record(node: &Node, id: &[u8], denial: Denial, doubt: Option<Doubt>) {
+    if doubt.is_none() {
+        node.metrics.on_denial(denial.name());
+    } else {
+        node.metrics.on_withheld_denial();
+    }
     let now = BootClock.now();
     let config = node.active_config();
     let in_force_ms = config.as_ref().map(|c| now.since(c.since).as_millis());
@@ -68,10 +133,11 @@
     let version = node.configuration_version();
     let later = node.random_peer(|s| s.has_later_configuration(version));
     log::info!(
-        event = "denied",
+        event = if doubt.is_none() { "denied" } else { "denial-withheld" },
         id = std::str::from_utf8(id).unwrap_or("?"),
         status = denial.status(),
         reason = denial.name(),
+        doubt = doubt.map_or("-", Doubt::name),
         version,
         in_force_ms:? = in_force_ms,
         confirmed_ms:? = confirmed_ms,
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -140,7 +140,8 @@
         node.metrics.on_request("stopping", Duration::ZERO);
         return message::error_response(503, &id, Some(RESTART_RETRY_AFTER));
     }
-    let Some(active_config) = node.active_config() else {
+    let config = denial::config_for(&node, &incoming.host, request.path()).await;
+    let Some(active_config) = config else {
         node.metrics.on_request("no-configuration", Duration::ZERO);
         return message::error_response(503, &id, Some(OUTAGE_RETRY_AFTER));
     };
@@ -205,28 +206,29 @@
     completion.response
 }
 
-/// Returns the response to a request that is denied, and records it.
+/// Returns the response to a request that a configuration denies.
 fn deny(
     node: &Node,
     id: &Bytes,
     denial: Denial,
     received: BootInstant,
-    active_config: &ActiveConfig,
+    config: &ActiveConfig,
 ) -> Response {
-    let status = denial.status();
-    denial::record(node, id, denial);
-    node.metrics.on_request(denial.name(), Duration::ZERO);
+    let response = denial::respond(node, id, denial, config.catalog.version);
+    let outcome = denial.name();
+    let elapsed = BootClock.now().since(received);
+    node.metrics.on_request(outcome, elapsed);
     log_completion(
         node,
         id,
         None,
-        status,
-        denial.name(),
+        response.status,
+        outcome,
         received,
-        active_config,
+        config,
         0,
     );
-    message::error_response(status, id, None)
+    response
 }
 
 #[allow(clippy::too_many_arguments)]
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use catalog::Limits;
 use futures::StreamExt;
 use futures::stream::FuturesOrdered;
@@ -100,8 +100,10 @@
                 let node = Rc::clone(&self.node);
                 responses.push_back(dispatch::handle(node, samples, request, self.last_activity));
             }
-            if self.parse_error.is_some() && responses.is_empty() {
-                self.send_parse_error().await;
+            if let Some(error) = self.parse_error
+                && responses.is_empty()
+            {
+                self.send_parse_error(error).await;
                 return;
             }
             let reading = !self.stop_reading && self.close_requested.len() < MAX_PIPELINED;
@@ -140,7 +142,6 @@
         match self.reader.next(&mut self.buf, bounds) {
             Ok(request) => request,
             Err(error) => {
-                self.record_denial(error);
                 self.parse_error = Some(error);
                 self.stop_reading = true;
                 None
@@ -148,22 +149,6 @@
         }
     }
 
-    fn record_denial(&self, error: ParseError) {
-        let request = self.reader.incomplete();
-        let id = request.map(|r| message::decode_metadata(r).id);
-        let id = id.unwrap_or_default();
-        let limits = self.limits();
-        log::info!(
-            event = "request-refused",
-            id = std::str::from_utf8(&id).unwrap_or("?"),
-            fault:% = error,
-            max_head_bytes = limits.head_bytes,
-            max_body_bytes = limits.body_bytes;
-            ""
-        );
-        denial::record(&self.node, &id, Denial::from(error));
-    }
-
     /// Returns whether the connection has been idle, or its partial request incomplete, for too
     /// long.
     fn is_timed_out(&mut self) -> bool {
@@ -193,10 +178,22 @@
         matches!(written, Ok(Ok(())))
     }
 
-    async fn send_parse_error(&mut self) {
-        let denial = self.parse_error.map_or(Denial::Malformed, Denial::from);
-        let status = denial.status();
-        let response = message::error_response(status, &Bytes::new(), None);
+    async fn send_parse_error(&mut self, error: ParseError) {
+        let request = self.reader.incomplete();
+        let id = request.map(|r| message::decode_metadata(r).id);
+        let id = id.unwrap_or_default();
+        let limits = self.limits();
+        log::info!(
+            event = "request-refused",
+            id = std::str::from_utf8(&id).unwrap_or("?"),
+            fault:% = error,
+            max_head_bytes = limits.head_bytes,
+            max_body_bytes = limits.body_bytes;
+            ""
+        );
+        let version = self.node.configuration_version();
+        denial::dispel_doubt(&self.node).await;
+        let response = denial::respond(&self.node, &id, Denial::from(error), version);
         if self.write_response(&response, true).await {
             drain(&mut self.read).await;
         }
--- a/components/node/src/frame/status.rs
+++ b/components/node/src/frame/status.rs
@@ -70,6 +70,12 @@
         self.features.configuration_versions && self.catalog_version > version
     }
 
+    /// Returns whether the process has a configuration, of a version that can be compared.
+    #[must_use]
+    pub fn has_configuration(&self) -> bool {
+        self.has_later_configuration(0)
+    }
+
     /// Returns the change that leads from `previous` to this status; `None` if they also differ in
     /// what a [`StatusUpdate`] does not contain.
     #[must_use]
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -18,6 +18,7 @@
 use balance::link_delay::LinkDelay;
 use balance::retry_budget::RetryBudget;
 use catalog::Catalog;
+use catalog::evidence::{Doubt, Evidence};
 use platform::bounds::Bounds;
 use platform::configuration;
 use platform::settings::Settings;
@@ -33,6 +34,7 @@
 
 use crate::back_end::ConnectionPool;
 use crate::back_end_proxy::BackEndProxy;
+use crate::config_check::ConfigCheck;
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::leaving::LeavingBackEnds;
@@ -96,9 +98,10 @@
     pub keys_changed: Notify,
     /// Notified shortly before the process exits: callers get their final responses at once.
     pub abort_requests: Notify,
+    /// Asks whether the configuration in force is the newest.
+    pub config_check: ConfigCheck,
     active_config: RefCell<Option<ActiveConfig>>,
-    /// When the last listing of the configuration that the store has answered was sent.
-    config_confirmed_at: Cell<Option<BootInstant>>,
+    config_evidence: Cell<Evidence>,
     assignments: RefCell<HashMap<ServiceName, Rc<Versioned<Assignment>>>>,
     peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -157,7 +160,8 @@
             keys_changed: Notify::new(),
             abort_requests: Notify::new(),
             active_config: RefCell::default(),
-            config_confirmed_at: Cell::default(),
+            config_check: ConfigCheck::default(),
+            config_evidence: Cell::default(),
             assignments: RefCell::default(),
             peers: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -190,15 +194,39 @@
         config.as_ref().map_or(0, |c| c.catalog.version)
     }
 
-    /// Records that a listing of the configuration sent at `sent` has been applied.
-    pub fn on_configuration_listed(&self, sent: BootInstant) {
-        self.config_confirmed_at.set(Some(sent));
+    /// Records that the store's response to a request sent at `sent` has shown the configuration in
+    /// force to be the newest.
+    pub fn on_configuration_confirmed(&self, sent: BootInstant) {
+        let mut evidence = self.config_evidence.get();
+        evidence.on_confirmed(sent);
+        self.config_evidence.set(evidence);
     }
 
-    /// Returns when the last listing of the configuration that the store has answered was sent.
+    /// Returns when the request was sent whose response last showed the configuration in force to be
+    /// the newest.
     #[must_use]
     pub fn config_confirmed_at(&self) -> Option<BootInstant> {
-        self.config_confirmed_at.get()
+        self.config_evidence.get().confirmed_at()
+    }
+
+    /// Returns why the configuration in force may be outdated, if it may.
+    ///
+    /// A confirmation counts for half of the time within which a change must be in force, so that no
+    /// version that must be in force is missed.
+    #[must_use]
+    pub fn config_doubt(&self) -> Option<Doubt> {
+        if self.active_config.borrow().is_none() {
+            return Some(Doubt::NoConfiguration);
+        }
+        let version = self.configuration_version();
+        if self
+            .random_peer(|s| s.has_later_configuration(version))
+            .is_some()
+        {
+            return Some(Doubt::LaterAtPeer);
+        }
+        let max_age = self.bounds.get().config_apply / 2;
+        self.config_evidence.get().doubt(BootClock.now(), max_age)
     }
 
     /// Puts a configuration in force if it is valid and of a higher version than the current one;
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use timer::{BootClock, Clock};
+
 use crate::frame::Frame;
 use crate::node::Node;
 use crate::pause;
@@ -15,6 +17,22 @@
 /// Time between two checks for newer ones.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two looks at whether a requested configuration has arrived.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Requests a configuration later than `version` from a peer that has one, and waits until it is in force,
+/// for `timeout` at most. Returns at once if no connected peer has one.
+pub(crate) async fn fetch_later_configuration(node: &Rc<Node>, version: u64, timeout: Duration) {
+    let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) else {
+        return;
+    };
+    peer.send(&Frame::CatalogRequest);
+    let until = BootClock.now() + timeout;
+    while node.configuration_version() <= version && BootClock.now() < until {
+        tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
+    }
+}
+
 /// What a connected peer had in a newer state at the last check.
 #[derive(Debug, Default)]
 struct Missing {
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -18,13 +18,21 @@
 /// Longest pause after a failed request.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
-/// Receives what a watch finds.
+/// Receives what a watch finds, and may ask between changes whether it has missed any.
 pub trait Observer {
     /// Handles an object, at the start and on every change.
     fn on_object(&self, object: NamedObject);
 
-    /// Handles the end of a listing that was sent at `sent`: all objects of the kind have been handled.
-    fn on_listed(&self, _sent: BootInstant) {}
+    /// Handles a proof that all changes up to `sent` have been handled.
+    fn on_current(&self, _sent: BootInstant) {}
+
+    /// Handles a failed request to the store.
+    fn on_failure(&self) {}
+
+    /// Waits until the observer asks for such a proof.
+    fn check_requested(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
 }
 
 impl<F: Fn(NamedObject)> Observer for F {
@@ -33,6 +41,13 @@
     }
 }
 
+/// Objects from the store.
+struct Received {
+    listing: Listing,
+    /// When the request was sent, if it shows all changes up to then.
+    current_at: Option<BootInstant>,
+}
+
 /// Reads the objects of a kind, possibly through a peer, then watches them on a direct connection;
 /// starts over when the store no longer has the history since the last revision, and, after a
 /// random part of `era_spread`, when it is restored from a snapshot.
@@ -46,20 +61,19 @@
     let mut backoff = FIRST_BACKOFF;
     let mut last_revision: Option<Revision> = None;
     loop {
-        let sent = BootClock.now();
-        let listing = match last_revision {
+        let received = match last_revision {
             None => list(&node, &store, kind).await,
-            Some(since) => watch(&node, &store, kind, since).await,
+            Some(since) => watch(&node, &store, kind, since, &observer).await,
         };
-        match listing {
-            Ok(listing) => {
+        match received {
+            Ok(received) => {
                 backoff = FIRST_BACKOFF;
-                let is_list = last_revision.replace(listing.revision).is_none();
-                for object in listing.objects {
+                last_revision = Some(received.listing.revision);
+                for object in received.listing.objects {
                     observer.on_object(object);
                 }
-                if is_list {
-                    observer.on_listed(sent);
+                if let Some(sent) = received.current_at {
+                    observer.on_current(sent);
                 }
             }
             Err(StoreError::HistoryGone) => last_revision = None,
@@ -69,6 +83,7 @@
             }
             Err(error) => {
                 log::warn!(event = "watch-failed", kind, error:% = error; "");
+                observer.on_failure();
                 let jitter = rand::rng().random_range(0.7..1.3);
                 tokio::time::sleep(backoff.mul_f64(jitter)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -78,27 +93,72 @@
 }
 
 /// Lists the objects of the latest known era.
-async fn list(node: &Node, store: &StoreClient, kind: &str) -> Result<Listing, StoreError> {
+async fn list(node: &Node, store: &StoreClient, kind: &str) -> Result<Received, StoreError> {
+    let sent = BootClock.now();
     let listing = store.list(kind).await?;
     if listing.revision.era() < node.store_era() {
         return Err(StoreError::EraChanged);
     }
-    Ok(listing)
+    Ok(Received {
+        listing,
+        current_at: Some(sent),
+    })
 }
 
-/// Waits for changes after a revision, for as long as its era is the latest known one.
+/// Waits for changes after a revision, for as long as its era is the latest known one; asks for them at
+/// once whenever the observer requests it.
 async fn watch(
     node: &Node,
     store: &StoreClient,
     kind: &str,
     since: Revision,
-) -> Result<Listing, StoreError> {
-    let changes = tokio::select! {
-        changes = store.watch(kind, since) => changes,
-        _ = node.later_store_era(since.era()) => Err(StoreError::EraChanged),
+    observer: &impl Observer,
+) -> Result<Received, StoreError> {
+    let changes = store.watch(kind, since);
+    tokio::pin!(changes);
+    let received = loop {
+        tokio::select! {
+            changes = &mut changes => {
+                break changes.map(|listing| Received { listing, current_at: None });
+            }
+            _ = node.later_store_era(since.era()) => break Err(StoreError::EraChanged),
+            () = observer.check_requested() => {
+                if let Some(received) = check(store, kind, since, observer).await {
+                    break received;
+                }
+            }
+        }
     };
     if since.era() < node.store_era() {
         return Err(StoreError::EraChanged);
     }
-    changes
+    received
+}
+
+/// Asks for changes after a revision; `None` if the watch for them goes on, as there are none or the
+/// request has failed.
+async fn check(
+    store: &StoreClient,
+    kind: &str,
+    since: Revision,
+    observer: &impl Observer,
+) -> Option<Result<Received, StoreError>> {
+    let sent = BootClock.now();
+    match store.changes(kind, since).await {
+        Ok(listing) if listing.revision.era() != since.era() => Some(Err(StoreError::EraChanged)),
+        Ok(listing) if listing.objects.is_empty() => {
+            observer.on_current(sent);
+            None
+        }
+        Ok(listing) => Some(Ok(Received {
+            listing,
+            current_at: Some(sent),
+        })),
+        Err(StoreError::HistoryGone) => Some(Err(StoreError::HistoryGone)),
+        Err(error) => {
+            log::warn!(event = "check-failed", kind, error:% = error; "");
+            observer.on_failure();
+            None
+        }
+    }
 }
--- /dev/null
+++ b/components/node/tests/store_era/denials.rs
@@ -0,0 +1,121 @@
+//! What dispels the doubt whether the configuration in force is the newest.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::evidence::Doubt;
+use node::denial::{config_for, dispel_doubt};
+use node::frame::{Features, Frame};
+use node::node::Node;
+use node::{catalog_watch, relay};
+use platform::configuration::{KIND, NAME};
+use serde_json::{Value, json};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::fake_peer::FakePeer;
+use crate::small_store::{SmallStore, until};
+
+/// Longer than a confirmation by the store counts.
+const CONFIRMATION_AGE: Duration = Duration::from_millis(1_300);
+
+fn document(version: u64) -> Value {
+    let empty = json!({"columns": [], "rows": []});
+    json!({"version": version, "routes": empty, "services": empty})
+}
+
+/// Starts a process with version 1, which the store has confirmed.
+async fn start() -> (Rc<SmallStore>, Rc<Node>) {
+    let (store, node) = SmallStore::start().await;
+    store.write(KIND, NAME, document(1));
+    let client = Rc::new(relay::client(&node));
+    spawn_local(catalog_watch::run(Rc::clone(&node), client));
+    until("a configuration", || node.config_doubt().is_none()).await;
+    (store, node)
+}
+
+fn watches(store: &SmallStore) -> usize {
+    store.count(0, "GET", KIND)
+}
+
+// Guards against a denial by a configuration that nobody has confirmed for long.
+#[tokio::test]
+async fn the_store_is_asked_when_its_last_word_is_old() {
+    let test = async {
+        let (store, node) = start().await;
+        tokio::time::sleep(CONFIRMATION_AGE).await;
+        assert_eq!(node.config_doubt(), Some(Doubt::Unconfirmed));
+        let before = watches(&store);
+        dispel_doubt(&node).await;
+        assert_eq!(node.config_doubt(), None);
+        assert_eq!(watches(&store), before + 1);
+        dispel_doubt(&node).await;
+        assert_eq!(watches(&store), before + 1, "a recent word is enough");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+// Guards against as many calls to the store as there are requests that it denies.
+#[tokio::test]
+async fn requests_that_come_together_share_one_call_to_the_store() {
+    let test = async {
+        let (store, node) = start().await;
+        tokio::time::sleep(CONFIRMATION_AGE).await;
+        let before = watches(&store);
+        let requests = (0..50).map(|_| config_for(&node, "h", "/nowhere/"));
+        futures::future::join_all(requests).await;
+        assert_eq!(node.config_doubt(), None);
+        assert_eq!(watches(&store), before + 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+// Guards against a denial by a configuration later than which a peer has one.
+#[tokio::test]
+async fn a_later_configuration_of_a_peer_is_requested_and_awaited() {
+    let test = async {
+        let (_store, node) = start().await;
+        let mut peer = FakePeer::connect(&node, Features::SUPPORTED, 2).await;
+        assert_eq!(node.config_doubt(), Some(Doubt::LaterAtPeer));
+        let reply = async {
+            while !matches!(peer.receive().await, Frame::CatalogRequest) {}
+            let later = Frame::Catalog {
+                version: 2,
+                document: document(2).to_string().into_bytes(),
+            };
+            peer.send(&later).await;
+        };
+        let (config, ()) = tokio::join!(config_for(&node, "h", "/nowhere/"), reply);
+        assert_eq!(config.map(|c| c.catalog.version), Some(2));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+// Guards against a denial by a restored configuration, when the first peer that connects has none itself.
+#[tokio::test]
+async fn a_peer_without_a_configuration_proves_nothing_of_a_restored_one() {
+    let test = async {
+        let (store, node) = SmallStore::start().await;
+        store.come_back_empty();
+        store.write(KIND, NAME, document(1));
+        let mut starting = FakePeer::connect(&node, Features::SUPPORTED, 0).await;
+        let client = Rc::new(relay::client(&node));
+        spawn_local(catalog_watch::run(Rc::clone(&node), client));
+        until("the store's listing", || watches_of_era(&store, 1) > 0).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(node.active_config().is_none(), "it waits for a later one");
+        starting.announce(2).await;
+        while !matches!(starting.receive().await, Frame::CatalogRequest) {}
+        let later = Frame::Catalog {
+            version: 2,
+            document: document(2).to_string().into_bytes(),
+        };
+        starting.send(&later).await;
+        until("a configuration", || node.active_config().is_some()).await;
+        assert_eq!(node.configuration_version(), 2);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+fn watches_of_era(store: &SmallStore, era: u64) -> usize {
+    store.count(era, "GET", KIND)
+}
--- a/components/node/tests/store_era/fake_peer.rs
+++ b/components/node/tests/store_era/fake_peer.rs
@@ -17,6 +17,8 @@
 pub(crate) struct FakePeer {
     stream: TcpStream,
     received: BytesMut,
+    /// What it has announced last.
+    status: NodeStatus,
 }
 
 impl FakePeer {
@@ -29,23 +31,31 @@
         let machine = MachineName::new("other");
         node.add_peer(&machine, address);
         let (stream, _) = listener.accept().await.expect("a connection");
-        let mut peer = Self {
-            stream,
-            received: BytesMut::new(),
-        };
         let status = NodeStatus {
             machine: machine.clone(),
             address,
             features,
-            catalog_version,
             ..offline_node().status()
         };
-        peer.send(&Frame::Hello(Box::new(status))).await;
+        let mut peer = Self {
+            stream,
+            received: BytesMut::new(),
+            status,
+        };
+        peer.announce(catalog_version).await;
         let is_connected = || node.peer(&machine).is_some_and(|p| p.is_connected());
         until("the connection", is_connected).await;
         peer
     }
 
+    /// Sends a `Hello` with a changed version of its configuration.
+    pub(crate) async fn announce(&mut self, catalog_version: u64) {
+        self.status.version += 1;
+        self.status.catalog_version = catalog_version;
+        let hello = Frame::Hello(Box::new(self.status.clone()));
+        self.send(&hello).await;
+    }
+
     /// Sends a frame.
     pub(crate) async fn send(&mut self, sent: &Frame) {
         let bytes = frame::encode(sent).expect("a short frame");
--- a/components/node/tests/store_era/small_store.rs
+++ b/components/node/tests/store_era/small_store.rs
@@ -136,7 +136,8 @@
         let method = String::from_utf8_lossy(&request.method).into_owned();
         let is_watch = request.target.windows(6).any(|w| w == b"watch=");
         if is_watch {
-            self.end_watches.notified().await;
+            let ended = self.end_watches.notified();
+            let _ = tokio::time::timeout(watch_wait(request), ended).await;
         }
         let call = Call {
             era: self.era.get(),
@@ -182,6 +183,14 @@
     }
 }
 
+/// Returns for how long a watch waits.
+fn watch_wait(request: &Request) -> Duration {
+    let target = String::from_utf8_lossy(&request.target);
+    let wait = target.split("waitMs=").nth(1);
+    let wait_ms = wait.and_then(|w| w.parse().ok()).expect("a watch waits");
+    Duration::from_millis(wait_ms)
+}
+
 fn to_json(objects: &Objects, path: &str) -> Value {
     let (revision, specification) = &objects[path];
     let name = path.rsplit('/').next();
