Let a check of the configuration delay no change of it, and no caller beyond its patience

Read in the code after: while the store was asked on demand, the watch was not polled, so that a check without response (1 s, 1.2 s more through a peer) delayed a change that had arrived; a change that ended the watch dropped the check, and who waited for it got 503 after 0.5 s; a caller with a timeout of 200 ms waited for 500 ms; a 413 was compared with the configuration at the time of the response, not of the error; and each request looked its route up twice.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod evidence;
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -14,7 +15,7 @@
     /// Version set by the operator; a newer configuration has a higher one.
     pub version: u64,
     /// Routes by host, the longest path prefix first.
-    routes: HashMap<String, Vec<Route>>,
+    routes: HashMap<String, Vec<Rc<Route>>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
     /// Limits on requests and connections of callers.
@@ -95,9 +96,10 @@
         services: HashMap<ServiceName, Service>,
         limits: Limits,
     ) -> Self {
-        let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
+        let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
-            by_host.entry(route.host.clone()).or_default().push(route);
+            let routes = by_host.entry(route.host.clone()).or_default();
+            routes.push(Rc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -112,7 +114,7 @@
 
     /// Returns the route of the host with the longest prefix of `path`; `None` if no route matches.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         self.routes
             .get(host)?
             .iter()
--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use catalog::Route;
 use catalog::evidence::Doubt;
 use http1::error::ParseError;
 use http1::response::Response;
@@ -19,8 +20,8 @@
 
 /// `Retry-After` of responses while the configuration may be outdated.
 const DOUBT_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Longest time for which a request waits for a peer's later configuration.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which a request waits for a later configuration, or for proof that there is none.
+pub(crate) const DOUBT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a request is refused for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,26 +78,36 @@
     }
 }
 
-/// Returns the configuration by which a request to `path` of `host` is handled, `None` if there is none.
+/// Returns the route of a request to `path` of `host` and the configuration that has it, or that has none
+/// for it; `None` without a configuration.
 ///
-/// If the one in force would deny the request and may be outdated, that is the one in force after the peer
-/// that has a later one, or the store, has been asked for it.
-pub async fn config_for(node: &Rc<Node>, host: &str, path: &str) -> Option<ActiveConfig> {
+/// If the configuration in force has no route and may be outdated, a later one is awaited for `patience`.
+pub async fn find_route(
+    node: &Rc<Node>,
+    host: &str,
+    path: &str,
+    patience: Duration,
+) -> Option<(ActiveConfig, Option<Rc<Route>>)> {
     let config = node.active_config()?;
-    if config.catalog.route(host, path).is_none() {
-        dispel_doubt(node).await;
+    if let Some(route) = config.catalog.route(host, path).cloned() {
+        return Some((config, Some(route)));
     }
-    node.active_config()
+    dispel_doubt(node, patience).await;
+    let config = node.active_config()?;
+    let route = config.catalog.route(host, path).cloned();
+    Some((config, route))
 }
 
-/// Asks for the newest configuration if the one in force may be outdated and somebody may know a later one.
-pub async fn dispel_doubt(node: &Rc<Node>) {
+/// Asks for the newest configuration if the one in force may be outdated and somebody may know a later one;
+/// waits for it no longer than `patience`.
+pub async fn dispel_doubt(node: &Rc<Node>, patience: Duration) {
+    let limit = patience.min(DOUBT_TIMEOUT);
     match node.config_doubt() {
         Some(Doubt::LaterAtPeer) => {
             let version = node.configuration_version();
-            peer_sync::fetch_later_configuration(node, version, PEER_TIMEOUT).await;
+            peer_sync::fetch_later_configuration(node, version, limit).await;
         }
-        Some(Doubt::Unconfirmed) => node.config_check.wait().await,
+        Some(Doubt::Unconfirmed) => node.config_check.wait(limit).await,
         Some(Doubt::NoConfiguration | Doubt::Replaced | Doubt::StoreRestored) | None => {}
     }
 }
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -140,26 +140,26 @@
         node.metrics.on_request("stopping", Duration::ZERO);
         return message::error_response(503, &id, Some(RESTART_RETRY_AFTER));
     }
-    let config = denial::config_for(&node, &incoming.host, request.path()).await;
-    let Some(active_config) = config else {
+    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let patience = timeout.mul_f64(REROUTE_TIMEOUT_RATIO);
+    let found = denial::find_route(&node, &incoming.host, request.path(), patience).await;
+    let Some((config, route)) = found else {
         node.metrics.on_request("no-configuration", Duration::ZERO);
         return message::error_response(503, &id, Some(OUTAGE_RETRY_AFTER));
     };
-    let catalog = Rc::clone(&active_config.catalog);
-    let Some(route) = catalog.route(&incoming.host, request.path()) else {
-        return deny(&node, &id, Denial::NoRoute, received, &active_config);
+    let Some(route) = route else {
+        return deny(&node, &id, Denial::NoRoute, received, &config);
     };
     let Some(service) = route.pick_service(samples.next()).cloned() else {
-        return deny(&node, &id, Denial::NoTarget, received, &active_config);
+        return deny(&node, &id, Denial::NoTarget, received, &config);
     };
-    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = received + timeout.min(route.timeout);
     if incoming.parent.is_none() {
         // The calls of back ends do not raise the number of retries allowed.
         node.with_retry_budget(&service, |b| b.on_request(received));
     }
     let now = BootClock.now();
-    let template = request_template(&node, &service, route, request, incoming);
+    let template = request_template(&node, &service, &route, request, incoming);
     let search_limit = if template.priority == TOP_PRIORITY {
         SearchLimit::NESTED
     } else {
@@ -167,10 +167,10 @@
     };
     let mut dispatch = RequestDispatch {
         node: &node,
-        route,
+        route: &route,
         template,
         search: Search::new(search_limit),
-        is_retry: node.retry_detector.is_retry(route, timeout),
+        is_retry: node.retry_detector.is_retry(&route, timeout),
         service,
         deadline,
         reroute_until: now + deadline.since(now).mul_f64(REROUTE_TIMEOUT_RATIO),
@@ -200,7 +200,7 @@
         completion.response.status,
         completion.outcome,
         received,
-        &active_config,
+        &config,
         dispatch.attempted.len(),
     );
     completion.response
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -21,7 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
-use crate::denial::{self, Denial};
+use crate::denial::{self, DOUBT_TIMEOUT, Denial};
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::Node;
 use crate::{accept, dispatch};
@@ -53,8 +53,9 @@
     last_activity: BootInstant,
     /// For each in-flight request, in order, whether the connection closes after its response.
     close_requested: VecDeque<bool>,
-    /// Error that ends the connection once the requests before it are answered.
-    parse_error: Option<ParseError>,
+    /// Error that ends the connection once the requests before it are answered, and the version of the
+    /// configuration whose limits it rests on.
+    parse_error: Option<(ParseError, u64)>,
     /// Whether no further request is read.
     stop_reading: bool,
 }
@@ -100,10 +101,10 @@
                 let node = Rc::clone(&self.node);
                 responses.push_back(dispatch::handle(node, samples, request, self.last_activity));
             }
-            if let Some(error) = self.parse_error
+            if let Some((error, version)) = self.parse_error
                 && responses.is_empty()
             {
-                self.send_parse_error(error).await;
+                self.send_parse_error(error, version).await;
                 return;
             }
             let reading = !self.stop_reading && self.close_requested.len() < MAX_PIPELINED;
@@ -142,7 +143,7 @@
         match self.reader.next(&mut self.buf, bounds) {
             Ok(request) => request,
             Err(error) => {
-                self.parse_error = Some(error);
+                self.parse_error = Some((error, self.node.configuration_version()));
                 self.stop_reading = true;
                 None
             }
@@ -178,7 +179,7 @@
         matches!(written, Ok(Ok(())))
     }
 
-    async fn send_parse_error(&mut self, error: ParseError) {
+    async fn send_parse_error(&mut self, error: ParseError, version: u64) {
         let request = self.reader.incomplete();
         let id = request.map(|r| message::decode_metadata(r).id);
         let id = id.unwrap_or_default();
@@ -191,8 +192,7 @@
             max_body_bytes = limits.body_bytes;
             ""
         );
-        let version = self.node.configuration_version();
-        denial::dispel_doubt(&self.node).await;
+        denial::dispel_doubt(&self.node, DOUBT_TIMEOUT).await;
         let response = denial::respond(&self.node, &id, Denial::from(error), version);
         if self.write_response(&response, true).await {
             drain(&mut self.read).await;
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::future::{Fuse, FusedFuture};
 use platform::store::{Listing, NamedObject, StoreError};
 use rand::Rng;
 use shards::revision::Revision;
@@ -115,15 +117,19 @@
     observer: &impl Observer,
 ) -> Result<Received, StoreError> {
     let changes = store.watch(kind, since);
-    tokio::pin!(changes);
+    let running_check = Fuse::terminated();
+    tokio::pin!(changes, running_check);
     let received = loop {
         tokio::select! {
             changes = &mut changes => {
                 break changes.map(|listing| Received { listing, current_at: None });
             }
             _ = node.later_store_era(since.era()) => break Err(StoreError::EraChanged),
-            () = observer.check_requested() => {
-                if let Some(received) = check(store, kind, since, observer).await {
+            () = observer.check_requested(), if running_check.is_terminated() => {
+                running_check.set(check(store, kind, since, observer).fuse());
+            }
+            received = &mut running_check, if !running_check.is_terminated() => {
+                if let Some(received) = received {
                     break received;
                 }
             }
--- a/components/node/tests/store_era/denials.rs
+++ b/components/node/tests/store_era/denials.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catalog::evidence::Doubt;
-use node::denial::{config_for, dispel_doubt};
+use node::denial::{dispel_doubt, find_route};
 use node::frame::{Features, Frame};
 use node::node::Node;
 use node::{catalog_watch, relay};
@@ -18,6 +18,9 @@
 /// Longer than a confirmation by the store counts.
 const CONFIRMATION_AGE: Duration = Duration::from_millis(1_300);
 
+/// Time for which a request waits.
+const PATIENCE: Duration = Duration::from_secs(2);
+
 fn document(version: u64) -> Value {
     let empty = json!({"columns": [], "rows": []});
     json!({"version": version, "routes": empty, "services": empty})
@@ -45,10 +48,10 @@
         tokio::time::sleep(CONFIRMATION_AGE).await;
         assert_eq!(node.config_doubt(), Some(Doubt::Unconfirmed));
         let before = watches(&store);
-        dispel_doubt(&node).await;
+        dispel_doubt(&node, PATIENCE).await;
         assert_eq!(node.config_doubt(), None);
         assert_eq!(watches(&store), before + 1);
-        dispel_doubt(&node).await;
+        dispel_doubt(&node, PATIENCE).await;
         assert_eq!(watches(&store), before + 1, "a recent word is enough");
     };
     LocalSet::new().run_until(test).await;
@@ -61,7 +64,7 @@
         let (store, node) = start().await;
         tokio::time::sleep(CONFIRMATION_AGE).await;
         let before = watches(&store);
-        let requests = (0..50).map(|_| config_for(&node, "h", "/nowhere/"));
+        let requests = (0..50).map(|_| find_route(&node, "h", "/nowhere/", PATIENCE));
         futures::future::join_all(requests).await;
         assert_eq!(node.config_doubt(), None);
         assert_eq!(watches(&store), before + 1);
@@ -84,8 +87,8 @@
             };
             peer.send(&later).await;
         };
-        let (config, ()) = tokio::join!(config_for(&node, "h", "/nowhere/"), reply);
-        assert_eq!(config.map(|c| c.catalog.version), Some(2));
+        let (found, ()) = tokio::join!(find_route(&node, "h", "/nowhere/", PATIENCE), reply);
+        assert_eq!(found.map(|(config, _)| config.catalog.version), Some(2));
     };
     LocalSet::new().run_until(test).await;
 }
