--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -182,16 +182,7 @@
         Err(_) => RequestOutcome::Lost(LossCause::TimedOut),
         Ok(Ok((response, check))) => {
             node.on_back_end_response(slot.started);
-            if check == ResponseCheck::Valid && !message::is_signed(&response) {
-                node.metrics.on_unsigned_response();
-                log::info!(
-                    event = "unsigned-response",
-                    id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
-                    back_end = back_end.incarnation.id.as_str(),
-                    status = response.status;
-                    ""
-                );
-            }
+            record_doubtful(&node, &request, &back_end, &response, check);
             if matches!(check, ResponseCheck::Valid | ResponseCheck::NotExecuted) {
                 let incarnation = &back_end.incarnation;
                 named_limit::on_response(&node, incarnation, &response, slot.started);
@@ -238,6 +229,34 @@
     }
 }
 
+/// Logs and counts a response that is unsigned or can't be passed on, unless it says that the request was
+/// not executed.
+fn record_doubtful(
+    node: &Node,
+    request: &ForwardedRequest,
+    back_end: &LocalBackEnd,
+    response: &Response,
+    check: ResponseCheck,
+) {
+    let is_signed = message::is_signed(response);
+    let event = match check {
+        ResponseCheck::Corrupt => "response-refused",
+        ResponseCheck::Valid if !is_signed => "unsigned-response",
+        _ => return,
+    };
+    if !is_signed {
+        node.metrics.on_unsigned_response();
+    }
+    log::warn!(
+        event = event,
+        id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
+        back_end = back_end.incarnation.id.as_str(),
+        status = response.status,
+        signed = is_signed;
+        ""
+    );
+}
+
 fn encode_head(request: &ForwardedRequest, back_end: &LocalBackEnd, timeout: Duration) -> BytesMut {
     let headers = unpack_headers(request.headers.clone());
     let mut head = BytesMut::with_capacity(512);
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -103,7 +103,7 @@
         self.withheld_denials.set(self.withheld_denials.get() + 1);
     }
 
-    /// Counts a failure of a back end without its signature.
+    /// Counts a response of a back end without its signature, whether it is passed on or not.
     pub fn on_unsigned_response(&self) {
         self.unsigned_responses
             .set(self.unsigned_responses.get() + 1);
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -10,6 +10,7 @@
 mod named_limits;
 mod restored_store;
 mod turned_away;
+mod unsigned;
 
 use std::collections::HashSet;
 use std::time::Duration;
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -3,7 +3,8 @@
 //! The end of a request's path selects what else happens: `/slow/` and `/stuck/` run long, `/cut/`
 //! and `/late-cut/` lose their response, `/endless-head/` and `/endless-body/` get bytes without end,
 //! `/turned-away/` is answered with 421, `/crash/` crashes the
-//! back end as it begins to run, `/late-crash/` a moment later.
+//! back end as it begins to run, `/late-crash/` a moment later. `/signed/STATUS/` and
+//! `/unsigned/STATUS/` are answered with that status after they have run, with or without a signature.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -312,11 +313,14 @@
         if path.ends_with("/stuck/") {
             std::thread::sleep(STUCK_DURATION);
         }
-        let mut response = Response::new(200)
+        let (status, is_signed) = stated_response(path).unwrap_or((200, true));
+        let mut response = Response::new(status)
             .with("Request-Id", header("Request-Id"))
-            .with("Response-Stamp", "0.1.2")
             .with("X-Caller", header("Caller-Service"))
             .with("X-Back-End", self.config.id.clone());
+        if is_signed {
+            response = response.with("Response-Stamp", "0.1.2");
+        }
         response.body = format!("answer to {path}").into();
         Some(response)
     }
@@ -399,6 +403,16 @@
     }
 }
 
+/// Returns the status that a path asks for, and whether its response is to be signed.
+fn stated_response(path: &str) -> Option<(u16, bool)> {
+    let (start, status) = path.strip_suffix('/')?.rsplit_once('/')?;
+    let status = status.parse().ok()?;
+    if start.ends_with("/unsigned") {
+        return Some((status, false));
+    }
+    start.ends_with("/signed").then_some((status, true))
+}
+
 fn decode_grant(row: &Value) -> Option<Grant> {
     let number = |i: usize| row[i].as_u64();
     Some(Grant {
