Serve a route whatever the size of its weights

Callers got 404 on a route that is there, which no caller repeats: on one whose only part weighs 0.0004, 404 in place of 200; on one whose only part weighs 0, 404 too, though the request is proper and its route exists.

Cause: weights were cut to whole thousandths, at most a million, and their sum was taken in 32 bits; a route without a target counted as a denial.

Over processes: [200, 404, 404] for weights 1, 0.0004 and 0.

A weight is now a floating-point share of the greatest one of its route, and one above zero stays so. A request on a route without a target gets 503 with Retry-After, in `event=request outcome=no-target` and in `requests_total{outcome="no-target"}`; the denial of that name is gone.

Weighed: 404 is final, and a version that mends the route may be on its way; 502 or 504 would not promise what is known, that nothing has run.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -49,8 +49,8 @@
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
-    /// Share of the requests, relative to the weights of the other services of the route.
-    pub weight: u32,
+    /// Share of the requests, relative to the greatest weight of the route; 0 to 1.
+    pub weight: f64,
 }
 
 /// Settings of a service.
@@ -137,17 +137,17 @@
     /// proportion to their weights. `None` if no service has a weight above zero.
     #[must_use]
     pub fn pick_service(&self, sample: f64) -> Option<&ServiceName> {
-        let total: u32 = self.traffic_split.iter().map(|s| s.weight).sum();
-        let mut remaining = sample * f64::from(total);
+        let total: f64 = self.traffic_split.iter().map(|s| s.weight).sum();
+        let mut remaining = sample * total;
         for entry in &self.traffic_split {
-            remaining -= f64::from(entry.weight);
+            remaining -= entry.weight;
             if remaining < 0.0 {
                 return Some(&entry.service);
             }
         }
         self.traffic_split
             .iter()
-            .rfind(|s| s.weight > 0)
+            .rfind(|s| s.weight > 0.0)
             .map(|s| &s.service)
     }
 }
--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -27,8 +27,6 @@
 pub enum Denial {
     /// The configuration has no route for it.
     NoRoute,
-    /// Its route leads to no service.
-    NoTarget,
     /// Its head exceeds the limit.
     HeadTooLong,
     /// Its body exceeds the limit.
@@ -42,7 +40,7 @@
     #[must_use]
     pub fn status(self) -> u16 {
         match self {
-            Self::NoRoute | Self::NoTarget => 404,
+            Self::NoRoute => 404,
             Self::HeadTooLong => 431,
             Self::BodyTooLong => 413,
             Self::Malformed => 400,
@@ -59,7 +57,6 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoRoute => "no-route",
-            Self::NoTarget => "no-target",
             Self::HeadTooLong => "head-too-long",
             Self::BodyTooLong => "body-too-long",
             Self::Malformed => "malformed",
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -150,7 +150,9 @@
         return deny(&node, &id, Denial::NoRoute, received, &active_config);
     };
     let Some(service) = route.pick_service(samples.next()).cloned() else {
-        return deny(&node, &id, Denial::NoTarget, received, &active_config);
+        // The request is proper, so that it is served once the operator gives its route a service.
+        let response = message::error_response(503, &id, Some(OUTAGE_RETRY_AFTER));
+        return complete_unsent(&node, &id, response, "no-target", received, &active_config);
     };
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = received + timeout.min(route.timeout);
@@ -215,7 +217,18 @@
     config: &ActiveConfig,
 ) -> Response {
     let response = denial::respond(node, id, denial, config.catalog.version);
-    let outcome = denial.name();
+    complete_unsent(node, id, response, denial.name(), received, config)
+}
+
+/// Counts and logs a request that is sent to no back end; returns its response.
+fn complete_unsent(
+    node: &Node,
+    id: &Bytes,
+    response: Response,
+    outcome: &'static str,
+    received: BootInstant,
+    config: &ActiveConfig,
+) -> Response {
     let elapsed = BootClock.now().since(received);
     node.metrics.on_request(outcome, elapsed);
     log_completion(
--- a/components/node/tests/whole_path/denials.rs
+++ b/components/node/tests/whole_path/denials.rs
@@ -109,3 +109,17 @@
     let (denials, requests) = count_denials(&deployment, &[0, 1], "/nowhere/");
     assert_eq!(denials, requests);
 }
+
+// Guards against 404 on a route that is there: with a small weight only, or with none above zero.
+#[test]
+fn a_request_on_a_route_is_not_denied_whatever_its_weights_are() {
+    let deployment = Deployment::start(128, 2);
+    deployment.await_serving(SETTLE_TIMEOUT);
+    let paths = [("/known/", 1.0), ("/small/", 0.0004), ("/zero/", 0.0)];
+    deployment.store.write_weighted_config(2, &paths);
+    await_in_force(&deployment, &[0, 1], "/known/");
+    let replies = paths.map(|(path, _)| deployment.request(1, "GET", path, None));
+    assert_eq!(replies.each_ref().map(|r| r.status), [200, 200, 503]);
+    let refusal = &replies[2];
+    assert!(refusal.text("Retry-After").is_some(), "{refusal:?}");
+}
--- a/components/stand-ins/src/store/config.rs
+++ b/components/stand-ins/src/store/config.rs
@@ -6,6 +6,8 @@
 
 /// Connections that a back end takes if a test needs no other number.
 const DEFAULT_CONNECTION_CAP: usize = 100;
+/// Index of the service in the row of a route.
+const SERVICE_COLUMN: usize = 7;
 
 impl Store {
     /// Writes the configuration: the routes `list` and `order`, and one route per extra path.
@@ -17,6 +19,21 @@
     pub fn write_capped_config(&self, version: u64, extra_paths: &[&str], cap: usize) {
         self.write("config", "main", document(version, extra_paths, cap));
     }
+
+    /// Writes a configuration with one more route per path, which leads to `orders` with that weight.
+    pub fn write_weighted_config(&self, version: u64, weighted_paths: &[(&str, f64)]) {
+        let mut document = document(version, &[], DEFAULT_CONNECTION_CAP);
+        let rows = document["routes"]["rows"].as_array_mut();
+        rows.expect("a list")
+            .extend(weighted_paths.iter().map(|(path, weight)| {
+                let mut row = route(path, path, "safe", "orders", 2);
+                row[SERVICE_COLUMN] = Value::Null;
+                let split = json!([{"service": "orders", "weight": weight}]);
+                row.as_array_mut().expect("a list").push(split);
+                row
+            }));
+        self.write("config", "main", document);
+    }
 }
 
 fn document(version: u64, extra_paths: &[&str], cap: usize) -> Value {
@@ -33,7 +50,7 @@
         "version": version,
         "routes": {
             "columns": ["name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs",
-                "priority", "service", "attempts"],
+                "priority", "service", "attempts", "trafficSplit"],
             "rows": rows
         },
         "services": {
