Compare hosts without case, and accept targets in absolute form

Callers got 404, which no caller repeats, on a route that is there: if they wrote its host in another case than the configuration, or sent the target in absolute form (RFC 9112, section 3.2.2).

Cause: the host was compared as bytes, and the target was taken for the path.

Hosts are compared in lower case. The authority of a target in absolute form goes before the Host header, as the RFC asks. Route, endpoint and fingerprint use the host and path so found; the back end gets target and Host as they were sent, which a case checks. Fingerprints of the other requests stay the same, so that processes of both versions agree on them.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -13,7 +13,7 @@
 pub struct Catalog {
     /// Version set by the operator; a newer configuration has a higher one.
     pub version: u64,
-    /// Routes by host, the longest path prefix first.
+    /// Routes by host in lower case, the longest path prefix first.
     routes: HashMap<String, Vec<Route>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
@@ -97,7 +97,10 @@
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
         for route in routes {
-            by_host.entry(route.host.clone()).or_default().push(route);
+            by_host
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .push(route);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -110,7 +113,8 @@
         }
     }
 
-    /// Returns the route of the host with the longest prefix of `path`; `None` if no route matches.
+    /// Returns the route of the host, in lower case, with the longest prefix of `path`; `None` if no route
+    /// matches.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -11,7 +11,7 @@
 pub struct Request {
     /// Method as received.
     pub method: Bytes,
-    /// Request target as received: path and query.
+    /// Request target as received: path and query, in absolute form after scheme and authority.
     pub target: Bytes,
     /// Header fields.
     pub headers: Headers,
@@ -22,14 +22,40 @@
 }
 
 impl Request {
-    /// Returns the target without its query; empty if it is not valid UTF-8.
+    /// Returns the path of the target, without its query; empty if it is not valid UTF-8.
     #[must_use]
     pub fn path(&self) -> &str {
-        let query = self.target.iter().position(|b| *b == b'?');
-        std::str::from_utf8(&self.target[..query.unwrap_or(self.target.len())]).unwrap_or_default()
+        let (authority, rest) = split_target(&self.target);
+        let query = rest.iter().position(|b| *b == b'?');
+        let path = &rest[..query.unwrap_or(rest.len())];
+        if path.is_empty() && authority.is_some() {
+            return "/";
+        }
+        std::str::from_utf8(path).unwrap_or_default()
     }
 }
 
+/// Starts of request targets in absolute form (RFC 9112, section 3.2.2).
+const SCHEMES: [&[u8]; 2] = [b"http://", b"https://"];
+
+fn strip_scheme(target: &[u8]) -> Option<&[u8]> {
+    SCHEMES.iter().find_map(|scheme| {
+        let (start, rest) = target.split_at_checked(scheme.len())?;
+        start.eq_ignore_ascii_case(scheme).then_some(rest)
+    })
+}
+
+/// Splits a request target into its authority, `None` if it is not in absolute form, and path with query.
+#[must_use]
+pub fn split_target(target: &[u8]) -> (Option<&[u8]>, &[u8]) {
+    let Some(rest) = strip_scheme(target) else {
+        return (None, target);
+    };
+    let end = rest.iter().position(|b| matches!(b, b'/' | b'?'));
+    let (authority, rest) = rest.split_at(end.unwrap_or(rest.len()));
+    (Some(authority), rest)
+}
+
 /// Size limits of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
--- a/components/http1/tests/framing.rs
+++ b/components/http1/tests/framing.rs
@@ -39,6 +39,25 @@
     }
 }
 
+// Guards against requests in absolute form that match no route.
+#[rstest]
+#[case::origin("/a/b?c=d", "/a/b")]
+#[case::absolute("http://h.example/a/b?c=d", "/a/b")]
+#[case::port("HTTP://h.example:80/a/b", "/a/b")]
+#[case::secure("https://h.example/", "/")]
+#[case::no_path("http://h.example", "/")]
+#[case::query_only("http://h.example?c=/d", "/")]
+#[case::url_in_path("/a/http://h.example/b", "/a/http://h.example/b")]
+#[case::url_in_query("/a?c=http://h.example/b", "/a")]
+#[case::other_scheme("ftp://h.example/a", "ftp://h.example/a")]
+#[case::asterisk("*", "*")]
+fn the_path_is_that_of_the_target_in_either_form(#[case] target: &str, #[case] path: &str) {
+    let text = format!("GET {target} HTTP/1.1\r\nHost: h\r\n\r\n");
+    let found = read_all(text.as_bytes(), 0).expect("well-formed");
+    assert_eq!(found[0].path(), path);
+    assert_eq!(found[0].target, target, "unchanged");
+}
+
 #[rstest]
 #[case("Content-Length: 3\r\nTransfer-Encoding: chunked")]
 #[case("Content-Length: 3\r\nContent-Length: 4")]
--- a/components/node/src/frame/request.rs
+++ b/components/node/src/frame/request.rs
@@ -19,7 +19,7 @@
     pub service: ServiceName,
     /// HTTP method.
     pub method: Bytes,
-    /// Path and query.
+    /// Request target as received.
     pub target: Bytes,
     /// Header fields, without those that the forwarding sets or that concern one connection.
     pub headers: Vec<(Bytes, Bytes)>,
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use http1::request::split_target;
 use platform::message;
 use quarantine::crash_count::CrashCount;
 use quarantine::exits::BackEndHash;
@@ -106,8 +107,8 @@
 pub fn fingerprint(request: &ForwardedRequest) -> Fingerprint {
     Fingerprint::new(&RequestIdentity {
         method: &request.method,
-        host: message::host(&request.headers),
-        target: &request.target,
+        host: message::host(&request.target, &request.headers).as_bytes(),
+        target: split_target(&request.target).1,
         caller: request.caller.as_str().as_bytes(),
         body: &request.body,
     })
@@ -116,7 +117,7 @@
 impl Suspects {
     /// Returns the fingerprint of a request that may be a suspect; computes none for others.
     fn find(&self, request: &ForwardedRequest) -> Option<Fingerprint> {
-        let target = fingerprint::target_hash(&request.target);
+        let target = fingerprint::target_hash(split_target(&request.target).1);
         let may_be_suspect = self.quarantine.borrow().may_contain(target);
         may_be_suspect.then(|| fingerprint(request))
     }
--- a/components/node/tests/whole_path/denials.rs
+++ b/components/node/tests/whole_path/denials.rs
@@ -123,3 +123,12 @@
     let refusal = &replies[2];
     assert!(refusal.text("Retry-After").is_some(), "{refusal:?}");
 }
+
+// Guards against 404 for a target in absolute form, and for a host that is not in lower case.
+#[test]
+fn a_request_in_absolute_form_is_not_denied() {
+    let deployment = Deployment::start_with_added_path(129, 2);
+    let path = "http://H.EXAMPLE/added/";
+    let reply = deployment.request(1, "GET", path, None);
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
