--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -14,7 +14,7 @@
 pub struct Catalog {
     /// Version set by the operator; a newer configuration has a higher one.
     pub version: u64,
-    /// Routes by host, the longest path prefix first.
+    /// Routes by host in lower case, the longest path prefix first.
     routes: HashMap<String, Vec<Rc<Route>>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
@@ -50,8 +50,8 @@
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
-    /// Share of the requests, relative to the weights of the other services of the route.
-    pub weight: u32,
+    /// Share of the requests, relative to the greatest weight of the route; 0 to 1.
+    pub weight: f64,
 }
 
 /// Settings of a service.
@@ -98,8 +98,8 @@
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
-            let routes = by_host.entry(route.host.clone()).or_default();
-            routes.push(Rc::new(route));
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(Rc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -112,7 +112,8 @@
         }
     }
 
-    /// Returns the route of the host with the longest prefix of `path`; `None` if no route matches.
+    /// Returns the route of the host, in lower case, with the longest prefix of `path`; `None` if no route
+    /// matches.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         self.routes
@@ -139,17 +140,17 @@
     /// proportion to their weights. `None` if no service has a weight above zero.
     #[must_use]
     pub fn pick_service(&self, sample: f64) -> Option<&ServiceName> {
-        let total: u32 = self.traffic_split.iter().map(|s| s.weight).sum();
-        let mut remaining = sample * f64::from(total);
+        let total: f64 = self.traffic_split.iter().map(|s| s.weight).sum();
+        let mut remaining = sample * total;
         for entry in &self.traffic_split {
-            remaining -= f64::from(entry.weight);
+            remaining -= entry.weight;
             if remaining < 0.0 {
                 return Some(&entry.service);
             }
         }
         self.traffic_split
             .iter()
-            .rfind(|s| s.weight > 0)
+            .rfind(|s| s.weight > 0.0)
             .map(|s| &s.service)
     }
 }
