--- a/components/catalog/src/evidence.rs
+++ b/components/catalog/src/freshness.rs
@@ -1,7 +1,7 @@
 //! Whether the configuration in force may be outdated, so that what it lacks may exist.
 //!
 //! A request that it allows is handled in any case. One that it does not allow is denied for good only
-//! without a [`Doubt`]: no caller repeats it.
+//! without a [`StaleReason`]: no caller repeats it.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 
 /// Why the configuration in force may be outdated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Doubt {
+pub enum StaleReason {
     /// There is none yet.
     NoConfiguration,
     /// Another one has come into force since the request was checked.
@@ -25,7 +25,7 @@
     Unconfirmed,
 }
 
-impl Doubt {
+impl StaleReason {
     /// Returns its name in logs.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -41,7 +41,7 @@
 
 /// What the store has told a process about the configuration in force.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Evidence {
+pub struct Freshness {
     /// When the last request was sent whose response showed it to be the newest; not from before
     /// `restored_at`.
     confirmed_at: Option<BootInstant>,
@@ -49,7 +49,7 @@
     restored_at: Option<BootInstant>,
 }
 
-impl Evidence {
+impl Freshness {
     /// Records that a request sent at `sent` has shown the configuration in force to be the newest.
     pub fn on_confirmed(&mut self, sent: BootInstant) {
         self.confirmed_at = self.confirmed_at.max(Some(sent));
@@ -70,14 +70,14 @@
     /// Returns why the configuration may be outdated at `now`, if it may; a confirmation counts for
     /// `max_age`.
     #[must_use]
-    pub fn doubt(&self, now: BootInstant, max_age: Duration) -> Option<Doubt> {
+    pub fn staleness(&self, now: BootInstant, max_age: Duration) -> Option<StaleReason> {
         let is_recent = |at: Option<BootInstant>, age| at.is_some_and(|at| now.since(at) <= age);
         if is_recent(self.restored_at, REWRITE_TIME) {
-            Some(Doubt::StoreRestored)
+            Some(StaleReason::StoreRestored)
         } else if is_recent(self.confirmed_at, max_age) {
             None
         } else {
-            Some(Doubt::Unconfirmed)
+            Some(StaleReason::Unconfirmed)
         }
     }
 }
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -1,6 +1,6 @@
 //! Decoded form of the operator's configuration: routes, services and limits.
 
-pub mod evidence;
+pub mod freshness;
 
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/components/node/src/config_check.rs
+++ b/components/node/src/config_check.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, watch};
 use world::instant::BootInstant;
 
-use crate::denial::DOUBT_TIMEOUT;
+use crate::denial::REFRESH_TIMEOUT;
 
 /// Time after a failed check in which no other one is made.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1_000);
@@ -38,7 +38,7 @@
         self.wanted.set(true);
         self.requested.notify_one();
         let waited = tokio::time::timeout(timeout, ended.changed()).await;
-        if waited.is_err() && timeout >= DOUBT_TIMEOUT {
+        if waited.is_err() && timeout >= REFRESH_TIMEOUT {
             self.failed_at.set(Some(BootClock.now()));
         }
     }
--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use catalog::Route;
-use catalog::evidence::Doubt;
+use catalog::freshness::StaleReason;
 use http1::error::ParseError;
 use http1::response::Response;
 use platform::message;
@@ -19,9 +19,9 @@
 use crate::peer_sync;
 
 /// `Retry-After` of responses while the configuration may be outdated.
-const DOUBT_RETRY_AFTER: Duration = Duration::from_millis(500);
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest time for which a request waits for a later configuration, or for proof that there is none.
-pub(crate) const DOUBT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const REFRESH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a request is refused for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,7 +89,7 @@
     if let Some(route) = config.catalog.route(host, path).cloned() {
         return Some((config, Some(route)));
     }
-    dispel_doubt(node, patience).await;
+    refresh_if_stale(node, patience).await;
     let config = node.active_config()?;
     let route = config.catalog.route(host, path).cloned();
     Some((config, route))
@@ -97,41 +97,42 @@
 
 /// Asks for the newest configuration if the one in force may be outdated and somebody may know a later one;
 /// waits for it no longer than `patience`.
-pub async fn dispel_doubt(node: &Rc<Node>, patience: Duration) {
-    let limit = patience.min(DOUBT_TIMEOUT);
-    match node.config_doubt() {
-        Some(Doubt::LaterAtPeer) => {
+pub async fn refresh_if_stale(node: &Rc<Node>, patience: Duration) {
+    let limit = patience.min(REFRESH_TIMEOUT);
+    match node.config_staleness() {
+        Some(StaleReason::LaterAtPeer) => {
             let version = node.configuration_version();
             peer_sync::fetch_later_configuration(node, version, limit).await;
         }
-        Some(Doubt::Unconfirmed) => node.config_check.wait(limit).await,
-        Some(Doubt::NoConfiguration | Doubt::Replaced | Doubt::StoreRestored) | None => {}
+        Some(StaleReason::Unconfirmed) => node.config_check.wait(limit).await,
+        Some(StaleReason::NoConfiguration | StaleReason::Replaced | StaleReason::StoreRestored)
+        | None => {}
     }
 }
 
 /// Returns the response to the request `id`, empty if it is not known, which the configuration of `version`
 /// denies: the denial, or 503 if that configuration may be outdated.
 pub(crate) fn respond(node: &Node, id: &Bytes, denial: Denial, version: u64) -> Response {
-    let doubt = if !denial.rests_on_configuration() {
+    let stale = if !denial.rests_on_configuration() {
         None
     } else if version != node.configuration_version() {
-        Some(Doubt::Replaced)
+        Some(StaleReason::Replaced)
     } else {
-        node.config_doubt()
+        node.config_staleness()
     };
-    record(node, id, denial, doubt);
-    match doubt {
+    record(node, id, denial, stale);
+    match stale {
         None => message::error_response(denial.status(), id, None),
-        Some(_) => message::error_response(503, id, Some(DOUBT_RETRY_AFTER)),
+        Some(_) => message::error_response(503, id, Some(STALE_RETRY_AFTER)),
     }
 }
 
 /// Logs and counts a denial, or why it is withheld, with the age of the configuration on which it rests.
-fn record(node: &Node, id: &[u8], denial: Denial, doubt: Option<Doubt>) {
-    if doubt.is_none() {
+fn record(node: &Node, id: &[u8], denial: Denial, stale: Option<StaleReason>) {
+    if stale.is_none() {
         node.metrics.on_denial(denial.name());
     } else {
-        node.metrics.on_withheld_denial();
+        node.metrics.on_deferred_denial();
     }
     let now = BootClock.now();
     let config = node.active_config();
@@ -141,11 +142,11 @@
     let version = node.configuration_version();
     let later = node.random_peer(|s| s.has_later_configuration(version));
     log::info!(
-        event = if doubt.is_none() { "denied" } else { "denial-withheld" },
+        event = if stale.is_none() { "denied" } else { "denial-deferred" },
         id = std::str::from_utf8(id).unwrap_or("?"),
         status = denial.status(),
         reason = denial.name(),
-        doubt = doubt.map_or("-", Doubt::name),
+        stale = stale.map_or("-", StaleReason::name),
         version,
         in_force_ms:? = in_force_ms,
         confirmed_ms:? = confirmed_ms,
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -21,7 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
-use crate::denial::{self, DOUBT_TIMEOUT, Denial};
+use crate::denial::{self, Denial, REFRESH_TIMEOUT};
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::Node;
 use crate::{accept, dispatch};
@@ -192,7 +192,7 @@
             max_body_bytes = limits.body_bytes;
             ""
         );
-        denial::dispel_doubt(&self.node, DOUBT_TIMEOUT).await;
+        denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
         let response = denial::respond(&self.node, &id, Denial::from(error), version);
         if self.write_response(&response, true).await {
             drain(&mut self.read).await;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -33,7 +33,7 @@
     back_end_sends: Cell<u64>,
     rejections: LabelledCounter,
     denials: LabelledCounter,
-    withheld_denials: Cell<u64>,
+    deferred_denials: Cell<u64>,
     unsigned_responses: Cell<u64>,
     store_requests: LabelledCounter,
     store_eras: Cell<u64>,
@@ -51,7 +51,7 @@
             back_end_sends: Cell::new(0),
             rejections: LabelledCounter::default(),
             denials: LabelledCounter::default(),
-            withheld_denials: Cell::new(0),
+            deferred_denials: Cell::new(0),
             unsigned_responses: Cell::new(0),
             store_requests: LabelledCounter::default(),
             store_eras: Cell::new(0),
@@ -99,8 +99,8 @@
     }
 
     /// Counts a caller's request that is refused, but not for good, as the configuration may be outdated.
-    pub fn on_withheld_denial(&self) {
-        self.withheld_denials.set(self.withheld_denials.get() + 1);
+    pub fn on_deferred_denial(&self) {
+        self.deferred_denials.set(self.deferred_denials.get() + 1);
     }
 
     /// Counts a response of a back end without its signature, whether it is passed on or not.
@@ -164,8 +164,8 @@
             ("plantaingauge_back_end_sends_total", &self.back_end_sends),
             ("plantaingauge_store_era_changes_total", &self.store_eras),
             (
-                "plantaingauge_withheld_denials_total",
-                &self.withheld_denials,
+                "plantaingauge_deferred_denials_total",
+                &self.deferred_denials,
             ),
             (
                 "plantaingauge_unsigned_responses_total",
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -18,7 +18,7 @@
 use balance::link_delay::LinkDelay;
 use balance::retry_budget::RetryBudget;
 use catalog::Catalog;
-use catalog::evidence::{Doubt, Evidence};
+use catalog::freshness::{Freshness, StaleReason};
 use platform::bounds::Bounds;
 use platform::configuration;
 use platform::settings::Settings;
@@ -101,7 +101,7 @@
     /// Asks whether the configuration in force is the newest.
     pub config_check: ConfigCheck,
     active_config: RefCell<Option<ActiveConfig>>,
-    config_evidence: Cell<Evidence>,
+    config_freshness: Cell<Freshness>,
     assignments: RefCell<HashMap<ServiceName, Rc<Versioned<Assignment>>>>,
     peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -161,7 +161,7 @@
             abort_requests: Notify::new(),
             active_config: RefCell::default(),
             config_check: ConfigCheck::default(),
-            config_evidence: Cell::default(),
+            config_freshness: Cell::default(),
             assignments: RefCell::default(),
             peers: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -197,16 +197,16 @@
     /// Records that the store's response to a request sent at `sent` has shown the configuration in
     /// force to be the newest.
     pub fn on_configuration_confirmed(&self, sent: BootInstant) {
-        let mut evidence = self.config_evidence.get();
-        evidence.on_confirmed(sent);
-        self.config_evidence.set(evidence);
+        let mut freshness = self.config_freshness.get();
+        freshness.on_confirmed(sent);
+        self.config_freshness.set(freshness);
     }
 
     /// Returns when the request was sent whose response last showed the configuration in force to be
     /// the newest.
     #[must_use]
     pub fn config_confirmed_at(&self) -> Option<BootInstant> {
-        self.config_evidence.get().confirmed_at()
+        self.config_freshness.get().confirmed_at()
     }
 
     /// Returns why the configuration in force may be outdated, if it may.
@@ -214,19 +214,21 @@
     /// A confirmation counts for half of the time within which a change must be in force, so that no
     /// version that must be in force is missed.
     #[must_use]
-    pub fn config_doubt(&self) -> Option<Doubt> {
+    pub fn config_staleness(&self) -> Option<StaleReason> {
         if self.active_config.borrow().is_none() {
-            return Some(Doubt::NoConfiguration);
+            return Some(StaleReason::NoConfiguration);
         }
         let version = self.configuration_version();
         if self
             .random_peer(|s| s.has_later_configuration(version))
             .is_some()
         {
-            return Some(Doubt::LaterAtPeer);
+            return Some(StaleReason::LaterAtPeer);
         }
         let max_age = self.bounds.get().config_apply / 2;
-        self.config_evidence.get().doubt(BootClock.now(), max_age)
+        self.config_freshness
+            .get()
+            .staleness(BootClock.now(), max_age)
     }
 
     /// Puts a configuration in force if it is valid and of a higher version than the current one;
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -54,9 +54,9 @@
             return;
         }
         self.store_era.send_replace(era);
-        let mut evidence = self.config_evidence.get();
-        evidence.on_restored(now);
-        self.config_evidence.set(evidence);
+        let mut freshness = self.config_freshness.get();
+        freshness.on_restored(now);
+        self.config_freshness.set(freshness);
         self.metrics.on_store_era();
         self.log_store_era(now, era, previous);
         self.keys_changed.notify_one();
--- a/components/node/tests/store_era/denials.rs
+++ b/components/node/tests/store_era/denials.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catalog::evidence::Doubt;
-use node::denial::{dispel_doubt, find_route};
+use catalog::freshness::StaleReason;
+use node::denial::{find_route, refresh_if_stale};
 use node::frame::{Features, Frame};
 use node::node::Node;
 use node::{catalog_watch, relay};
@@ -32,7 +32,7 @@
     store.write(KIND, NAME, document(1));
     let client = Rc::new(relay::client(&node));
     spawn_local(catalog_watch::run(Rc::clone(&node), client));
-    until("a configuration", || node.config_doubt().is_none()).await;
+    until("a configuration", || node.config_staleness().is_none()).await;
     (store, node)
 }
 
@@ -46,12 +46,12 @@
     let test = async {
         let (store, node) = start().await;
         tokio::time::sleep(CONFIRMATION_AGE).await;
-        assert_eq!(node.config_doubt(), Some(Doubt::Unconfirmed));
+        assert_eq!(node.config_staleness(), Some(StaleReason::Unconfirmed));
         let before = watches(&store);
-        dispel_doubt(&node, PATIENCE).await;
-        assert_eq!(node.config_doubt(), None);
+        refresh_if_stale(&node, PATIENCE).await;
+        assert_eq!(node.config_staleness(), None);
         assert_eq!(watches(&store), before + 1);
-        dispel_doubt(&node, PATIENCE).await;
+        refresh_if_stale(&node, PATIENCE).await;
         assert_eq!(watches(&store), before + 1, "a recent word is enough");
     };
     LocalSet::new().run_until(test).await;
@@ -66,7 +66,7 @@
         let before = watches(&store);
         let requests = (0..50).map(|_| find_route(&node, "h", "/nowhere/", PATIENCE));
         futures::future::join_all(requests).await;
-        assert_eq!(node.config_doubt(), None);
+        assert_eq!(node.config_staleness(), None);
         assert_eq!(watches(&store), before + 1);
     };
     LocalSet::new().run_until(test).await;
@@ -78,7 +78,7 @@
     let test = async {
         let (_store, node) = start().await;
         let mut peer = FakePeer::connect(&node, Features::SUPPORTED, 2).await;
-        assert_eq!(node.config_doubt(), Some(Doubt::LaterAtPeer));
+        assert_eq!(node.config_staleness(), Some(StaleReason::LaterAtPeer));
         let reply = async {
             while !matches!(peer.receive().await, Frame::CatalogRequest) {}
             let later = Frame::Catalog {
