Mend what a review of denials found

Read or shown by a reviewer who had not seen the work, on: - a later configuration that cannot be decoded counted as proof that there is none: 404 on its routes without end. It makes the one in force stale now; - each denied request asked a peer for its later configuration, 50 frames for 50 requests, and again for each that came after a peer had not responded. One request in 0.5 s now, and none for 1 s after a failure; - 413 for a body in chunks by a limit that was replaced between its head and its end: the version of the limits is now that of the head, which bounds the body; - a confirmation sent before the process knew of a restore is not kept; - event=request of a deferred denial said no-route: stale-configuration now.

Tests of the first two and the fourth, which fail before. The third has none yet.

--- a/components/catalog/src/freshness.rs
+++ b/components/catalog/src/freshness.rs
@@ -1,7 +1,7 @@
-//! Whether the configuration in force may be outdated, so that what it lacks may exist.
+//! Whether a configuration may be stale, so that what it lacks may exist.
 //!
 //! A request that it allows is handled in any case. One that it does not allow is denied for good only
-//! without a [`StaleReason`]: no caller repeats it.
+//! by a configuration that is known to be the newest: no caller repeats it.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 /// Time after a restore of the store in which the operator writes again what the store has lost.
 pub const REWRITE_TIME: Duration = Duration::from_secs(10);
 
-/// Why the configuration in force may be outdated.
+/// Why a configuration may be stale.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StaleReason {
     /// There is none yet.
@@ -19,7 +19,9 @@
     Replaced,
     /// A peer has a later one.
     LaterAtPeer,
-    /// The store was restored from a snapshot lately and may lack the latest one.
+    /// A later one could not be decoded.
+    Unreadable,
+    /// The store was restored from a snapshot lately and may lack the newest one.
     StoreRestored,
     /// The store has not confirmed it lately.
     Unconfirmed,
@@ -33,26 +35,31 @@
             Self::NoConfiguration => "no-configuration",
             Self::Replaced => "replaced",
             Self::LaterAtPeer => "later-at-peer",
+            Self::Unreadable => "unreadable",
             Self::StoreRestored => "store-restored",
             Self::Unconfirmed => "unconfirmed",
         }
     }
 }
 
-/// What the store has told a process about the configuration in force.
+/// What the store has shown of the configuration in force.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
-    /// When the last request was sent whose response showed it to be the newest; not from before
+    /// When the last request was sent whose response showed it to be the newest; never before
     /// `restored_at`.
     confirmed_at: Option<BootInstant>,
     /// When the process learned of the last restore of the store, by its own start at the latest.
     restored_at: Option<BootInstant>,
+    /// Whether a later one could not be decoded.
+    unreadable: bool,
 }
 
 impl Freshness {
     /// Records that a request sent at `sent` has shown the configuration in force to be the newest.
     pub fn on_confirmed(&mut self, sent: BootInstant) {
-        self.confirmed_at = self.confirmed_at.max(Some(sent));
+        if self.restored_at.is_none_or(|at| sent >= at) {
+            self.confirmed_at = self.confirmed_at.max(Some(sent));
+        }
     }
 
     /// Records that the process has learned at `now` of a restore of the store from a snapshot.
@@ -61,18 +68,30 @@
         self.restored_at = Some(now);
     }
 
+    /// Records that a configuration could not be decoded.
+    pub fn on_unreadable(&mut self) {
+        self.unreadable = true;
+    }
+
+    /// Records that a later configuration has come into force.
+    pub fn on_replaced(&mut self) {
+        self.unreadable = false;
+    }
+
     /// Returns when the request was sent that last showed the configuration to be the newest.
     #[must_use]
     pub fn confirmed_at(&self) -> Option<BootInstant> {
         self.confirmed_at
     }
 
-    /// Returns why the configuration may be outdated at `now`, if it may; a confirmation counts for
+    /// Returns why the configuration may be stale at `now`, if it may; a confirmation counts for
     /// `max_age`.
     #[must_use]
     pub fn staleness(&self, now: BootInstant, max_age: Duration) -> Option<StaleReason> {
         let is_recent = |at: Option<BootInstant>, age| at.is_some_and(|at| now.since(at) <= age);
-        if is_recent(self.restored_at, REWRITE_TIME) {
+        if self.unreadable {
+            Some(StaleReason::Unreadable)
+        } else if is_recent(self.restored_at, REWRITE_TIME) {
             Some(StaleReason::StoreRestored)
         } else if is_recent(self.confirmed_at, max_age) {
             None
--- a/components/catalog/tests/freshness.rs
+++ b/components/catalog/tests/freshness.rs
@@ -1,4 +1,4 @@
-//! When a configuration may be outdated.
+//! When a configuration may be stale.
 
 use std::time::Duration;
 
@@ -40,6 +40,8 @@
     let mut freshness = Freshness::default();
     freshness.on_confirmed(at(1_000));
     freshness.on_restored(at(1_500));
+    freshness.on_confirmed(at(1_499));
+    assert_eq!(freshness.confirmed_at(), None, "sent before the restore");
     freshness.on_confirmed(at(1_600));
     assert_eq!(
         freshness.staleness(at(1_700), MAX_AGE),
--- a/components/node/src/config_check.rs
+++ b/components/node/src/config_check.rs
@@ -1,48 +1,63 @@
-//! Asks the store on demand whether the configuration in force is the newest.
+//! Asks on demand whether the configuration in force is the newest.
 //!
-//! [`crate::catalog_watch`] does the asking, so that a later one is put in force as by a watch.
+//! [`crate::catalog_watch`] asks the store, so that a later one is put in force as by a watch.
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use timer::{BootClock, Clock};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use world::instant::BootInstant;
 
-use crate::denial::REFRESH_TIMEOUT;
-
-/// Time after a failed check in which no other one is made.
+/// Longest time for which a request waits for a later configuration, or for proof that there is none.
+pub const REFRESH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after a failure in which nobody is asked again.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1_000);
 
-/// Joins those who wait for a check with the task that makes it.
+/// Joins the requests that wait for a check with the task that makes it, and limits how often it is made.
 #[derive(Debug, Default)]
 pub struct ConfigCheck {
     /// Whether somebody waits for a check that has not ended.
     wanted: Cell<bool>,
     requested: Notify,
-    /// Number of checks that have ended.
-    ended: watch::Sender<u64>,
+    ended: Notify,
     failed_at: Cell<Option<BootInstant>>,
+    peer_asked_at: Cell<Option<BootInstant>>,
 }
 
 impl ConfigCheck {
-    /// Waits until a check has ended, for `timeout` at most; returns at once if the last one has just
-    /// failed.
+    /// Waits until a check of the store has ended, for `timeout` at most.
     pub async fn wait(&self, timeout: Duration) {
-        let now = BootClock.now();
-        let failed_at = self.failed_at.get();
-        if failed_at.is_some_and(|at| now.since(at) < FAILURE_BACKOFF) {
-            return;
-        }
-        let mut ended = self.ended.subscribe();
+        let ended = self.ended.notified();
         self.wanted.set(true);
         self.requested.notify_one();
-        let waited = tokio::time::timeout(timeout, ended.changed()).await;
+        let waited = tokio::time::timeout(timeout, ended).await;
+        // A caller of less patience proves nothing.
         if waited.is_err() && timeout >= REFRESH_TIMEOUT {
             self.failed_at.set(Some(BootClock.now()));
         }
     }
 
+    /// Returns whether the store or a peer has failed to respond so lately that neither is asked again.
+    #[must_use]
+    pub fn has_just_failed(&self) -> bool {
+        let now = BootClock.now();
+        let failed_at = self.failed_at.get();
+        failed_at.is_some_and(|at| now.since(at) < FAILURE_BACKOFF)
+    }
+
+    /// Returns whether a peer may be asked for its configuration, as none has been within
+    /// [`REFRESH_TIMEOUT`]; counts as asking.
+    pub(crate) fn take_peer_turn(&self) -> bool {
+        let now = BootClock.now();
+        let asked_at = self.peer_asked_at.get();
+        let is_free = asked_at.is_none_or(|at| now.since(at) >= REFRESH_TIMEOUT);
+        if is_free {
+            self.peer_asked_at.set(Some(now));
+        }
+        is_free
+    }
+
     /// Waits until somebody waits for a check; returns again until one has ended.
     pub(crate) async fn requested(&self) {
         while !self.wanted.get() {
@@ -56,7 +71,7 @@
         self.end();
     }
 
-    /// Ends a check that has failed.
+    /// Ends a check that has failed, or records that a peer has not sent its configuration.
     pub(crate) fn on_failure(&self) {
         self.failed_at.set(Some(BootClock.now()));
         self.end();
@@ -64,6 +79,6 @@
 
     fn end(&self) {
         self.wanted.set(false);
-        self.ended.send_modify(|n| *n += 1);
+        self.ended.notify_waiters();
     }
 }
--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -1,8 +1,8 @@
 //! Refusals after which a caller does not try again: its request matches no route, exceeds the limits or
 //! is malformed.
 //!
-//! One that rests on a configuration which may be outdated is withheld: the request is refused with 503,
-//! so that the caller comes back.
+//! One that rests on a configuration which may be stale is deferred: the request is refused with 503, so
+//! that the caller comes back.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,13 +15,12 @@
 use platform::message;
 use timer::{BootClock, Clock};
 
+use crate::config_check::REFRESH_TIMEOUT;
 use crate::node::{ActiveConfig, Node};
 use crate::peer_sync;
 
-/// `Retry-After` of responses while the configuration may be outdated.
+/// `Retry-After` of responses while the configuration may be stale.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Longest time for which a request waits for a later configuration, or for proof that there is none.
-pub(crate) const REFRESH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a request is refused for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,7 +77,7 @@
 /// Returns the route of a request to `path` of `host` and the configuration that has it, or that has none
 /// for it; `None` without a configuration.
 ///
-/// If the configuration in force has no route and may be outdated, a later one is awaited for `patience`.
+/// If the configuration in force has no route and may be stale, a later one is awaited for `patience`.
 pub async fn find_route(
     node: &Rc<Node>,
     host: &str,
@@ -95,24 +94,35 @@
     Some((config, route))
 }
 
-/// Asks for the newest configuration if the one in force may be outdated and somebody may know a later one;
-/// waits for it no longer than `patience`.
+/// Asks for the newest configuration if the one in force may be stale and somebody may know a later one;
+/// waits for it no longer than `patience`, and not at all just after a failure.
 pub async fn refresh_if_stale(node: &Rc<Node>, patience: Duration) {
+    let Some(reason) = node.config_staleness() else {
+        return;
+    };
+    if node.config_check.has_just_failed() {
+        return;
+    }
     let limit = patience.min(REFRESH_TIMEOUT);
-    match node.config_staleness() {
-        Some(StaleReason::LaterAtPeer) => {
-            let version = node.configuration_version();
-            peer_sync::fetch_later_configuration(node, version, limit).await;
-        }
-        Some(StaleReason::Unconfirmed) => node.config_check.wait(limit).await,
-        Some(StaleReason::NoConfiguration | StaleReason::Replaced | StaleReason::StoreRestored)
-        | None => {}
+    match reason {
+        StaleReason::LaterAtPeer => peer_sync::await_later_configuration(node, limit).await,
+        StaleReason::Unconfirmed => node.config_check.wait(limit).await,
+        StaleReason::NoConfiguration
+        | StaleReason::Replaced
+        | StaleReason::Unreadable
+        | StaleReason::StoreRestored => {}
     }
 }
 
+/// Response to a request that the configuration denies, and the outcome for logs and metrics.
+pub(crate) struct DenialResponse {
+    pub(crate) response: Response,
+    pub(crate) outcome: &'static str,
+}
+
 /// Returns the response to the request `id`, empty if it is not known, which the configuration of `version`
-/// denies: the denial, or 503 if that configuration may be outdated.
-pub(crate) fn respond(node: &Node, id: &Bytes, denial: Denial, version: u64) -> Response {
+/// denies: the denial, or 503 if that configuration may be stale.
+pub(crate) fn respond(node: &Node, id: &Bytes, denial: Denial, version: u64) -> DenialResponse {
     let stale = if !denial.rests_on_configuration() {
         None
     } else if version != node.configuration_version() {
@@ -122,12 +132,18 @@
     };
     record(node, id, denial, stale);
     match stale {
-        None => message::error_response(denial.status(), id, None),
-        Some(_) => message::error_response(503, id, Some(STALE_RETRY_AFTER)),
+        None => DenialResponse {
+            response: message::error_response(denial.status(), id, None),
+            outcome: denial.name(),
+        },
+        Some(_) => DenialResponse {
+            response: message::error_response(503, id, Some(STALE_RETRY_AFTER)),
+            outcome: "stale-configuration",
+        },
     }
 }
 
-/// Logs and counts a denial, or why it is withheld, with the age of the configuration on which it rests.
+/// Logs and counts a denial, or why it is deferred, with the age of the configuration on which it rests.
 fn record(node: &Node, id: &[u8], denial: Denial, stale: Option<StaleReason>) {
     if stale.is_none() {
         node.metrics.on_denial(denial.name());
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -216,8 +216,8 @@
     received: BootInstant,
     config: &ActiveConfig,
 ) -> Response {
-    let response = denial::respond(node, id, denial, config.catalog.version);
-    complete_unsent(node, id, response, denial.name(), received, config)
+    let denied = denial::respond(node, id, denial, config.catalog.version);
+    complete_unsent(node, id, denied.response, denied.outcome, received, config)
 }
 
 /// Counts and logs a request that is sent to no back end; returns its response.
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -21,7 +21,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
-use crate::denial::{self, Denial, REFRESH_TIMEOUT};
+use crate::config_check::REFRESH_TIMEOUT;
+use crate::denial::{self, Denial};
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::Node;
 use crate::{accept, dispatch};
@@ -53,9 +54,10 @@
     last_activity: BootInstant,
     /// For each in-flight request, in order, whether the connection closes after its response.
     close_requested: VecDeque<bool>,
-    /// Error that ends the connection once the requests before it are answered, and the version of the
-    /// configuration whose limits it rests on.
-    parse_error: Option<(ParseError, u64)>,
+    /// Version of the configuration whose limits bound the request that is being received.
+    limits_version: u64,
+    /// Error that ends the connection once the requests before it are answered.
+    parse_error: Option<ParseError>,
     /// Whether no further request is read.
     stop_reading: bool,
 }
@@ -75,6 +77,7 @@
             reader: RequestReader::default(),
             last_activity: BootClock.now(),
             close_requested: VecDeque::new(),
+            limits_version: 0,
             parse_error: None,
             stop_reading: false,
         }
@@ -101,10 +104,10 @@
                 let node = Rc::clone(&self.node);
                 responses.push_back(dispatch::handle(node, samples, request, self.last_activity));
             }
-            if let Some((error, version)) = self.parse_error
+            if let Some(error) = self.parse_error
                 && responses.is_empty()
             {
-                self.send_parse_error(error, version).await;
+                self.send_parse_error(error).await;
                 return;
             }
             let reading = !self.stop_reading && self.close_requested.len() < MAX_PIPELINED;
@@ -135,6 +138,9 @@
         if self.buf.is_empty() {
             return None;
         }
+        if self.reader.incomplete().is_none() {
+            self.limits_version = self.node.configuration_version();
+        }
         let limits = self.limits();
         let bounds = Bounds {
             head_bytes: limits.head_bytes,
@@ -143,7 +149,7 @@
         match self.reader.next(&mut self.buf, bounds) {
             Ok(request) => request,
             Err(error) => {
-                self.parse_error = Some((error, self.node.configuration_version()));
+                self.parse_error = Some(error);
                 self.stop_reading = true;
                 None
             }
@@ -179,7 +185,7 @@
         matches!(written, Ok(Ok(())))
     }
 
-    async fn send_parse_error(&mut self, error: ParseError, version: u64) {
+    async fn send_parse_error(&mut self, error: ParseError) {
         let request = self.reader.incomplete();
         let id = request.map(|r| message::decode_metadata(r).id);
         let id = id.unwrap_or_default();
@@ -193,8 +199,8 @@
             ""
         );
         denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
-        let response = denial::respond(&self.node, &id, Denial::from(error), version);
-        if self.write_response(&response, true).await {
+        let denied = denial::respond(&self.node, &id, Denial::from(error), self.limits_version);
+        if self.write_response(&denied.response, true).await {
             drain(&mut self.read).await;
         }
     }
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -98,7 +98,7 @@
         self.denials.increment(reason);
     }
 
-    /// Counts a caller's request that is refused, but not for good, as the configuration may be outdated.
+    /// Counts a caller's request that is refused, but not for good, as the configuration may be stale.
     pub fn on_deferred_denial(&self) {
         self.deferred_denials.set(self.deferred_denials.get() + 1);
     }
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -197,8 +197,12 @@
     /// Records that the store's response to a request sent at `sent` has shown the configuration in
     /// force to be the newest.
     pub fn on_configuration_confirmed(&self, sent: BootInstant) {
+        self.update_freshness(|f| f.on_confirmed(sent));
+    }
+
+    fn update_freshness(&self, change: impl FnOnce(&mut Freshness)) {
         let mut freshness = self.config_freshness.get();
-        freshness.on_confirmed(sent);
+        change(&mut freshness);
         self.config_freshness.set(freshness);
     }
 
@@ -209,7 +213,7 @@
         self.config_freshness.get().confirmed_at()
     }
 
-    /// Returns why the configuration in force may be outdated, if it may.
+    /// Returns why the configuration in force may be stale, if it may.
     ///
     /// A confirmation counts for half of the time within which a change must be in force, so that no
     /// version that must be in force is missed.
@@ -238,6 +242,7 @@
             Ok(catalog) => catalog,
             Err(error) => {
                 log::error!(event = "configuration-refused", source, error:% = error; "");
+                self.update_freshness(Freshness::on_unreadable);
                 return false;
             }
         };
@@ -256,6 +261,7 @@
             document: Rc::new(document),
             since: BootClock.now(),
         });
+        self.update_freshness(Freshness::on_replaced);
         self.keys_changed.notify_one();
         self.announce();
         true
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -54,9 +54,7 @@
             return;
         }
         self.store_era.send_replace(era);
-        let mut freshness = self.config_freshness.get();
-        freshness.on_restored(now);
-        self.config_freshness.set(freshness);
+        self.update_freshness(|f| f.on_restored(now));
         self.metrics.on_store_era();
         self.log_store_era(now, era, previous);
         self.keys_changed.notify_one();
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -20,15 +20,21 @@
 /// Time between two looks at whether a requested configuration has arrived.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Requests a configuration later than `version` from a peer that has one, and waits until it is in force,
-/// for `timeout` at most. Returns at once if no connected peer has one.
-pub(crate) async fn fetch_later_configuration(node: &Rc<Node>, version: u64, timeout: Duration) {
-    let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) else {
-        return;
-    };
-    peer.send(&Frame::CatalogRequest);
+/// Requests the configuration of a peer that has a later one, unless that has just been done, and waits until
+/// a later one is in force, for `timeout` at most.
+pub(crate) async fn await_later_configuration(node: &Rc<Node>, timeout: Duration) {
+    let version = node.configuration_version();
+    if let Some(peer) = node.random_peer(|s| s.has_later_configuration(version))
+        && node.config_check.take_peer_turn()
+    {
+        peer.send(&Frame::CatalogRequest);
+    }
     let until = BootClock.now() + timeout;
-    while node.configuration_version() <= version && BootClock.now() < until {
+    while node.configuration_version() <= version {
+        if BootClock.now() >= until {
+            node.config_check.on_failure();
+            return;
+        }
         tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
     }
 }
--- a/components/node/tests/store_era/denials.rs
+++ b/components/node/tests/store_era/denials.rs
@@ -1,4 +1,4 @@
-//! What dispels the doubt whether the configuration in force is the newest.
+//! What shows that the configuration in force is the newest, or that it may be stale.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -93,6 +93,42 @@
     LocalSet::new().run_until(test).await;
 }
 
+// Guards against a request to a peer for each request that is denied, where that peer does not respond.
+#[tokio::test]
+async fn a_peer_that_does_not_respond_is_asked_once_for_many_requests() {
+    let test = async {
+        let (_store, node) = start().await;
+        let mut peer = FakePeer::connect(&node, Features::SUPPORTED, 2).await;
+        let requests = (0..50).map(|_| find_route(&node, "h", "/nowhere/", PATIENCE));
+        futures::future::join_all(requests).await;
+        find_route(&node, "h", "/nowhere/", PATIENCE).await;
+        assert_eq!(node.config_staleness(), Some(StaleReason::LaterAtPeer));
+        peer.announce(1).await;
+        let mut asked = 0;
+        while let Some(frame) = peer.receive_queued() {
+            asked += usize::from(matches!(frame, Frame::CatalogRequest));
+        }
+        assert_eq!(asked, 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+// Guards against proof by a store whose later configuration could not be decoded.
+#[tokio::test]
+async fn a_later_configuration_that_cannot_be_decoded_makes_the_one_in_force_stale() {
+    let test = async {
+        let (_store, node) = start().await;
+        let malformed = json!({"version": 2, "routes": 0, "services": 0});
+        node.on_configuration(malformed, "store");
+        assert_eq!(node.config_staleness(), Some(StaleReason::Unreadable));
+        refresh_if_stale(&node, PATIENCE).await;
+        assert_eq!(node.config_staleness(), Some(StaleReason::Unreadable));
+        node.on_configuration(document(3), "store");
+        assert_eq!(node.config_staleness(), None);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 // Guards against a denial by a restored configuration, when the first peer that connects has none itself.
 #[tokio::test]
 async fn a_peer_without_a_configuration_proves_nothing_of_a_restored_one() {
@@ -103,7 +139,7 @@
         let mut starting = FakePeer::connect(&node, Features::SUPPORTED, 0).await;
         let client = Rc::new(relay::client(&node));
         spawn_local(catalog_watch::run(Rc::clone(&node), client));
-        until("the store's listing", || watches_of_era(&store, 1) > 0).await;
+        until("the store's listing", || store.count(1, "GET", KIND) > 0).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert!(node.active_config().is_none(), "it waits for a later one");
         starting.announce(2).await;
@@ -118,7 +154,3 @@
     };
     LocalSet::new().run_until(test).await;
 }
-
-fn watches_of_era(store: &SmallStore, era: u64) -> usize {
-    store.count(era, "GET", KIND)
-}
--- a/components/node/tests/store_era/fake_peer.rs
+++ b/components/node/tests/store_era/fake_peer.rs
@@ -75,4 +75,14 @@
             assert!(length > 0, "the end of the connection");
         }
     }
+
+    /// Returns the next frame that has arrived, `None` if there is none.
+    pub(crate) fn receive_queued(&mut self) -> Option<Frame> {
+        while self
+            .stream
+            .try_read_buf(&mut self.received)
+            .is_ok_and(|n| n > 0)
+        {}
+        frame::decode(&mut self.received).expect("well-formed")
+    }
 }
--- a/components/node/tests/whole_path/denials.rs
+++ b/components/node/tests/whole_path/denials.rs
@@ -101,7 +101,7 @@
     assert!(reply.text("Retry-After").is_some(), "{reply:?}");
 }
 
-// Guards against denials that are withheld where nothing is in doubt.
+// Guards against denials that are deferred where nothing is stale.
 #[test]
 fn a_route_that_no_version_has_is_denied_while_the_store_responds() {
     let deployment = Deployment::start(125, 2);
