Test that routes added after a restore are served, also once no denial is withheld

Since a denial is withheld for 10 s after a restore, and routes_added_after_a_restore_are_not_denied counted 404s from 2.5 s to 5.5 s after it.

New: two restores, four versions at once and a restart in between.

--- a/components/node/tests/whole_path/denials.rs
+++ b/components/node/tests/whole_path/denials.rs
@@ -1,5 +1,6 @@
 //! Which requests are denied for good, so that their callers do not try again.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::SETTLE_TIMEOUT;
@@ -14,6 +15,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Longer than a request head may be without a configuration.
 const LONG_HEADER_BYTES: usize = 17_000;
+/// Longer than denials are withheld after a restore (`REWRITE_TIME`), so that none is hidden.
+const WITHHELD_TIME: Duration = Duration::from_secs(11);
 
 /// Requests `path` from each machine for [`OBSERVED_TIME`]; returns how many of the responses were 404, and
 /// how many there were.
@@ -31,6 +34,27 @@
     (denials, statuses.len())
 }
 
+/// Panics unless each machine serves each of `paths`, now and until no denial is withheld any more.
+fn assert_served(deployment: &Deployment, machines: &[usize], paths: &[&str]) {
+    let mut failures: BTreeMap<(usize, &str, u16), usize> = BTreeMap::new();
+    let began = Instant::now();
+    while began.elapsed() < WITHHELD_TIME {
+        for machine in machines {
+            for path in paths {
+                let status = deployment.request(*machine, "GET", path, None).status;
+                if status != 200 {
+                    *failures.entry((*machine, path, status)).or_default() += 1;
+                }
+            }
+        }
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    assert!(
+        failures.is_empty(),
+        "not served, by machine, path and status: {failures:?}"
+    );
+}
+
 fn assert_no_denials(deployment: &Deployment, machines: &[usize], path: &str) {
     let (denials, requests) = count_denials(deployment, machines, path);
     assert_eq!(denials, 0, "{denials} of {requests} requests were denied");
@@ -51,7 +75,37 @@
     deployment.store.write_config(2, &["/second/"]);
     deployment.store.write_config(3, &["/second/", "/third/"]);
     std::thread::sleep(CONFIG_APPLY_LIMIT);
-    assert_no_denials(&deployment, &machines, "/third/");
+    assert_served(&deployment, &machines, &["/second/", "/third/"]);
+}
+
+// Guards against 404 for routes that were added in quick versions, over two restores and a restart.
+#[test]
+fn routes_added_in_quick_versions_over_two_restores_are_served() {
+    let machines = [0, 1, 2];
+    let mut deployment = Deployment::start(131, machines.len());
+    deployment.await_serving(SETTLE_TIMEOUT);
+    let copied_at = Instant::now();
+    write_fillers(&deployment);
+    deployment.store.write_config(2, &["/second/"]);
+    await_in_force(&deployment, &machines, "/second/");
+    restore(&deployment, copied_at);
+    deployment.store.write_config(2, &["/second/"]);
+    deployment.store.write_config(3, &["/second/", "/third/"]);
+    await_in_force(&deployment, &machines, "/third/");
+    deployment.kill_process(1);
+    restore(&deployment, copied_at);
+    deployment.start_process(1);
+    deployment.store.write_config(2, &["/second/"]);
+    deployment.store.write_config(3, &["/second/", "/third/"]);
+    deployment
+        .store
+        .write_config(4, &["/second/", "/third/", "/fourth/"]);
+    deployment
+        .store
+        .write_config(5, &["/second/", "/third/", "/fourth/", "/fifth/"]);
+    std::thread::sleep(CONFIG_APPLY_LIMIT);
+    let paths = ["/second/", "/third/", "/fourth/", "/fifth/"];
+    assert_served(&deployment, &machines, &paths);
 }
 
 // Guards against 404 for routes of a version that the store has lost, when every process has restarted and
