Read as many header fields as the limit of a head allows

Callers whose proper request had more than 64 header fields got 431, which nobody repeats, though its head was within headerBytes; a back end's response with as many was taken for malformed. Cause: a fixed array for the fields. A test with 100 fields failed with HeadTooLong before. The room now follows the number of lines, up to 512 fields, which bounds the memory of decoded heads.

--- a/components/http1/src/headers.rs
+++ b/components/http1/src/headers.rs
@@ -16,8 +16,19 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(SmallVec<[Header; 8]>);
 
-/// Largest number of header fields in a head.
-pub const MAX_HEADERS: usize = 64;
+/// Largest number of header fields in a head, whatever its length; bounds the memory of decoded heads.
+const MAX_HEADERS: usize = 512;
+/// Number of header fields that are parsed without an allocation.
+const INLINE_HEADERS: usize = 32;
+
+/// Room for the parsed header fields of one head.
+pub(crate) type HeaderSlots<'a> = SmallVec<[httparse::Header<'a>; INLINE_HEADERS]>;
+
+/// Makes room for as many header fields as `head` has lines, at most [`MAX_HEADERS`].
+pub(crate) fn header_slots(head: &[u8]) -> HeaderSlots<'_> {
+    let lines = head.iter().filter(|b| **b == b'\n').count();
+    SmallVec::from_elem(httparse::EMPTY_HEADER, lines.min(MAX_HEADERS))
+}
 
 /// Hop-by-hop header fields (RFC 9110, section 7.6.1): they apply to one connection and are not
 /// forwarded.
--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -4,7 +4,7 @@
 
 use crate::body::{Decoder, Framing};
 use crate::error::{ParseError, malformed};
-use crate::headers::{Headers, MAX_HEADERS};
+use crate::headers::{Headers, header_slots};
 
 /// A complete request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -154,7 +154,7 @@
         return Err(ParseError::HeadTooLong);
     }
     let head = buf.split_to(length).freeze();
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = header_slots(&head);
     let mut parsed = httparse::Request::new(&mut headers);
     match parsed.parse(&head) {
         Ok(httparse::Status::Complete(_)) => {}
--- a/components/http1/src/response.rs
+++ b/components/http1/src/response.rs
@@ -4,7 +4,7 @@
 
 use crate::body::{Decoder, Framing};
 use crate::error::{ParseError, malformed};
-use crate::headers::{Headers, MAX_HEADERS, put_numeric_header};
+use crate::headers::{Headers, header_slots, put_numeric_header};
 use crate::request::{self, HEAD_END_LENGTH};
 
 /// A complete response.
@@ -154,7 +154,7 @@
 }
 
 fn parse_head(head: Bytes) -> Result<(Response, Framing), ParseError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = header_slots(&head);
     let mut parsed = httparse::Response::new(&mut headers);
     match parsed.parse(&head) {
         Ok(httparse::Status::Complete(_)) => {}
--- a/components/http1/tests/framing.rs
+++ b/components/http1/tests/framing.rs
@@ -173,3 +173,17 @@
         .and_then(|r| r.headers.text("Request-Id"));
     assert_eq!(id, Some("r-1"));
 }
+
+// Guards against 431 for a head within its limit, because it has many fields.
+#[test]
+fn reads_as_many_header_fields_as_the_limit_of_the_head_allows() {
+    let fields: String = (0..100).map(|n| format!("a{n}: b\r\n")).collect();
+    let text = format!("GET /a HTTP/1.1\r\n{fields}\r\n");
+    let found = read_all(text.as_bytes(), 0).expect("well-formed");
+    assert_eq!(found[0].headers.len(), 100);
+    let text = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
+    let mut buf = BytesMut::from(text.as_str());
+    let read = response::ResponseReader::new(64).next(&mut buf, false);
+    let read = read.expect("well-formed").expect("a whole response");
+    assert_eq!(read.headers.len(), 101);
+}
