--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -642,6 +642,7 @@
         path,
         key,
         timeout: CALLER_TIMEOUT,
+        body: "",
     };
     request.to_string()
 }
--- a/components/stand-ins/src/caller.rs
+++ b/components/stand-ins/src/caller.rs
@@ -16,6 +16,8 @@
     pub key: Option<u16>,
     /// Value of the `Deadline-Ms` header, sent in milliseconds.
     pub timeout: Duration,
+    /// Body.
+    pub body: &'a str,
 }
 
 impl Display for CallerRequest<'_> {
@@ -26,6 +28,7 @@
         if let Some(key) = self.key {
             write!(f, "Shard-Key: {key}\r\n")?;
         }
-        write!(f, "Content-Length: 0\r\n\r\n")
+        write!(f, "Content-Length: {}\r\n\r\n", self.body.len())?;
+        f.write_str(self.body)
     }
 }
--- a/components/stand-ins/src/store/config.rs
+++ b/components/stand-ins/src/store/config.rs
@@ -13,6 +13,19 @@
         self.write_capped_config(version, extra_paths, DEFAULT_CONNECTION_CAP);
     }
 
+    /// Writes the configuration with limits on the bytes of a request's head and body.
+    pub fn write_limited_config(
+        &self,
+        version: u64,
+        extra_paths: &[&str],
+        head_bytes: usize,
+        body_bytes: u64,
+    ) {
+        let mut document = document(version, extra_paths, DEFAULT_CONNECTION_CAP);
+        document["limits"] = json!({"headerBytes": head_bytes, "bodyBytes": body_bytes});
+        self.write("config", "main", document);
+    }
+
     /// Writes a configuration in which back ends take at most `cap` connections.
     pub fn write_capped_config(&self, version: u64, extra_paths: &[&str], cap: usize) {
         self.write("config", "main", document(version, extra_paths, cap));
