Count wrong denials one by one in the soak

A response from 300 to 499 without a back end's signature, other than 408, 421 and 429, is a breach if all of them allow the request, from any process, disturbed or not. What only versions deny that a restore has brought back is counted apart.

New requests: on temporary paths of the last four versions, each in two versions; on a path that no version has, which may not run; with heads and bodies just below the limits of the newest version. A failure of these long requests may lack the Request-Id, as the head may not have been read; the check of all others is as strict as before.

Configuration::on_restore now takes the time of the copy; when the newest version is due is decided as before.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that send random requests on keep-alive connections and check every response.
 
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -11,8 +12,11 @@
 use stand_ins::http::Connection;
 use stand_ins::layout;
 
-use crate::configuration::{APPLY_LIMIT, Configuration, version_path};
+use crate::configuration::{
+    APPLY_LIMIT, Configuration, TEMPORARY_VERSIONS, limits, temporary_path, version_path,
+};
 use crate::crashing::{CrashingRequest, Target};
+use crate::denials::{self, Requirement};
 use crate::fleet::{Environment, Fleet};
 use crate::invariants::{InvariantChecker, ReportedOutcome};
 
@@ -24,6 +28,14 @@
 const MAX_PAUSE_MS: u64 = 60;
 /// Probability that the one draw in ten that may be a slow order is one.
 const SLOW_ORDER_PROBABILITY: f64 = 0.5;
+/// Number of the latest versions whose temporary paths are requested; later ones are dropped.
+const REQUESTED_VERSIONS: u64 = 4;
+/// Range of the bytes by which a long head or body stays below the limit of the newest version.
+const SPARE_BYTES: Range<usize> = 500..4_000;
+/// What separates the head of a request from its body.
+const HEAD_END: &str = "\r\n\r\n";
+/// Path that no version of the configuration has.
+const UNKNOWN_PATH: &str = "/nowhere/";
 /// Pause after a failed connection attempt.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Time after sending within which a connection may be closed without a response, because the node
@@ -41,6 +53,12 @@
     Listing(u16),
     /// A request to the route that this version of the configuration added.
     Version(u64),
+    /// A request to the route that this version of the configuration and the next one have.
+    Temporary(u64),
+    /// A request without a route.
+    Unknown,
+    /// A request with this many bytes in its query and its body.
+    Long(usize, usize),
     /// A request that crashes the back end that begins to run it.
     Crashing(CrashingRequest),
 }
@@ -50,7 +68,21 @@
         match self {
             Self::Order | Self::SlowOrder => true,
             Self::Crashing(request) => request.target == Target::Order,
-            Self::Listing(_) | Self::Version(_) => false,
+            Self::Listing(_)
+            | Self::Version(_)
+            | Self::Temporary(_)
+            | Self::Unknown
+            | Self::Long(..) => false,
+        }
+    }
+
+    /// Returns the versions of the configuration that have its route.
+    fn versions(self) -> Range<u64> {
+        match self {
+            Self::Version(version) => version..u64::MAX,
+            Self::Temporary(version) => version..version + TEMPORARY_VERSIONS,
+            Self::Unknown => 0..0,
+            _ => 0..u64::MAX,
         }
     }
 
@@ -148,8 +180,11 @@
     pub fn run(mut self, seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
         while self.shared.running.load(Ordering::SeqCst) {
-            let kind = match rng.random_range(0..10) {
-                0 => RequestKind::Version(self.shared.configuration().version()),
+            let kind = match rng.random_range(0..14) {
+                10 => self.temporary_request(&mut rng),
+                11 => RequestKind::Unknown,
+                12 => self.long_request(&mut rng),
+                0 | 13 => RequestKind::Version(self.shared.configuration().version()),
                 1 if self.last_served.0 > 0 => RequestKind::Version(self.last_served.0),
                 2 if rng.random_bool(SLOW_ORDER_PROBABILITY) => RequestKind::SlowOrder,
                 1..=4 => RequestKind::Order,
@@ -161,6 +196,22 @@
         }
     }
 
+    fn temporary_request(&self, rng: &mut StdRng) -> RequestKind {
+        let newest = self.shared.configuration().version();
+        let age = rng.random_range(0..REQUESTED_VERSIONS);
+        RequestKind::Temporary(newest.saturating_sub(age).max(1))
+    }
+
+    fn long_request(&self, rng: &mut StdRng) -> RequestKind {
+        let limits = limits(self.shared.configuration().version());
+        let spare = rng.random_range(SPARE_BYTES);
+        if rng.random() {
+            RequestKind::Long(limits.head_bytes - spare, 0)
+        } else {
+            RequestKind::Long(0, limits.body_bytes as usize - spare)
+        }
+    }
+
     /// Sends one request and checks its response; returns the status, or 0 without a response.
     pub fn request(&mut self, kind: RequestKind) -> u16 {
         let id = self.shared.next_id(kind);
@@ -174,11 +225,12 @@
         }
         self.shared.checker.on_send(&id, self.machine);
         let sent_at = Instant::now();
-        let response = connection.call(&encode(&id, kind), TIMEOUT + TIMEOUT_SLACK);
+        let request = encode(&id, kind);
+        let response = connection.call(&request, TIMEOUT + TIMEOUT_SLACK);
         let outcome = match &response {
             Ok(response) => {
                 self.record_notices(response);
-                check_response(&id, response, &self.shared.checker)
+                check_response(&id, kind, response, &self.shared.checker)
             }
             Err(error) => {
                 self.check_lost_response(&id, error, sent_at, last_used);
@@ -187,6 +239,9 @@
         };
         self.shared.checker.on_outcome(&id, &outcome);
         let Ok(response) = response else { return 0 };
+        if denials::is_denial(&response) {
+            self.check_denial(&id, kind, &request, sent_at, response.status);
+        }
         if let RequestKind::Version(version) = kind {
             self.check_version(version, run, response.status);
             if response.status == 404 {
@@ -247,6 +302,31 @@
         self.shared.checker.add_violation(violation);
     }
 
+    /// Counts a denial; records a violation if all versions that may be in force allow the request.
+    fn check_denial(
+        &self,
+        id: &str,
+        kind: RequestKind,
+        request: &str,
+        sent_at: Instant,
+        status: u16,
+    ) {
+        let (head, body) = request.split_once(HEAD_END).unwrap_or((request, ""));
+        let requirement = Requirement {
+            versions: kind.versions(),
+            head_bytes: head.len() + HEAD_END.len(),
+            body_bytes: body.len() as u64,
+        };
+        let judgement = {
+            let configuration = self.shared.configuration();
+            let possible = configuration.possible(sent_at);
+            let without_losses = configuration.possible_without_losses(sent_at);
+            denials::judge(&requirement, &possible, &without_losses)
+        };
+        let checker = &self.shared.checker;
+        checker.on_denial(id, self.machine, status, judgement);
+    }
+
     /// Records a violation if a version that was not served at `sent_at` was due at a machine that has
     /// been undisturbed for long enough.
     fn check_in_force(&self, version: u64, sent_at: Instant) {
@@ -288,31 +368,54 @@
         RequestKind::SlowOrder => ("POST", "/orders/slow/".to_owned(), None),
         RequestKind::Listing(key) => ("GET", "/list/all".to_owned(), Some(key)),
         RequestKind::Version(version) => ("GET", version_path(version), None),
+        RequestKind::Temporary(version) => ("GET", temporary_path(version), None),
+        RequestKind::Unknown => ("GET", UNKNOWN_PATH.to_owned(), None),
+        RequestKind::Long(query, _) => {
+            let path = format!("{}?{}", version_path(1), "q".repeat(query));
+            ("GET", path, None)
+        }
         RequestKind::Crashing(request) => match request.target {
             Target::Order => ("POST", request.path(), None),
             Target::Idempotent => ("GET", request.path(), None),
             Target::Keyed(key) => ("GET", request.path(), Some(key)),
         },
     };
+    let body = match kind {
+        RequestKind::Long(_, body) => "b".repeat(body),
+        _ => String::new(),
+    };
     let request = CallerRequest {
         id,
         method,
         path: &path,
         key,
         timeout: TIMEOUT,
+        body: &body,
     };
     request.to_string()
 }
 
 /// Checks that the response belongs to the request, and returns the outcome that it reports.
-fn check_response(id: &str, response: &Response, checker: &InvariantChecker) -> ReportedOutcome {
+///
+/// A failure of a long request may have no id, as the node may not have read the head.
+fn check_response(
+    id: &str,
+    kind: RequestKind,
+    response: &Response,
+    checker: &InvariantChecker,
+) -> ReportedOutcome {
     let text = |name| response.headers.text(name);
-    if text("Request-Id") != Some(id) {
+    let is_unread = matches!(kind, RequestKind::Long(..)) && response.status != 200;
+    let expected = is_unread && text("Request-Id").is_none() || text("Request-Id") == Some(id);
+    if !expected {
         checker.add_violation(format!(
             "{id} got a response with Request-Id {:?}",
             text("Request-Id")
         ));
     }
+    if kind == RequestKind::Unknown && (200..300).contains(&response.status) {
+        checker.add_violation(format!("{id} ran without a route"));
+    }
     let from_back_end = text("Response-Stamp").is_some();
     match response.status {
         200 => ReportedOutcome::Ran(text("X-Back-End").unwrap_or_default().to_owned()),
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -3,6 +3,7 @@
 //! - An order runs at most once, and a request reported as not run never runs.
 //! - A response comes from a back end that ran the request.
 //! - A request that has crashed three back ends is stopped.
+//! - A request that every configuration allows is not denied.
 //! - A back end gets no more requests than it names, and none once it has said that it leaves.
 //! - No two incarnations of back ends hold a key at once, and the fencing token of a key increases
 //!   with each change of holder.
@@ -16,6 +17,7 @@
 use stand_ins::layout;
 
 use crate::crashing::{self, Crash};
+use crate::denials::{Denials, Judgement};
 use crate::disturbances::Disturbances;
 use crate::notices::{Notice, Notices};
 
@@ -46,6 +48,7 @@
     halts: Disturbances,
     notices: Notices,
     counts: Counts,
+    denials: Denials,
 }
 
 /// Numbers of requests by reported outcome.
@@ -150,6 +153,22 @@
         }
     }
 
+    /// Records that a request was denied for good.
+    pub fn on_denial(&self, request: &str, machine: usize, status: u16, judgement: Judgement) {
+        let mut state = self.state();
+        state.denials.record(status, judgement);
+        if judgement == Judgement::Wrong {
+            let violation = format!("{request} at m-{machine} was wrongly denied with {status}");
+            state.violations.push(violation);
+        }
+    }
+
+    /// Returns the numbers of denials up to now.
+    #[must_use]
+    pub fn denials(&self) -> Denials {
+        self.state().denials.clone()
+    }
+
     /// Returns the violations up to now and the numbers of requests.
     pub fn finish(&self) -> (Vec<String>, Counts) {
         let state = self.state();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod callers;
 pub mod configuration;
 pub mod crashing;
+pub mod denials;
 pub mod disturbances;
 pub mod fleet;
 pub mod invariants;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -82,13 +82,14 @@
 fn print_verdict(seed: u64, verdict: &Verdict) {
     let counts = verdict.counts;
     println!(
-        "seed={seed} broken={} faults={} ran={} refused={} unknown={} recovery_ms={}",
+        "seed={seed} broken={} faults={} ran={} refused={} unknown={} recovery_ms={} {}",
         verdict.broken.len(),
         verdict.faults,
         counts.ran,
         counts.refused,
         counts.unknown,
-        verdict.recovery.as_millis()
+        verdict.recovery.as_millis(),
+        verdict.denials
     );
     for violation in &verdict.broken {
         println!("  {violation}");
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::callers::{Caller, RequestKind, SharedState};
 use crate::configuration::Configuration;
 use crate::crashing::{self, CrashingRequest};
+use crate::denials::Denials;
 use crate::fleet::{Environment, Fleet, FleetError};
 use crate::invariants::{Counts, InvariantChecker};
 use crate::notices::{self, ScheduledNotice};
@@ -55,6 +56,8 @@
     pub broken: Vec<String>,
     /// Numbers of requests by outcome.
     pub counts: Counts,
+    /// Numbers of denials.
+    pub denials: Denials,
     /// Number of injected faults.
     pub faults: usize,
     /// Time from the end of the faults until all requests were served.
@@ -125,6 +128,7 @@
     Ok(Verdict {
         broken,
         counts,
+        denials: shared.checker.denials(),
         faults: faults.len(),
         recovery,
     })
@@ -230,8 +234,10 @@
             shared.configuration().write_next(store);
         }
         Fault::RestoreStore(restore) => {
+            drop(fleet);
             store.go_away();
             let copied_at = Instant::now() - restore.copy_age;
+            shared.configuration().on_away(copied_at);
             return Ok(vec![
                 (end, Revert::RestoreStore(copied_at)),
                 (end + restore.rewrite_delay, Revert::RewriteConfig),
@@ -251,7 +257,7 @@
         }
         Revert::Store => store.set_fault(StoreFault::None),
         Revert::RestoreStore(copied_at) => {
-            shared.configuration().on_restore();
+            shared.configuration().on_restore(copied_at);
             store.restore_to(copied_at);
         }
         Revert::RewriteConfig => shared.configuration().write_again(store),
--- a/soak/tests/invariants.rs
+++ b/soak/tests/invariants.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use soak::denials::Judgement;
 use soak::invariants::{InvariantChecker, ReportedOutcome};
 use stand_ins::back_end::{Grant, Observer};
 
@@ -74,6 +75,18 @@
     assert_eq!(violation_count(&checker), 1);
 }
 
+#[test]
+fn reports_each_wrong_denial() {
+    let checker = InvariantChecker::default();
+    checker.on_denial("s1", 0, 404, Judgement::Right);
+    checker.on_denial("s2", 0, 404, Judgement::Lost);
+    assert_eq!(violation_count(&checker), 0);
+    checker.on_denial("s3", 0, 404, Judgement::Wrong);
+    checker.on_denial("s4", 1, 431, Judgement::Wrong);
+    assert_eq!(violation_count(&checker), 2);
+    assert_eq!(checker.denials().count(404, Judgement::Wrong), 1);
+}
+
 #[test]
 fn a_machine_is_undisturbed_from_when_its_last_fault_is_over() {
     let checker = InvariantChecker::default();
