Let processes miss changes of the configuration in the soak

Faults that lacked, drawn from the seed besides the earlier ones, whose schedule stays as it was (--no-outdated leaves them out):

- a process paused, or two cut off from the store (silent or refused) while no peers reach each other, over a change of the configuration;
- all processes killed as the store comes back from a copy, with the operator's rewrite 0.5 to 5 s later.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -27,6 +27,9 @@
 /// Time from the end of a process or back end to its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(700);
 
+/// Number of machines that are cut off at once from the store and all peers.
+const CUT_OFF_MACHINES: usize = 2;
+
 /// Second octet of the addresses of soaks.
 const SECOND_OCTET: u8 = 78;
 /// Number of third octets from which a soak takes one.
@@ -347,6 +350,13 @@
         }
     }
 
+    /// Kills all node processes, which [`Self::poll`] restarts.
+    pub fn kill_all(&mut self) {
+        for machine in 0..self.machines.len() {
+            self.kill(machine);
+        }
+    }
+
     /// Stops a node process with SIGTERM; [`Self::poll`] restarts it.
     pub fn stop(&mut self, machine: usize) {
         self.machines[machine].process.stop();
@@ -411,6 +421,18 @@
         self.machines[machine].proxies[&link].set_fault(fault);
     }
 
+    /// Replaces the fault of the connections of a machine and the next one to the store, and of all
+    /// connections between peers.
+    pub fn set_cut_off(&self, machine: usize, fault: LinkFault) {
+        for offset in 0..CUT_OFF_MACHINES {
+            let machine = (machine + offset) % self.machines.len();
+            self.set_link_fault(machine, Link::Store, fault);
+        }
+        for machine in 0..self.machines.len() {
+            self.set_link_fault(machine, Link::Peers, fault);
+        }
+    }
+
     /// Restarts what has been down for long enough and checks how processes exited.
     ///
     /// An unexpected exit, a failed one and a shutdown beyond its time limit are violations.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -30,6 +30,8 @@
     no_notices: bool,
     /// Leave out stores that are restored from snapshots and execute writes late
     no_restores: bool,
+    /// Leave out processes that miss changes of the configuration
+    no_outdated: bool,
     /// Program to soak; plantaingauge-node beside this program if left out
     #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
@@ -70,6 +72,7 @@
             crashing: !arguments.no_crashing,
             notices: !arguments.no_notices,
             restores: !arguments.no_restores,
+            outdated: !arguments.no_outdated,
             environment: Environment::new(directory, program.clone(), seed),
         };
         let verdict = run::run(&options)?;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -20,6 +20,16 @@
 const COPY_AGE_MS: std::ops::Range<u64> = 500..8_000;
 /// Range of the time from the restore until the operator writes again, in milliseconds.
 const REWRITE_DELAY_MS: std::ops::Range<u64> = 0..1_500;
+/// The same where all processes are killed as well.
+const LONG_REWRITE_DELAY_MS: std::ops::Range<u64> = 500..5_000;
+/// Maximum time between the starts of two faults that let configurations become outdated.
+const OUTDATING_GAP_MS: u64 = 8_000;
+/// Range of the duration of a fault over a change of the configuration, in milliseconds.
+const MISSED_MS: std::ops::Range<u64> = 3_000..7_000;
+/// Range of the time from its start to the change, in milliseconds.
+const CHANGE_DELAY_MS: std::ops::Range<u64> = 100..1_000;
+/// Separates these faults from the others of a seed.
+const OUTDATING_SEED: u64 = 0x0DD5;
 /// Range of the delay of writes, in milliseconds.
 const WRITE_DELAY_MS: std::ops::Range<u64> = 200..6_000;
 
@@ -57,6 +67,11 @@
     Compact,
     /// A new version of the configuration is written.
     ChangeConfig,
+    /// The process is suspended, and a new version of the configuration is written after this time.
+    PauseOverChange(Duration),
+    /// The store does not reach this machine and the next one, nor do peers reach each other, and a new
+    /// version of the configuration is written after this time.
+    CutOff(LinkFault, Duration),
     /// The store goes away and is restored from a snapshot.
     RestoreStore(Restore),
 }
@@ -68,6 +83,8 @@
     pub copy_age: Duration,
     /// Time from the return until the operator writes the newest configuration again.
     pub rewrite_delay: Duration,
+    /// Whether all processes are killed as it returns.
+    pub kills_all: bool,
 }
 
 /// A fault with its time, duration and machine.
@@ -117,6 +134,43 @@
     }
 }
 
+/// Generates faults by which processes miss a change of the configuration or restart without one,
+/// ordered by start.
+#[must_use]
+pub fn generate_outdating(seed: u64, machines: usize, total: Duration) -> Vec<ScheduledFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ OUTDATING_SEED);
+    let mut faults = Vec::new();
+    let mut start = Duration::ZERO;
+    loop {
+        start += random_ms(&mut rng, 0..OUTDATING_GAP_MS);
+        if start >= total {
+            return faults;
+        }
+        let missed = random_ms(&mut rng, MISSED_MS);
+        let delay = random_ms(&mut rng, CHANGE_DELAY_MS);
+        let (fault, duration) = match rng.random_range(0..4) {
+            0 => (Fault::PauseOverChange(delay), missed),
+            1 => (Fault::CutOff(LinkFault::Stall, delay), missed),
+            2 => (Fault::CutOff(LinkFault::Reset, delay), missed),
+            _ => {
+                let restore = Restore {
+                    copy_age: random_ms(&mut rng, COPY_AGE_MS),
+                    rewrite_delay: random_ms(&mut rng, LONG_REWRITE_DELAY_MS),
+                    kills_all: true,
+                };
+                let away = random_ms(&mut rng, AWAY_MS);
+                (Fault::RestoreStore(restore), away)
+            }
+        };
+        faults.push(ScheduledFault {
+            start,
+            machine: rng.random_range(0..machines),
+            fault,
+            duration: duration.min(total - start),
+        });
+    }
+}
+
 fn random_ms(rng: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
@@ -135,6 +189,7 @@
         12 => Fault::RestoreStore(Restore {
             copy_age: random_ms(rng, COPY_AGE_MS),
             rewrite_delay: random_ms(rng, REWRITE_DELAY_MS),
+            kills_all: false,
         }),
         _ => Fault::Link(random_link(rng), random_link_fault(rng)),
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -45,6 +45,8 @@
     pub notices: bool,
     /// Whether the store is restored from snapshots and executes writes late.
     pub restores: bool,
+    /// Whether processes miss changes of the configuration, and all restart while the store lacks some.
+    pub outdated: bool,
     /// Addresses, files and the program to run.
     pub environment: Environment,
 }
@@ -64,14 +66,18 @@
     pub recovery: Duration,
 }
 
-/// What ends a fault.
+/// What ends a fault, or follows on its start.
 #[derive(Clone, Copy)]
 enum Revert {
     Resume(usize),
+    /// The links of a [`Fault::CutOff`] from this machine on work again.
+    CutOff(usize),
+    /// The operator writes the next configuration.
+    ChangeConfig,
     Link(usize, Link),
     Store,
-    /// The store comes back as it was at this time.
-    RestoreStore(Instant),
+    /// The store comes back as it was at this time, and all processes are killed if that is set.
+    RestoreStore(Instant, bool),
     /// The operator writes the newest configuration again.
     RewriteConfig,
 }
@@ -98,12 +104,17 @@
     )?;
     let shared = Arc::new(SharedState::new(environment, fleet, checker, configuration));
     await_served(&shared)?;
-    let faults = plan::generate(
+    let mut faults = plan::generate(
         options.seed,
         options.machines,
         options.duration,
         options.restores,
     );
+    if options.outdated {
+        let more = plan::generate_outdating(options.seed, options.machines, options.duration);
+        faults.extend(more);
+        faults.sort_by_key(|f| f.start);
+    }
     let mut senders = start_crashing_requests(&shared, options);
     senders.extend(start_notices(&shared, options));
     let callers: Vec<_> = (0..options.machines)
@@ -216,6 +227,20 @@
             fleet.pause(machine);
             return Ok(vec![(end, Revert::Resume(machine))]);
         }
+        Fault::PauseOverChange(delay) => {
+            fleet.pause(machine);
+            return Ok(vec![
+                (fault.start + delay, Revert::ChangeConfig),
+                (end, Revert::Resume(machine)),
+            ]);
+        }
+        Fault::CutOff(link_fault, delay) => {
+            fleet.set_cut_off(machine, link_fault);
+            return Ok(vec![
+                (fault.start + delay, Revert::ChangeConfig),
+                (end, Revert::CutOff(machine)),
+            ]);
+        }
         Fault::Kill => fleet.kill(machine),
         Fault::Stop => fleet.stop(machine),
         Fault::Reload => fleet.reload(machine)?,
@@ -239,7 +264,7 @@
             let copied_at = Instant::now() - restore.copy_age;
             shared.configuration().on_away(copied_at);
             return Ok(vec![
-                (end, Revert::RestoreStore(copied_at)),
+                (end, Revert::RestoreStore(copied_at, restore.kills_all)),
                 (end + restore.rewrite_delay, Revert::RewriteConfig),
             ]);
         }
@@ -256,7 +281,14 @@
                 .set_link_fault(machine, link, LinkFault::None)
         }
         Revert::Store => store.set_fault(StoreFault::None),
-        Revert::RestoreStore(copied_at) => {
+        Revert::CutOff(machine) => {
+            shared.fleet().set_cut_off(machine, LinkFault::None);
+        }
+        Revert::ChangeConfig => shared.configuration().write_next(store),
+        Revert::RestoreStore(copied_at, kills_all) => {
+            if kills_all {
+                shared.fleet().kill_all();
+            }
             shared.configuration().on_restore(copied_at);
             store.restore_to(copied_at);
         }
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -39,3 +39,17 @@
     assert!(faults(true).any(|f| is_late(f.fault)));
     assert!(!faults(false).any(|f| is_restore(f.fault) || is_late(f.fault)));
 }
+
+#[test]
+fn processes_miss_changes_and_restart_around_restores() {
+    let faults: Vec<_> = (1..20)
+        .flat_map(|seed| plan::generate_outdating(seed, 5, DURATION))
+        .collect();
+    let has = |predicate: fn(Fault) -> bool| faults.iter().any(|f| predicate(f.fault));
+    assert!(has(|f| matches!(f, Fault::PauseOverChange(_))));
+    assert!(has(|f| matches!(f, Fault::CutOff(..))));
+    assert!(has(
+        |f| matches!(f, Fault::RestoreStore(restore) if restore.kills_all)
+    ));
+    assert!(faults.iter().all(|f| f.start + f.duration <= DURATION));
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,9 +14,10 @@
     crashing: bool,
     notices: bool,
     restores: bool,
+    outdated: bool,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 8] = [
     Case {
         seed: 1,
         machines: 4,
@@ -24,6 +25,7 @@
         crashing: false,
         notices: false,
         restores: false,
+        outdated: false,
     },
     // Guards against a stopping node that forwards a request to itself forever, because it rejects
     // the request each time.
@@ -34,6 +36,7 @@
         crashing: false,
         notices: false,
         restores: false,
+        outdated: false,
     },
     // Guards against an order that runs twice, because a copy of it arrives after its cancellation.
     Case {
@@ -43,6 +46,7 @@
         crashing: true,
         notices: false,
         restores: false,
+        outdated: false,
     },
     // These two guard against crash-causing requests that are not recognised.
     Case {
@@ -52,6 +56,7 @@
         crashing: true,
         notices: false,
         restores: false,
+        outdated: false,
     },
     Case {
         seed: 6,
@@ -60,6 +65,7 @@
         crashing: true,
         notices: false,
         restores: false,
+        outdated: false,
     },
     // Guards against limits and leaving of back ends that are not kept.
     Case {
@@ -69,6 +75,7 @@
         crashing: false,
         notices: true,
         restores: false,
+        outdated: false,
     },
     // Guards against keys and configurations that go back with a store that comes back from an
     // earlier copy.
@@ -79,6 +86,17 @@
         crashing: false,
         notices: false,
         restores: true,
+        outdated: false,
+    },
+    // Guards against requests that are denied by a configuration which may be outdated.
+    Case {
+        seed: 3,
+        machines: 5,
+        seconds: 15,
+        crashing: false,
+        notices: false,
+        restores: true,
+        outdated: true,
     },
 ];
 
@@ -97,6 +115,7 @@
             crashing: case.crashing,
             notices: case.notices,
             restores: case.restores,
+            outdated: case.outdated,
             environment: Environment::new(directory.clone(), program, addresses),
         })
         .expect("the processes start");
