--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::callers::{Caller, RequestKind, SharedState};
 use crate::configuration::Configuration;
 use crate::crashing::{self, CrashingRequest};
+use crate::denials::Denials;
 use crate::fleet::{Environment, Fleet, FleetError};
 use crate::invariants::{Counts, InvariantChecker};
 use crate::notices::{self, ScheduledNotice};
@@ -44,6 +45,8 @@
     pub notices: bool,
     /// Whether the store is restored from snapshots and executes writes late.
     pub restores: bool,
+    /// Whether processes miss changes of the configuration, and all restart while the store lacks some.
+    pub outdated: bool,
     /// Addresses, files and the program to run.
     pub environment: Environment,
 }
@@ -55,20 +58,26 @@
     pub broken: Vec<String>,
     /// Numbers of requests by outcome.
     pub counts: Counts,
+    /// Numbers of denials.
+    pub denials: Denials,
     /// Number of injected faults.
     pub faults: usize,
     /// Time from the end of the faults until all requests were served.
     pub recovery: Duration,
 }
 
-/// What ends a fault.
+/// What ends a fault, or follows on its start.
 #[derive(Clone, Copy)]
 enum Revert {
     Resume(usize),
+    /// The links of a [`Fault::CutOff`] from this machine on work again.
+    CutOff(usize),
+    /// The operator writes the next configuration.
+    ChangeConfig,
     Link(usize, Link),
     Store,
-    /// The store comes back as it was at this time.
-    RestoreStore(Instant),
+    /// The store comes back as it was at this time, and all processes are killed if that is set.
+    RestoreStore(Instant, bool),
     /// The operator writes the newest configuration again.
     RewriteConfig,
 }
@@ -95,12 +104,17 @@
     )?;
     let shared = Arc::new(SharedState::new(environment, fleet, checker, configuration));
     await_served(&shared)?;
-    let faults = plan::generate(
+    let mut faults = plan::generate(
         options.seed,
         options.machines,
         options.duration,
         options.restores,
     );
+    if options.outdated {
+        let more = plan::generate_outdating(options.seed, options.machines, options.duration);
+        faults.extend(more);
+        faults.sort_by_key(|f| f.start);
+    }
     let mut senders = start_crashing_requests(&shared, options);
     senders.extend(start_notices(&shared, options));
     let callers: Vec<_> = (0..options.machines)
@@ -125,6 +139,7 @@
     Ok(Verdict {
         broken,
         counts,
+        denials: shared.checker.denials(),
         faults: faults.len(),
         recovery,
     })
@@ -212,6 +227,20 @@
             fleet.pause(machine);
             return Ok(vec![(end, Revert::Resume(machine))]);
         }
+        Fault::PauseOverChange(delay) => {
+            fleet.pause(machine);
+            return Ok(vec![
+                (fault.start + delay, Revert::ChangeConfig),
+                (end, Revert::Resume(machine)),
+            ]);
+        }
+        Fault::CutOff(link_fault, delay) => {
+            fleet.set_cut_off(machine, link_fault);
+            return Ok(vec![
+                (fault.start + delay, Revert::ChangeConfig),
+                (end, Revert::CutOff(machine)),
+            ]);
+        }
         Fault::Kill => fleet.kill(machine),
         Fault::Stop => fleet.stop(machine),
         Fault::Reload => fleet.reload(machine)?,
@@ -230,10 +259,12 @@
             shared.configuration().write_next(store);
         }
         Fault::RestoreStore(restore) => {
+            drop(fleet);
             store.go_away();
             let copied_at = Instant::now() - restore.copy_age;
+            shared.configuration().on_away(copied_at);
             return Ok(vec![
-                (end, Revert::RestoreStore(copied_at)),
+                (end, Revert::RestoreStore(copied_at, restore.kills_all)),
                 (end + restore.rewrite_delay, Revert::RewriteConfig),
             ]);
         }
@@ -250,8 +281,15 @@
                 .set_link_fault(machine, link, LinkFault::None)
         }
         Revert::Store => store.set_fault(StoreFault::None),
-        Revert::RestoreStore(copied_at) => {
-            shared.configuration().on_restore();
+        Revert::CutOff(machine) => {
+            shared.fleet().set_cut_off(machine, LinkFault::None);
+        }
+        Revert::ChangeConfig => shared.configuration().write_next(store),
+        Revert::RestoreStore(copied_at, kills_all) => {
+            if kills_all {
+                shared.fleet().kill_all();
+            }
+            shared.configuration().on_restore(copied_at);
             store.restore_to(copied_at);
         }
         Revert::RewriteConfig => shared.configuration().write_again(store),
