--- a/components/node/tests/whole_path/denials.rs
+++ b/components/node/tests/whole_path/denials.rs
@@ -1,10 +1,11 @@
 //! Which requests are denied for good, so that their callers do not try again.
 
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use crate::SETTLE_TIMEOUT;
-use crate::deployment::{Deployment, Reply};
+use crate::deployment::{Deployment, ORDER, Reply};
 use crate::restored_store::{
     CONFIG_APPLY_LIMIT, assert_in_force, await_in_force, restore, write_fillers,
 };
@@ -155,6 +156,31 @@
     assert!(reply.text("Retry-After").is_some(), "{reply:?}");
 }
 
+// Guards against 413 by a limit that was replaced while the body arrived.
+#[test]
+fn a_body_is_not_denied_by_a_limit_that_is_no_longer_in_force() {
+    let deployment = Deployment::start_unconfigured(130, 1);
+    let paths = ["/first/", "/second/"];
+    deployment
+        .store
+        .write_limited_config(1, &paths[..1], 1_000, 1_000);
+    await_in_force(&deployment, &[0], paths[0]);
+    let mut connection = deployment.connect(0);
+    let chunk = format!("320\r\n{}\r\n", "b".repeat(800));
+    let head = format!("POST {ORDER} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    connection.write_all(head.as_bytes()).expect("it is read");
+    connection.write_all(chunk.as_bytes()).expect("it is read");
+    let paths = ["/second/"];
+    deployment
+        .store
+        .write_limited_config(2, &paths, 1_000, 10_000);
+    await_in_force(&deployment, &[0], paths[0]);
+    connection.write_all(chunk.as_bytes()).expect("it is read");
+    let mut status = [0; 12];
+    connection.read_exact(&mut status).expect("a response");
+    assert_eq!(&status, b"HTTP/1.1 503");
+}
+
 // Guards against denials that are deferred where nothing is stale.
 #[test]
 fn a_route_that_no_version_has_is_denied_while_the_store_responds() {
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -490,6 +490,12 @@
         self.layout.address(machine, layout::PEER_PORT)
     }
 
+    /// Opens a connection for callers to the process on a machine.
+    pub(crate) fn connect(&self, machine: usize) -> TcpStream {
+        let at = self.layout.address(machine, layout::CALLER_PORT);
+        TcpStream::connect(at).expect("the port is open")
+    }
+
     /// Sends bytes to the port for peers and waits until the connection is closed.
     pub(crate) fn send_to_peer_port(&self, machine: usize, bytes: &[u8]) {
         let mut stream = TcpStream::connect(self.peer_address(machine)).expect("the port is open");
