Claim keys whose handover the store refused after a restore

What callers saw: keys that were handed over in the moment in which the store came back were served by nobody for 8.3 s.

Cause: the holder sent the handover before it knew of the new era and got 409 in that era. The response brought the news of the era, so that the keys in flight were left out of the claim, and then counted as no outcome.

Change: a 404 or 409 of a later era is a refusal, as 429 and 503 were. The keys of a handover in flight at the end of an era are kept apart; a refusal of that write gives them back to what the machine may claim.

Why it works: a call is sent once and has one response, so that a refusal in any era proves that it had no effect in any. Then the machine held the keys alone when it read the era, as all others that it claims. Keys of an earlier write without an outcome, keys assigned since, and those of two eras ago are not given back. The lease is checked when the era is read, as for other claims; within the era the condition on its assignment decides.

Giving back without a refusal (GiveBackRefusedOnly) is detected.

--- a/components/shards/src/manager/claims.rs
+++ b/components/shards/src/manager/claims.rs
@@ -10,6 +10,7 @@
 use world::name::MachineName;
 
 use super::ShardManager;
+use super::types::{StoreOp, StoreOutcome};
 use crate::assignment::{Assignment, Holder};
 use crate::revision::{Revision, StoreEra};
 use crate::span::{Span, subtract};
@@ -23,6 +24,17 @@
     spans: Vec<Span>,
     /// End of the lease under which it held them.
     valid_until: BootInstant,
+    /// Handover that was in flight when the earlier era ended; its keys are not among `spans`.
+    handover: Option<HandoverInFlight>,
+}
+
+/// A write of the earlier era that has no response yet and hands keys over.
+#[derive(Clone, Debug)]
+struct HandoverInFlight {
+    /// Revision that the write replaces.
+    base: Revision,
+    /// Keys that the machine holds alone if the write has no effect.
+    spans: Vec<Span>,
 }
 
 /// Writes of the machine that hand keys over to others and whose outcome is not known.
@@ -56,12 +68,15 @@
         let Some(stored) = &self.assignment else {
             return self.carried.clone().map(|c| CarriedKeys {
                 spans: earlier.map(|_| unclaimed).unwrap_or_default(),
+                handover: None,
                 ..c
             });
         };
         let mut valid_until = self.valid_until;
         let mut spans = Vec::new();
+        let mut handover = None;
         if self.has_valid_lease(now) && self.is_registered(&stored.value) {
+            handover = self.handover_in_flight();
             spans = self.owned_spans();
             for handed_over in self.unsettled_spans() {
                 spans = subtract(&spans, handed_over);
@@ -75,9 +90,50 @@
             assignment: stored.value.clone(),
             spans,
             valid_until,
+            handover,
+        })
+    }
+
+    /// Returns the write that hands keys over and has no response yet, with the keys that no earlier
+    /// write may have handed over.
+    fn handover_in_flight(&self) -> Option<HandoverInFlight> {
+        let current = self.assignment.as_ref().map(|a| a.revision);
+        let writes = self.unsettled.as_ref()?;
+        if Some(writes.base) != current {
+            return None;
+        }
+        let owned = self.owned_spans();
+        let in_flight = writes.in_flight.iter();
+        let mut spans: Vec<Span> = in_flight
+            .flat_map(|s| owned.iter().filter_map(|o| o.overlap(*s)))
+            .collect();
+        for handed_over in &writes.unknown {
+            spans = subtract(&spans, *handed_over);
+        }
+        Some(HandoverInFlight {
+            base: writes.base,
+            spans,
         })
     }
 
+    /// Handles the outcome of an operation of an earlier era: if it proves that the handover in flight
+    /// at the end of that era has no effect, the machine still holds the keys alone.
+    pub(super) fn on_earlier_outcome(
+        &mut self,
+        op: &StoreOp<Assignment>,
+        outcome: &StoreOutcome<Assignment>,
+    ) {
+        let (StoreOp::Replace(written), Some(carried)) = (op, &mut self.carried) else {
+            return;
+        };
+        let handover = carried.handover.take_if(|h| h.base == written.revision);
+        let Some(handover) = handover else { return };
+        if outcome.has_no_effect() {
+            carried.spans.extend(handover.spans);
+            self.drop_assigned_carried();
+        }
+    }
+
     /// Returns the keys that a write without a known outcome may have handed over.
     fn unsettled_spans(&self) -> impl Iterator<Item = Span> {
         let current = self.assignment.as_ref().map(|a| a.revision);
--- a/components/shards/src/manager/types.rs
+++ b/components/shards/src/manager/types.rs
@@ -90,6 +90,13 @@
     Refused,
 }
 
+impl<T> StoreOutcome<T> {
+    /// Whether the operation has changed nothing and never will.
+    pub(super) fn has_no_effect(&self) -> bool {
+        matches!(self, Self::Conflict(_) | Self::Absent | Self::Refused)
+    }
+}
+
 /// State of another machine of the service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerState {
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -78,6 +78,7 @@
         outcome: StoreOutcome<Assignment>,
     ) -> bool {
         if era != self.era() {
+            self.on_earlier_outcome(op, &outcome);
             return false;
         }
         match outcome {
--- a/components/shards/tests/one_holder/main.rs
+++ b/components/shards/tests/one_holder/main.rs
@@ -52,6 +52,13 @@
         let found = simulation.run();
         prop_assert_eq!(found, None, "seed {}", seed);
     }
+
+    #[test]
+    fn no_key_has_two_holders_when_a_handover_is_in_flight_at_a_restore(seed in any::<u64>()) {
+        let mut simulation = Simulation::new(History::with_handover_in_flight(seed), None);
+        let found = simulation.run();
+        prop_assert_eq!(found, None, "seed {}", seed);
+    }
 }
 
 #[test]
@@ -123,6 +130,7 @@
 #[case(Rule::WaitForEarlierLeases, History::with_restores)]
 #[case(Rule::ClaimWithValidLease, History::with_lost_takeover)]
 #[case(Rule::KeepHandoversWithoutOutcome, History::with_lost_handover)]
+#[case(Rule::GiveBackRefusedOnly, History::with_handover_in_flight)]
 #[case(Rule::KindsPerEra, History::with_late_writes)]
 #[case(Rule::OutcomesOfTheirEra, History::with_restores)]
 #[case(Rule::FencesCarryEra, History::with_restores)]
--- a/components/shards/tests/one_holder/model/requests.rs
+++ b/components/shards/tests/one_holder/model/requests.rs
@@ -13,6 +13,9 @@
 use super::Simulation;
 use super::rules::Rule;
 
+/// Longest delay of a request that the store has interrupted and that still gets a response.
+const LONGEST_ANSWERED_MS: f64 = 800.0;
+
 /// A request of a machine to the store.
 #[derive(Clone, Debug)]
 pub(super) enum Request {
@@ -39,6 +42,18 @@
 }
 
 impl Response {
+    /// Returns what counts of a response to a request of another era.
+    fn of_other_era(self) -> Option<Self> {
+        let outcome = match &self.outcome {
+            Outcome::Lease(outcome) if is_refusal(outcome) => Outcome::Lease(StoreOutcome::Refused),
+            Outcome::Assignment(outcome) if is_refusal(outcome) => {
+                Outcome::Assignment(StoreOutcome::Refused)
+            }
+            _ => return None,
+        };
+        Some(Self { outcome, ..self })
+    }
+
     fn lease(&self) -> Option<StoreOutcome<Lease>> {
         match &self.outcome {
             Outcome::Lease(outcome) => Some(outcome.clone()),
@@ -54,6 +69,11 @@
     }
 }
 
+/// Whether the store has refused the request, so that it has no effect in any era.
+fn is_refusal<T>(outcome: &StoreOutcome<T>) -> bool {
+    matches!(outcome, StoreOutcome::Conflict(_) | StoreOutcome::Absent)
+}
+
 /// A request in flight, or one given up by its caller that may still execute.
 #[derive(Clone, Debug)]
 pub(super) struct InFlight {
@@ -155,16 +175,20 @@
         }
     }
 
-    /// Drops the requests that the store would execute now, or delays them until it is back.
+    /// Drops the requests that the store would execute now, or delays them until it is back; some of
+    /// these still get a response.
     fn interrupt_requests(&mut self) {
         let now = self.now;
         let due = |r: &&mut InFlight| r.executes_at.is_some_and(|at| at <= now);
         for request in self.in_flight.iter_mut().filter(due) {
-            request.has_response = false;
-            request.executes_at = match self.rng.random_bool(0.5) {
-                true => Some(now + self.rng.random_range(0.0..3_000.0)),
-                false => None,
-            };
+            let delay = self.rng.random_range(0.0..3_000.0);
+            let is_delayed = self.rng.random_bool(0.5);
+            let is_in_time = delay < LONGEST_ANSWERED_MS && self.rng.random_bool(0.5);
+            request.executes_at = is_delayed.then_some(now + delay);
+            request.has_response &= is_delayed && is_in_time;
+            if request.has_response {
+                request.returns_at = now + delay;
+            }
         }
     }
 
@@ -204,7 +228,10 @@
             if let Some(response) = &response {
                 self.learn_era(i, response.era);
             }
-            response = response.filter(|r| Some(r.era) == entry.era);
+            response = response.and_then(|r| match Some(r.era) == entry.era {
+                true => Some(r),
+                false => r.of_other_era(),
+            });
         }
         self.pass_outcome(entry, response);
     }
@@ -237,7 +264,11 @@
             Request::Assignment(op) => {
                 p.assignment_pending = false;
                 let outcome = response.and_then(|r| r.assignment());
-                let outcome = outcome.unwrap_or(StoreOutcome::Unknown);
+                let without_outcome = match disabled_rule {
+                    Some(Rule::GiveBackRefusedOnly) if p.era != Some(era) => StoreOutcome::Refused,
+                    _ => StoreOutcome::Unknown,
+                };
+                let outcome = outcome.unwrap_or(without_outcome);
                 p.manager.on_assignment_outcome(era, op, outcome);
             }
             Request::Fence(machine, op) => {
--- a/components/shards/tests/one_holder/model/restores.rs
+++ b/components/shards/tests/one_holder/model/restores.rs
@@ -81,6 +81,15 @@
         Self::with_group(seed, Self::add_lost_handover)
     }
 
+    /// Returns a history with one restore that loses a handover, and that ends before the handover's
+    /// request does.
+    pub(crate) fn with_handover_in_flight(seed: u64) -> Self {
+        let mut history = Self::with_group(seed, Self::add_lost_handover);
+        let restore = &mut history.restores[0];
+        restore.back_at = restore.back_at.min(restore.away_at + 300.0);
+        history
+    }
+
     /// Returns a history with one restore that loses a takeover.
     pub(crate) fn with_lost_takeover(seed: u64) -> Self {
         Self::with_group(seed, Self::add_lost_takeover)
--- a/components/shards/tests/one_holder/model/rules.rs
+++ b/components/shards/tests/one_holder/model/rules.rs
@@ -22,6 +22,8 @@
     ClaimWithValidLease,
     /// Keys that a write without an outcome hands over are not claimed.
     KeepHandoversWithoutOutcome,
+    /// Keys whose handover was in flight at the end of an era are claimed only if the store refused it.
+    GiveBackRefusedOnly,
     /// Late requests of an earlier era do not change objects of this one.
     KindsPerEra,
     /// A response counts only in the era in which the request was sent.
--- a/components/shards/tests/store_era.rs
+++ b/components/shards/tests/store_era.rs
@@ -339,16 +339,9 @@
     );
 }
 
-/// Guards against two holders: keys whose handover had no outcome were claimed by both sides.
-#[rstest]
-#[case(StoreOutcome::Unknown, false)]
-#[case(StoreOutcome::Refused, true)]
-fn keys_handed_over_without_an_outcome_are_not_claimed(
-    #[case] outcome: StoreOutcome<Assignment>,
-    #[case] is_claimed: bool,
-) {
+/// Returns machines of the first era of which the first one is sending its keys' handover.
+fn cluster_with_handover(now: BootInstant) -> (Cluster, StoreOp<Assignment>) {
     let mut cluster = Cluster::start(2, era(1));
-    let now = SETTLED + UPTIME;
     cluster.connect_all(now);
     let manager = &mut cluster.managers[0];
     let draining = KeyReport {
@@ -361,17 +354,28 @@
             span: ALL,
             handover: String::new(),
         }],
-        ..draining.clone()
-    };
-    let released = KeyReport {
-        sequence: released.sequence + 1,
-        ..released
+        sequence: draining.sequence + 1,
+        ..draining
     };
     let _ = manager.on_report(now, &released);
     let op = manager
         .assignment_op(now)
         .expect("the keys are handed over");
     manager.on_assignment_sent(now, &op);
+    (cluster, op)
+}
+
+/// Guards against two holders: keys whose handover had no outcome were claimed by both sides.
+#[rstest]
+#[case(StoreOutcome::Unknown, false)]
+#[case(StoreOutcome::Refused, true)]
+fn keys_handed_over_without_an_outcome_are_not_claimed(
+    #[case] outcome: StoreOutcome<Assignment>,
+    #[case] is_claimed: bool,
+) {
+    let now = SETTLED + UPTIME;
+    let (mut cluster, op) = cluster_with_handover(now);
+    let manager = &mut cluster.managers[0];
     manager.on_assignment_outcome(era(1), &op, outcome);
     manager.on_era(now, era(2));
     cluster.renew_lease(0, now);
@@ -379,6 +383,74 @@
     assert_eq!(claim.is_some(), is_claimed);
 }
 
+/// Guards against keys without a holder for 8 s: the store refused their handover, in the response that told
+/// of the new era, and nobody claimed them.
+#[rstest]
+#[case::refused(StoreOutcome::Refused, true)]
+#[case::conflict(StoreOutcome::Conflict(None), true)]
+#[case::absent(StoreOutcome::Absent, true)]
+#[case::unknown(StoreOutcome::Unknown, false)]
+fn keys_whose_handover_is_refused_after_the_return_are_claimed(
+    #[case] outcome: StoreOutcome<Assignment>,
+    #[case] is_claimed: bool,
+) {
+    let now = SETTLED + UPTIME;
+    let (mut cluster, op) = cluster_with_handover(now);
+    cluster.managers[0].on_era(now, era(2));
+    cluster.renew_lease(0, now);
+    assert_eq!(cluster.managers[0].key_claim(now), None);
+    let manager = &mut cluster.managers[0];
+    manager.on_assignment_outcome(era(1), &op, outcome);
+    let claim = manager.key_claim(now);
+    assert_eq!(claim.is_some(), is_claimed);
+}
+
+/// Guards against two holders: a refusal gave back keys that an earlier write without an outcome may have
+/// handed over.
+#[test]
+fn a_refusal_after_the_return_leaves_earlier_handovers_unsettled() {
+    let now = SETTLED + UPTIME;
+    let (mut cluster, op) = cluster_with_handover(now);
+    let manager = &mut cluster.managers[0];
+    manager.on_assignment_outcome(era(1), &op, StoreOutcome::Unknown);
+    manager.on_assignment_sent(now, &op);
+    manager.on_era(now, era(2));
+    cluster.renew_lease(0, now);
+    let manager = &mut cluster.managers[0];
+    manager.on_assignment_outcome(era(1), &op, StoreOutcome::Refused);
+    assert_eq!(manager.key_claim(now), None);
+}
+
+/// Guards against two holders: a refusal that came late gave back keys that had been assigned since.
+#[test]
+fn a_refusal_gives_back_no_keys_that_were_assigned_in_the_era() {
+    let now = SETTLED + UPTIME;
+    let (mut cluster, op) = cluster_with_handover(now);
+    cluster.begin_era(now, era(2));
+    let expired = now + with_drift(Timing::default().lease) + Duration::from_secs(3);
+    cluster.renew_leases(expired);
+    cluster.settle(expired);
+    assert!(all_confirmed(cluster.assignment(era(2))));
+    let manager = &mut cluster.managers[0];
+    manager.on_assignment_outcome(era(1), &op, StoreOutcome::Refused);
+    assert_eq!(manager.key_claim(expired), None);
+    assert_eq!(manager.carried_keys(), 0);
+}
+
+/// Guards against two holders: a refusal gave back keys that may have been assigned between two returns.
+#[test]
+fn a_refusal_after_a_second_return_gives_nothing_back() {
+    let now = SETTLED + UPTIME;
+    let (mut cluster, op) = cluster_with_handover(now);
+    let manager = &mut cluster.managers[0];
+    manager.on_era(now, era(2));
+    manager.on_era(now, era(3));
+    cluster.renew_lease(0, now);
+    let manager = &mut cluster.managers[0];
+    manager.on_assignment_outcome(era(1), &op, StoreOutcome::Refused);
+    assert_eq!(manager.key_claim(now), None);
+}
+
 /// Guards against a claim that rests on a lease of two eras ago: somebody may have been assigned the
 /// keys in between.
 #[rstest]
