Split the handling of a request, and log refusals before any dispatch

handle had 78 lines and a log function of eight arguments; refusals while the process stops or has no configuration were counted, but left no line. A request on its way is now an Arrival, which alone logs and counts its end.

--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -11,11 +11,11 @@
 use catalog::Route;
 use catalog::freshness::StaleReason;
 use http1::error::ParseError;
-use http1::response::Response;
 use platform::message;
 use timer::{BootClock, Clock};
 
 use crate::config_check::REFRESH_TIMEOUT;
+use crate::dispatch::Completion;
 use crate::node::{ActiveConfig, Node};
 use crate::peer_sync;
 
@@ -114,15 +114,9 @@
     }
 }
 
-/// Response to a request that the configuration denies, and the outcome for logs and metrics.
-pub(crate) struct DenialResponse {
-    pub(crate) response: Response,
-    pub(crate) outcome: &'static str,
-}
-
 /// Returns the response to the request `id`, empty if it is not known, which the configuration of `version`
 /// denies: the denial, or 503 if that configuration may be stale.
-pub(crate) fn respond(node: &Node, id: &Bytes, denial: Denial, version: u64) -> DenialResponse {
+pub(crate) fn respond(node: &Node, id: &Bytes, denial: Denial, version: u64) -> Completion {
     let stale = if !denial.rests_on_configuration() {
         None
     } else if version != node.configuration_version() {
@@ -132,11 +126,11 @@
     };
     record(node, id, denial, stale);
     match stale {
-        None => DenialResponse {
+        None => Completion {
             response: message::error_response(denial.status(), id, None),
             outcome: denial.name(),
         },
-        Some(_) => DenialResponse {
+        Some(_) => Completion {
             response: message::error_response(503, id, Some(STALE_RETRY_AFTER)),
             outcome: "stale-configuration",
         },
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! A request with a shard key goes to the machine that owns the key according to the assignment.
 //! The owner runs it only while its back end holds the key, that is, while its grant is in force.
 
+mod arrival;
 mod completion;
 mod outcome;
 mod selection;
@@ -16,7 +17,6 @@
 use std::time::Duration;
 
 use balance::search::{Search, SearchLimit};
-use bytes::Bytes;
 use catalog::Route;
 use http1::request::Request;
 use http1::response::Response;
@@ -28,10 +28,11 @@
 use world::name::{MachineName, ServiceName};
 use xxhash_rust::xxh3;
 
+use self::arrival::{Arrival, Effort};
 use crate::denial::{self, Denial};
 use crate::frame::{ForwardedRequest, ForwardedResponse, RequestOutcome, pack_headers};
 use crate::low_discrepancy::LowDiscrepancySequence;
-use crate::node::{ActiveConfig, Node};
+use crate::node::Node;
 use crate::peer::Peer;
 use crate::{leaving, suspects};
 
@@ -103,9 +104,9 @@
 }
 
 /// Final response of a request, and the outcome for logs and metrics.
-struct Completion {
-    response: Response,
-    outcome: &'static str,
+pub(crate) struct Completion {
+    pub(crate) response: Response,
+    pub(crate) outcome: &'static str,
 }
 
 /// Counts a request as open until it is dropped.
@@ -135,139 +136,43 @@
 ) -> Response {
     let _open = OpenRequest::new(&node);
     let incoming = message::decode_metadata(&request);
-    let id = incoming.id.clone();
+    let arrival = Arrival {
+        node: &node,
+        id: incoming.id.clone(),
+        received,
+    };
     if node.is_closing() {
-        node.metrics.on_request("stopping", Duration::ZERO);
-        return message::error_response(503, &id, Some(RESTART_RETRY_AFTER));
+        let version = node.configuration_version();
+        return arrival.refuse("stopping", RESTART_RETRY_AFTER, version);
     }
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let patience = timeout.mul_f64(REROUTE_TIMEOUT_RATIO);
     let found = denial::find_route(&node, &incoming.host, request.path(), patience).await;
     let Some((config, route)) = found else {
-        node.metrics.on_request("no-configuration", Duration::ZERO);
-        return message::error_response(503, &id, Some(OUTAGE_RETRY_AFTER));
+        return arrival.refuse("no-configuration", OUTAGE_RETRY_AFTER, 0);
     };
+    let version = config.catalog.version;
     let Some(route) = route else {
-        return deny(&node, &id, Denial::NoRoute, received, &config);
+        let completion = denial::respond(&node, &arrival.id, Denial::NoRoute, version);
+        return arrival.finish(completion, version, &Effort::default());
     };
     let Some(service) = route.pick_service(samples.next()).cloned() else {
         // The request is proper, so that it is served once the operator gives its route a service.
-        let response = message::error_response(503, &id, Some(OUTAGE_RETRY_AFTER));
-        return complete_unsent(&node, &id, response, "no-target", received, &config);
+        return arrival.refuse("no-target", OUTAGE_RETRY_AFTER, version);
     };
-    let deadline = received + timeout.min(route.timeout);
     if incoming.parent.is_none() {
         // The calls of back ends do not raise the number of retries allowed.
         node.with_retry_budget(&service, |b| b.on_request(received));
     }
-    let now = BootClock.now();
+    let deadline = received + timeout.min(route.timeout);
     let template = request_template(&node, &service, &route, request, incoming);
-    let search_limit = if template.priority == TOP_PRIORITY {
-        SearchLimit::NESTED
-    } else {
-        SearchLimit::CALLER
-    };
-    let mut dispatch = RequestDispatch {
-        node: &node,
-        route: &route,
-        template,
-        search: Search::new(search_limit),
-        is_retry: node.retry_detector.is_retry(&route, timeout),
-        service,
-        deadline,
-        reroute_until: now + deadline.since(now).mul_f64(REROUTE_TIMEOUT_RATIO),
-        timeout,
-        attempted: SmallVec::new(),
-        rejections: SmallVec::new(),
-        maybe_executed: false,
-        fallback_response: None,
-        machine: None,
-        no_destination_logged: false,
-        not_holder_since: None,
-        assignments_requested: false,
-    };
-    let remaining = deadline.since(BootClock.now());
-    let ended = tokio::select! {
-        completion = dispatch.run() => Some(completion),
-        () = tokio::time::sleep(remaining) => None,
-        () = node.abort_requests.notified() => None,
+    let mut dispatch = RequestDispatch::new(&node, &route, service, template, deadline, timeout);
+    let completion = dispatch.run_to_end().await;
+    let effort = Effort {
+        machine: dispatch.machine.as_ref(),
+        attempts: dispatch.attempted.len(),
     };
-    let completion = ended.unwrap_or_else(|| dispatch.time_out());
-    node.metrics
-        .on_request(completion.outcome, BootClock.now().since(received));
-    log_completion(
-        &node,
-        &id,
-        dispatch.machine.as_ref(),
-        completion.response.status,
-        completion.outcome,
-        received,
-        &config,
-        dispatch.attempted.len(),
-    );
-    completion.response
-}
-
-/// Returns the response to a request that a configuration denies.
-fn deny(
-    node: &Node,
-    id: &Bytes,
-    denial: Denial,
-    received: BootInstant,
-    config: &ActiveConfig,
-) -> Response {
-    let denied = denial::respond(node, id, denial, config.catalog.version);
-    complete_unsent(node, id, denied.response, denied.outcome, received, config)
-}
-
-/// Counts and logs a request that is sent to no back end; returns its response.
-fn complete_unsent(
-    node: &Node,
-    id: &Bytes,
-    response: Response,
-    outcome: &'static str,
-    received: BootInstant,
-    config: &ActiveConfig,
-) -> Response {
-    let elapsed = BootClock.now().since(received);
-    node.metrics.on_request(outcome, elapsed);
-    log_completion(
-        node,
-        id,
-        None,
-        response.status,
-        outcome,
-        received,
-        config,
-        0,
-    );
-    response
-}
-
-#[allow(clippy::too_many_arguments)]
-fn log_completion(
-    node: &Node,
-    id: &Bytes,
-    machine: Option<&MachineName>,
-    status: u16,
-    outcome: &str,
-    received: BootInstant,
-    active_config: &ActiveConfig,
-    attempts: usize,
-) {
-    let ms = BootClock.now().since(received).as_millis() as u64;
-    log::info!(
-        event = "request",
-        id = std::str::from_utf8(id).unwrap_or("?"),
-        machine = machine.map_or("-", |m| m.as_str()),
-        status,
-        outcome,
-        ms,
-        tried = attempts,
-        version = active_config.catalog.version,
-        stopping = node.is_stopping();
-        ""
-    );
+    arrival.finish(completion, version, &effort)
 }
 
 /// Builds the request to forward, with its id and times still 0.
@@ -310,7 +215,54 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
-impl RequestDispatch<'_> {
+impl<'a> RequestDispatch<'a> {
+    fn new(
+        node: &'a Rc<Node>,
+        route: &'a Route,
+        service: ServiceName,
+        template: ForwardedRequest,
+        deadline: BootInstant,
+        timeout: Duration,
+    ) -> Self {
+        let now = BootClock.now();
+        let search_limit = if template.priority == TOP_PRIORITY {
+            SearchLimit::NESTED
+        } else {
+            SearchLimit::CALLER
+        };
+        Self {
+            node,
+            route,
+            template,
+            search: Search::new(search_limit),
+            is_retry: node.retry_detector.is_retry(route, timeout),
+            service,
+            deadline,
+            reroute_until: now + deadline.since(now).mul_f64(REROUTE_TIMEOUT_RATIO),
+            timeout,
+            attempted: SmallVec::new(),
+            rejections: SmallVec::new(),
+            maybe_executed: false,
+            fallback_response: None,
+            machine: None,
+            no_destination_logged: false,
+            not_holder_since: None,
+            assignments_requested: false,
+        }
+    }
+
+    /// Returns the final response, at the deadline or when the process aborts its requests at the latest.
+    async fn run_to_end(&mut self) -> Completion {
+        let node = self.node;
+        let remaining = self.remaining();
+        let ended = tokio::select! {
+            completion = self.run() => Some(completion),
+            () = tokio::time::sleep(remaining) => None,
+            () = node.abort_requests.notified() => None,
+        };
+        ended.unwrap_or_else(|| self.time_out())
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.since(BootClock.now())
     }
