Probe a back end that holds keys and is silent, also while no request runs

Callers got 503 for keys without end, if their back end had crashed while no request came: the grants ran out, so that its machine rejected every request as no holder, no request met the closed port, and nobody took the keys over. A new test (crash, 4 s of quiet, then requests) failed: no key served for 8 s.

A back end in use that has sent neither heartbeat nor response for 2.6 s is probed each 0.5 s, as one that is missing since the start was, unless a connection to it is open; a refused connection shows that it has exited.

--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -106,7 +106,7 @@
                 peer.failure_rate().decay(FAILURE_DECAY);
             }
             driver.update_load(now);
-            driver.probe_missing_back_end(now);
+            driver.probe_silent_back_end(now);
         }
         driver.check_responsiveness(now);
         node.proxy.start_queued();
@@ -138,12 +138,18 @@
         }
     }
 
-    /// Probes the address of a back end that holds keys and has sent no heartbeat since the start
-    /// of this process: a refused connection shows that it has exited.
-    fn probe_missing_back_end(&self, now: BootInstant) {
-        let missing =
-            self.node.is_keyed() && self.node.shard_manager.borrow().is_back_end_missing();
-        if missing && now.since(self.node.started) > BACK_END_START_TIMEOUT {
+    /// Probes the address of a back end that holds keys and has sent no heartbeat for a while or since the
+    /// start of this process: a refused connection shows that it has exited. No request would show that
+    /// once its grants have run out.
+    fn probe_silent_back_end(&self, now: BootInstant) {
+        if !self.node.is_keyed() {
+            return;
+        }
+        let is_missing = self.node.shard_manager.borrow().is_back_end_missing();
+        let is_starting = now.since(self.node.started) <= BACK_END_START_TIMEOUT;
+        let is_suspect = (is_missing && !is_starting) || self.is_silent(now);
+        // An open connection shows that it runs.
+        if is_suspect && self.node.proxy.connections.evict_closed(now) == 0 {
             let node = Rc::clone(&self.node);
             tokio::task::spawn_local(async move {
                 if let Err(error) = node.proxy.connections.probe().await {
@@ -156,17 +162,20 @@
     /// Stops sending requests to a back end that has requests in flight and has sent neither a
     /// heartbeat nor a response for a while.
     fn check_responsiveness(&self, now: BootInstant) {
-        let unresponsive = self.node.proxy.back_end.borrow().as_ref().is_some_and(|b| {
-            b.state == Availability::Ready
-                && now.since(b.last_contact) > HEARTBEAT_TIMEOUT
-                && !self.node.proxy.is_idle()
-        });
-        if unresponsive {
+        if self.is_silent(now) && !self.node.proxy.is_idle() {
             self.node.set_availability(Availability::Down);
             self.node.shard_manager.borrow_mut().set_unresponsive(true);
         }
     }
 
+    /// Whether the back end is in use and has sent neither a heartbeat nor a response for a while.
+    fn is_silent(&self, now: BootInstant) -> bool {
+        let back_end = self.node.proxy.back_end.borrow();
+        back_end.as_ref().is_some_and(|b| {
+            b.state == Availability::Ready && now.since(b.last_contact) > HEARTBEAT_TIMEOUT
+        })
+    }
+
     /// Passes the state of the peers of the same service to the shard manager.
     fn update_peers(&self) {
         let service = self.node.service();
--- a/components/node/tests/whole_path/restored_store.rs
+++ b/components/node/tests/whole_path/restored_store.rs
@@ -360,6 +360,16 @@
     assert_one_holder(&deployment);
 }
 
+// Guards against keys that nobody serves, because their back end has crashed unnoticed: no request reaches
+// it once its grants have run out.
+#[test]
+fn keys_of_a_back_end_that_crashes_while_no_request_comes_are_served_by_others() {
+    let deployment = start_settled(137, 3);
+    deployment.crash_back_end(2);
+    std::thread::sleep(OBSERVED_TIME);
+    await_keys(&deployment, 0, Some("i-1"), LOST_MACHINE_LIMIT);
+}
+
 // Guards against a machine that joined in the lost seconds and is found by nobody who starts later.
 #[test]
 fn a_machine_whose_record_was_lost_is_found_by_one_that_joins_later() {
