Hold a configuration for stale until a version as late as the unreadable one is in force

Read by a reviewer in: a version that could not be decoded made the one in force stale only until any later one came into force, also one before it from a peer: 404 on its routes again. And a readable copy of the version in force did not end it.

--- a/components/catalog/src/freshness.rs
+++ b/components/catalog/src/freshness.rs
@@ -50,8 +50,8 @@
     confirmed_at: Option<BootInstant>,
     /// When the process learned of the last restore of the store, by its own start at the latest.
     restored_at: Option<BootInstant>,
-    /// Whether a later one could not be decoded.
-    unreadable: bool,
+    /// Highest version that could not be decoded.
+    unreadable: Option<u64>,
 }
 
 impl Freshness {
@@ -68,14 +68,9 @@
         self.restored_at = Some(now);
     }
 
-    /// Records that a configuration could not be decoded.
-    pub fn on_unreadable(&mut self) {
-        self.unreadable = true;
-    }
-
-    /// Records that a later configuration has come into force.
-    pub fn on_replaced(&mut self) {
-        self.unreadable = false;
+    /// Records that a configuration of `version` could not be decoded.
+    pub fn on_unreadable(&mut self, version: u64) {
+        self.unreadable = self.unreadable.max(Some(version));
     }
 
     /// Returns when the request was sent that last showed the configuration to be the newest.
@@ -84,12 +79,17 @@
         self.confirmed_at
     }
 
-    /// Returns why the configuration may be stale at `now`, if it may; a confirmation counts for
-    /// `max_age`.
+    /// Returns why the configuration in force, of `version`, may be stale at `now`, if it may; a
+    /// confirmation counts for `max_age`.
     #[must_use]
-    pub fn staleness(&self, now: BootInstant, max_age: Duration) -> Option<StaleReason> {
+    pub fn staleness(
+        &self,
+        version: u64,
+        now: BootInstant,
+        max_age: Duration,
+    ) -> Option<StaleReason> {
         let is_recent = |at: Option<BootInstant>, age| at.is_some_and(|at| now.since(at) <= age);
-        if self.unreadable {
+        if self.unreadable > Some(version) {
             Some(StaleReason::Unreadable)
         } else if is_recent(self.restored_at, REWRITE_TIME) {
             Some(StaleReason::StoreRestored)
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -230,9 +230,8 @@
             return Some(StaleReason::LaterAtPeer);
         }
         let max_age = self.bounds.get().config_apply / 2;
-        self.config_freshness
-            .get()
-            .staleness(BootClock.now(), max_age)
+        let freshness = self.config_freshness.get();
+        freshness.staleness(version, BootClock.now(), max_age)
     }
 
     /// Puts a configuration in force if it is valid and of a higher version than the current one;
@@ -242,7 +241,9 @@
             Ok(catalog) => catalog,
             Err(error) => {
                 log::error!(event = "configuration-refused", source, error:% = error; "");
-                self.update_freshness(Freshness::on_unreadable);
+                let next = self.configuration_version() + 1;
+                let version = configuration::version(&document).unwrap_or(next);
+                self.update_freshness(|f| f.on_unreadable(version));
                 return false;
             }
         };
@@ -261,7 +262,6 @@
             document: Rc::new(document),
             since: BootClock.now(),
         });
-        self.update_freshness(Freshness::on_replaced);
         self.keys_changed.notify_one();
         self.announce();
         true
