Let a caller of little patience not count as a peer's failure

Read by a reviewer in: a denied request with a short timeout that waited for a peer's later configuration counted as a failure, so that nobody was asked for 1 s and who waited for the store was woken without an outcome. The new test fails with the former condition.

--- a/components/node/src/config_check.rs
+++ b/components/node/src/config_check.rs
@@ -31,10 +31,8 @@
         let ended = self.ended.notified();
         self.wanted.set(true);
         self.requested.notify_one();
-        let waited = tokio::time::timeout(timeout, ended).await;
-        // A caller of less patience proves nothing.
-        if waited.is_err() && timeout >= REFRESH_TIMEOUT {
-            self.failed_at.set(Some(BootClock.now()));
+        if tokio::time::timeout(timeout, ended).await.is_err() {
+            self.on_timeout(timeout);
         }
     }
 
@@ -71,12 +69,20 @@
         self.end();
     }
 
-    /// Ends a check that has failed, or records that a peer has not sent its configuration.
+    /// Ends a check that has failed.
     pub(crate) fn on_failure(&self) {
         self.failed_at.set(Some(BootClock.now()));
         self.end();
     }
 
+    /// Records that nobody has responded to a caller who waited for `patience`; one of less patience than
+    /// [`REFRESH_TIMEOUT`] proves nothing.
+    pub(crate) fn on_timeout(&self, patience: Duration) {
+        if patience >= REFRESH_TIMEOUT {
+            self.failed_at.set(Some(BootClock.now()));
+        }
+    }
+
     fn end(&self) {
         self.wanted.set(false);
         self.ended.notify_waiters();
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -24,15 +24,16 @@
 /// a later one is in force, for `timeout` at most.
 pub(crate) async fn await_later_configuration(node: &Rc<Node>, timeout: Duration) {
     let version = node.configuration_version();
-    if let Some(peer) = node.random_peer(|s| s.has_later_configuration(version))
-        && node.config_check.take_peer_turn()
-    {
+    let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) else {
+        return;
+    };
+    if node.config_check.take_peer_turn() {
         peer.send(&Frame::CatalogRequest);
     }
     let until = BootClock.now() + timeout;
     while node.configuration_version() <= version {
         if BootClock.now() >= until {
-            node.config_check.on_failure();
+            node.config_check.on_timeout(timeout);
             return;
         }
         tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
--- a/components/node/tests/store_era/denials.rs
+++ b/components/node/tests/store_era/denials.rs
@@ -113,6 +113,18 @@
     LocalSet::new().run_until(test).await;
 }
 
+// Guards against refusals of all for 1 s, as one caller of little patience counted as a failure.
+#[tokio::test]
+async fn a_caller_of_little_patience_ends_no_wait_of_others() {
+    let test = async {
+        let (_store, node) = start().await;
+        let _peer = FakePeer::connect(&node, Features::SUPPORTED, 2).await;
+        refresh_if_stale(&node, Duration::from_millis(5)).await;
+        assert!(!node.config_check.has_just_failed());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 // Guards against proof by a store whose later configuration could not be decoded.
 #[tokio::test]
 async fn a_later_configuration_that_cannot_be_decoded_makes_the_one_in_force_stale() {
@@ -123,7 +135,7 @@
         assert_eq!(node.config_staleness(), Some(StaleReason::Unreadable));
         refresh_if_stale(&node, PATIENCE).await;
         assert_eq!(node.config_staleness(), Some(StaleReason::Unreadable));
-        node.on_configuration(document(3), "store");
+        node.on_configuration(document(2), "store");
         assert_eq!(node.config_staleness(), None);
     };
     LocalSet::new().run_until(test).await;
