Answer a malformed request at once

Read by a reviewer: a 400, which rests on no configuration, waited for up to 0.5 s for the store, and cost a call of it, where the one in force was not fresh.

--- a/components/node/src/denial.rs
+++ b/components/node/src/denial.rs
@@ -48,7 +48,7 @@
     }
 
     /// Returns whether another configuration might allow the request.
-    fn rests_on_configuration(self) -> bool {
+    pub(crate) fn rests_on_configuration(self) -> bool {
         self != Self::Malformed
     }
 
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -198,8 +198,11 @@
             max_body_bytes = limits.body_bytes;
             ""
         );
-        denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
-        let denied = denial::respond(&self.node, &id, Denial::from(error), self.limits_version);
+        let denial = Denial::from(error);
+        if denial.rests_on_configuration() {
+            denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
+        }
+        let denied = denial::respond(&self.node, &id, denial, self.limits_version);
         if self.write_response(&denied.response, true).await {
             drain(&mut self.read).await;
         }
