Ignore a refused probe of a back end that has given a sign of life since

Read by a reviewer in: a probe that the last back end refused could be handled after the first heartbeat of the next one, which then counted as exited while it held keys (OWNER). The probe is dropped if incarnation or last contact have changed. The probe right after a broken connection is left as it was.

--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -140,7 +140,7 @@
 
     /// Probes the address of a back end that holds keys and has sent no heartbeat for a while or since the
     /// start of this process: a refused connection shows that it has exited. No request would show that
-    /// once its grants have run out.
+    /// once its grants have run out, as this machine then rejects all.
     fn probe_silent_back_end(&self, now: BootInstant) {
         if !self.node.is_keyed() {
             return;
@@ -150,12 +150,7 @@
         let is_suspect = (is_missing && !is_starting) || self.is_silent(now);
         // An open connection shows that it runs.
         if is_suspect && self.node.proxy.connections.evict_closed(now) == 0 {
-            let node = Rc::clone(&self.node);
-            tokio::task::spawn_local(async move {
-                if let Err(error) = node.proxy.connections.probe().await {
-                    node.on_exchange_error(error);
-                }
-            });
+            tokio::task::spawn_local(probe_back_end(Rc::clone(&self.node)));
         }
     }
 
@@ -328,6 +323,22 @@
     }
 }
 
+/// Probes the back end; a refused connection says nothing of one that has given a sign of life since.
+async fn probe_back_end(node: Rc<Node>) {
+    let sign_of_life = || {
+        let back_end = node.proxy.back_end.borrow();
+        back_end
+            .as_ref()
+            .map(|b| (b.incarnation.clone(), b.last_contact))
+    };
+    let before = sign_of_life();
+    if let Err(error) = node.proxy.connections.probe().await
+        && sign_of_life() == before
+    {
+        node.on_exchange_error(error);
+    }
+}
+
 fn op_name<T>(op: &StoreOp<T>) -> &'static str {
     match op {
         StoreOp::Read => "read",
