--- a/components/stand-ins/src/http.rs
+++ b/components/stand-ins/src/http.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -19,7 +19,7 @@
 const MAX_RESPONSE_BYTES: u64 = 1 << 24;
 /// Bytes of an endless response that are written at once, about.
 const ENDLESS_BLOCK_BYTES: usize = 16_384;
-/// Connect timeout of the connection that wakes the accepting thread.
+/// Timeout of the connection that wakes the accepting thread, and of the end of that thread.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Handles a request.
@@ -46,6 +46,8 @@
     address: SocketAddr,
     closed: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Disconnected once the accepting thread has released the address.
+    released: Mutex<mpsc::Receiver<()>>,
 }
 
 impl Acceptor {
@@ -56,10 +58,12 @@
     #[must_use]
     pub fn start(address: SocketAddr, handler: impl Fn(TcpStream) + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind(address).expect("a free address");
+        let (releasing, released) = mpsc::channel();
         let acceptor = Self {
             address,
             closed: Arc::default(),
             streams: Arc::default(),
+            released: Mutex::new(released),
         };
         let closed = Arc::clone(&acceptor.closed);
         let streams = Arc::clone(&acceptor.streams);
@@ -67,7 +71,7 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if closed.load(Ordering::SeqCst) {
-                    return;
+                    break;
                 }
                 if let Ok(copy) = stream.try_clone() {
                     lock(&streams).push(copy);
@@ -77,15 +81,19 @@
                     handler(stream);
                 });
             }
+            drop(listener);
+            drop(releasing);
         });
         acceptor
     }
 
-    /// Closes the listener and shuts down all its connections.
+    /// Closes the listener, so that its address is free, and shuts down all its connections.
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
-        // Wakes the accepting thread, so that it exits and releases the address.
+        // Wakes the accepting thread.
         let _ = TcpStream::connect_timeout(&self.address, WAKE_TIMEOUT);
+        let released = self.released.lock().expect("no panic under the lock");
+        let _ = released.recv_timeout(WAKE_TIMEOUT);
         for stream in std::mem::take(&mut *lock(&self.streams)) {
             let _ = stream.shutdown(Shutdown::Both);
         }
