--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -30,8 +30,8 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Lowest limit in requests per second that is reported as capacity.
 const MIN_REPORTED_RATE: f64 = 0.1;
-/// Time without a heartbeat or response after which a back end with in-flight requests is taken to
-/// be down.
+/// Time without a heartbeat or response after which a back end is taken to be down if it has in-flight
+/// requests, and probed if it holds keys.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_600);
 
 /// The back end on this machine.
--- a/components/node/src/dispatch/arrival.rs
+++ b/components/node/src/dispatch/arrival.rs
@@ -21,13 +21,13 @@
     pub(super) received: BootInstant,
 }
 
-/// What was done for a request before its final response.
+/// The sends of a request before its final response.
 #[derive(Default)]
-pub(super) struct Effort<'a> {
+pub(super) struct Attempts<'a> {
     /// Machine to which it was sent last.
-    pub(super) machine: Option<&'a MachineName>,
+    pub(super) last_machine: Option<&'a MachineName>,
     /// Number of machines that may have run it or whose back end rejected it.
-    pub(super) attempts: usize,
+    pub(super) tried: usize,
 }
 
 impl Arrival<'_> {
@@ -41,7 +41,7 @@
     ) -> Response {
         let response = message::error_response(503, &self.id, Some(retry_after));
         let completion = Completion { response, outcome };
-        self.finish(completion, version, &Effort::default())
+        self.finish(completion, version, &Attempts::default())
     }
 
     /// Logs and counts the end of the request; returns its final response.
@@ -49,7 +49,7 @@
         &self,
         completion: Completion,
         version: u64,
-        effort: &Effort<'_>,
+        attempts: &Attempts<'_>,
     ) -> Response {
         let Completion { response, outcome } = completion;
         let elapsed = BootClock.now().since(self.received);
@@ -57,11 +57,11 @@
         log::info!(
             event = "request",
             id = std::str::from_utf8(&self.id).unwrap_or("?"),
-            machine = effort.machine.map_or("-", |m| m.as_str()),
+            machine = attempts.last_machine.map_or("-", |m| m.as_str()),
             status = response.status,
             outcome,
             ms = elapsed.as_millis() as u64,
-            tried = effort.attempts,
+            tried = attempts.tried,
             version,
             stopping = self.node.is_stopping();
             ""
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use world::name::{MachineName, ServiceName};
 use xxhash_rust::xxh3;
 
-use self::arrival::{Arrival, Effort};
+use self::arrival::{Arrival, Attempts};
 use crate::denial::{self, Denial};
 use crate::frame::{ForwardedRequest, ForwardedResponse, RequestOutcome, pack_headers};
 use crate::low_discrepancy::LowDiscrepancySequence;
@@ -154,7 +154,7 @@
     let version = config.catalog.version;
     let Some(route) = route else {
         let completion = denial::respond(&node, &arrival.id, Denial::NoRoute, version);
-        return arrival.finish(completion, version, &Effort::default());
+        return arrival.finish(completion, version, &Attempts::default());
     };
     let Some(service) = route.pick_service(samples.next()).cloned() else {
         // The request is proper, so that it is served once the operator gives its route a service.
@@ -168,11 +168,11 @@
     let template = request_template(&node, &service, &route, request, incoming);
     let mut dispatch = RequestDispatch::new(&node, &route, service, template, deadline, timeout);
     let completion = dispatch.run_to_end().await;
-    let effort = Effort {
-        machine: dispatch.machine.as_ref(),
-        attempts: dispatch.attempted.len(),
+    let attempts = Attempts {
+        last_machine: dispatch.machine.as_ref(),
+        tried: dispatch.attempted.len(),
     };
-    arrival.finish(completion, version, &effort)
+    arrival.finish(completion, version, &attempts)
 }
 
 /// Builds the request to forward, with its id and times still 0.
