--- a/review/harness/src/back_end.rs
+++ b/review/harness/src/back_end.rs
@@ -3,7 +3,8 @@
 //! it holds the key.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use http1::request::Request;
@@ -12,7 +13,7 @@
 use stand_ins::http;
 
 use crate::record::Record;
-use crate::server;
+use crate::server::Server;
 
 /// Time for which a check-in waits for its confirmation.
 const CHECK_IN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -39,11 +40,14 @@
     pub work: Duration,
     /// Length of a response's body.
     pub answer_bytes: usize,
+    /// Value of `Server-Limit` in its answers.
+    pub limit: Option<&'static str>,
 }
 
 /// The start of a request at a back end.
 #[derive(Clone, Debug)]
 pub struct Run {
+    pub at: Duration,
     pub request: String,
     pub service: String,
     pub caller: String,
@@ -72,6 +76,11 @@
     running: Mutex<usize>,
     pub runs: Mutex<Vec<Run>>,
     keys: Mutex<Keys>,
+    /// Number of the next check-in.
+    sequence: AtomicU64,
+    /// Whether it has said that it leaves.
+    has_left: AtomicBool,
+    server: OnceLock<Server>,
     record: Record,
 }
 
@@ -83,13 +92,17 @@
             running: Mutex::new(0),
             runs: Mutex::default(),
             keys: Mutex::default(),
+            sequence: AtomicU64::new(1),
+            has_left: AtomicBool::new(false),
+            server: OnceLock::new(),
             record: record.clone(),
         });
-        let server = Arc::clone(&back_end);
-        server::serve(
+        let handler = Arc::clone(&back_end);
+        let server = Server::start(
             back_end.config.address,
-            Arc::new(move |request| server.respond(request)),
+            Arc::new(move |request| handler.respond(request)),
         );
+        let _ = back_end.server.set(server);
         let check_ins = Arc::clone(&back_end);
         std::thread::spawn(move || check_ins.send_check_ins());
         back_end
@@ -127,6 +140,7 @@
             *running += 1;
         }
         let run = Run {
+            at: self.record.elapsed(),
             request: id.clone(),
             service: self.config.service.clone(),
             caller: Self::header(request, "Caller-Service"),
@@ -146,6 +160,9 @@
         let mut response = Response::new(200)
             .with("Request-Id", id)
             .with("Response-Stamp", "0.1.2");
+        if let Some(limit) = self.config.limit {
+            response = response.with("Server-Limit", limit);
+        }
         response.body = vec![b'x'; self.config.answer_bytes].into();
         response
     }
@@ -175,16 +192,11 @@
     }
 
     fn send_check_ins(&self) {
-        let mut sequence = 0;
-        loop {
-            sequence += 1;
+        while !self.has_left.load(Ordering::SeqCst) {
+            let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
             let sent = Instant::now();
             let body = self.check_in(sequence);
-            let response = post(
-                self.config.control,
-                &format!("/plantaingauge/Instances.Heartbeat/{}", self.config.id),
-                &body,
-            );
+            let response = post(self.config.control, &self.check_in_path(), &body);
             let mut again = self.config.heartbeat;
             if let Some(response) = response
                 && (200..300).contains(&response.status)
@@ -198,6 +210,44 @@
         }
     }
 
+    /// Says that it leaves, as a back end does that never reports `draining`: it sends no further
+    /// check-ins and goes on serving. The check-in that it sent last arrives `late`.
+    ///
+    /// Returns whether leaving was confirmed.
+    pub fn deregister(self: &Arc<Self>, late: Duration) -> bool {
+        self.has_left.store(true, Ordering::SeqCst);
+        let last = self.check_in(self.sequence.fetch_add(1, Ordering::SeqCst));
+        let back_end = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(late);
+            let answer = post(back_end.config.control, &back_end.check_in_path(), &last);
+            let status = answer.map_or(0, |r| r.status);
+            let id = &back_end.config.id;
+            back_end.record.say(&format!(
+                "late check-in of {id} arrived: {last} status={status}"
+            ));
+        });
+        let path = format!("/plantaingauge/Instances.Deregister/{}", self.config.id);
+        let body = json!({ "born": self.born }).to_string();
+        let answer = post(self.config.control, &path, &body);
+        answer.is_some_and(|r| (200..300).contains(&r.status))
+    }
+
+    /// Ends the back end: its channels close, also those that carry a request.
+    ///
+    /// Returns how many requests it was running.
+    pub fn exit(&self) -> usize {
+        let running = *self.running.lock().unwrap();
+        if let Some(server) = self.server.get() {
+            server.close();
+        }
+        running
+    }
+
+    fn check_in_path(&self) -> String {
+        format!("/plantaingauge/Instances.Heartbeat/{}", self.config.id)
+    }
+
     fn check_in(&self, sequence: u64) -> String {
         let now = Instant::now();
         let keys = self.keys.lock().unwrap();
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -69,6 +69,7 @@
     pub slots: usize,
     pub work: Duration,
     pub answer_bytes: usize,
+    pub limit: Option<&'static str>,
 }
 
 impl MachineSpec {
@@ -79,6 +80,7 @@
             slots: 12,
             work: Duration::from_millis(80),
             answer_bytes: 5_000,
+            limit: None,
         }
     }
 }
@@ -258,6 +260,7 @@
             sharded: spec.sharded,
             work: spec.work,
             answer_bytes: spec.answer_bytes,
+            limit: spec.limit,
         };
         self.back_ends.push(BackEnd::start(config, &self.record));
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -30,9 +30,11 @@
     deployment::start_watchdog(LIMIT);
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
+        "deregister" => cases::deregister::run(&folder, trouble),
         "foreign-check-in" => cases::foreign_check_in::run(&folder, trouble),
         "foreign-service" => cases::foreign_service::run(&folder, trouble),
         "log-reader" => cases::log_reader::run(&folder, trouble),
+        "limit" => cases::limit::run(&folder, trouble),
         "large-body" => cases::large_body::run(&folder, trouble),
         "stop" => cases::stop::run(&folder, trouble),
         "silent-store" => cases::silent_store::run(&folder, trouble),
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -1,8 +1,10 @@
 //! A small HTTP server for back ends: one thread a connection.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use http1::request::{Bounds, Request, RequestReader};
@@ -16,15 +18,47 @@
 /// Answers a request.
 pub type Handler = Arc<dyn Fn(&Request) -> Response + Send + Sync>;
 
-/// Serves requests on `address` until the process ends.
-pub fn serve(address: SocketAddr, handler: Handler) {
-    let listener = TcpListener::bind(address).expect("a free address");
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handler = Arc::clone(&handler);
-            std::thread::spawn(move || serve_connection(stream, &handler));
+/// A server that runs until it is closed or the process ends.
+pub struct Server {
+    address: SocketAddr,
+    closed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    pub fn start(address: SocketAddr, handler: Handler) -> Self {
+        let listener = TcpListener::bind(address).expect("a free address");
+        let closed = Arc::new(AtomicBool::new(false));
+        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let (is_closed, opened) = (Arc::clone(&closed), Arc::clone(&streams));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if is_closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    opened.lock().unwrap().push(copy);
+                }
+                let handler = Arc::clone(&handler);
+                std::thread::spawn(move || serve_connection(stream, &handler));
+            }
+        });
+        Self {
+            address,
+            closed,
+            streams,
         }
-    });
+    }
+
+    /// Closes the listener and all channels, as the end of a process does.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_secs(1));
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
 }
 
 fn serve_connection(mut stream: TcpStream, handler: &Handler) {
