--- a/review/harness/src/cases/stop.rs
+++ b/review/harness/src/cases/stop.rs
@@ -11,6 +11,7 @@
 
 use crate::caller::{Call, is_ready, send};
 use crate::deployment::{Deployment, MachineSpec, Verdict, route, wait_for};
+use crate::record::Record;
 
 /// Length of the answer's body.
 const ANSWER_BYTES: usize = 14_000_000;
@@ -57,6 +58,7 @@
         .map_err(|e| e.to_string())?;
     if trouble {
         d.signal(0, "TERM");
+        report_end(d.pid(0), &d.record);
     }
     let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
     let (received, end) = receive_slowly(&mut stream, ANSWER_BYTES);
@@ -72,10 +74,6 @@
         "answer id={}: {received} of {ANSWER_BYTES} bytes of the body, {end}, {took} ms after it was sent; runs: {ran}",
         call.id
     ));
-    std::thread::sleep(Duration::from_millis(200));
-    let ended = d.has_ended(0);
-    d.record
-        .say(&format!("the process of machine=0 has ended: {ended}"));
     Ok(if received < ANSWER_BYTES {
         Verdict::Broken
     } else {
@@ -83,6 +81,29 @@
     })
 }
 
+/// Records when a process ends.
+fn report_end(pid: u32, record: &Record) {
+    let (started, record) = (Instant::now(), record.clone());
+    std::thread::spawn(move || {
+        let is_running = || {
+            let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+            let state = stat
+                .rsplit(')')
+                .next()
+                .unwrap_or_default()
+                .trim_start()
+                .chars()
+                .next();
+            state.is_some_and(|s| s != 'Z')
+        };
+        while is_running() {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let ms = started.elapsed().as_millis();
+        record.say(&format!("pid={pid} has ended {ms} ms after SIGTERM"));
+    });
+}
+
 /// Opens a channel with a small window.
 fn open(address: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -299,14 +299,6 @@
                 .say(&format!("signal machine={machine} {signal}"));
         }
     }
-
-    /// Whether a node has ended.
-    pub fn has_ended(&mut self, machine: usize) -> bool {
-        let Some(child) = &mut self.nodes[machine] else {
-            return true;
-        };
-        matches!(child.try_wait(), Ok(Some(_)))
-    }
 }
 
 impl Drop for Deployment {
