--- a/review/harness/src/back_end.rs
+++ b/review/harness/src/back_end.rs
@@ -13,7 +13,7 @@
 use stand_ins::http;
 
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Reply, Server};
 
 /// Time for which a check-in waits for its confirmation.
 const CHECK_IN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,6 +24,15 @@
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(0)
 }
 
+/// How a back end is ill.
+#[derive(Clone, Copy, Debug)]
+pub struct Ailment {
+    /// Of a thousand requests, how many it sheds.
+    pub shed: u64,
+    /// Of a thousand answers, how many it sends a second time, late.
+    pub again: u64,
+}
+
 /// What a back end is.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -42,6 +51,8 @@
     pub answer_bytes: usize,
     /// Value of `Server-Limit` in its answers.
     pub limit: Option<&'static str>,
+    /// Whether it sheds part of its requests and sends part of its answers twice.
+    pub ailing: Option<Ailment>,
 }
 
 /// The start of a request at a back end.
@@ -74,6 +85,10 @@
     pub config: Config,
     born: u64,
     running: Mutex<usize>,
+    /// Number of answers so far.
+    answers: AtomicU64,
+    /// Whether its ailment shows now.
+    pub is_ill: AtomicBool,
     pub runs: Mutex<Vec<Run>>,
     keys: Mutex<Keys>,
     /// Number of the next check-in.
@@ -90,6 +105,8 @@
             config,
             born: unix_ms(),
             running: Mutex::new(0),
+            answers: AtomicU64::new(0),
+            is_ill: AtomicBool::new(false),
             runs: Mutex::default(),
             keys: Mutex::default(),
             sequence: AtomicU64::new(1),
@@ -100,7 +117,7 @@
         let handler = Arc::clone(&back_end);
         let server = Server::start(
             back_end.config.address,
-            Arc::new(move |request| handler.respond(request)),
+            Arc::new(move |request| handler.reply(request)),
         );
         let _ = back_end.server.set(server);
         let check_ins = Arc::clone(&back_end);
@@ -112,6 +129,35 @@
         request.headers.text(name).unwrap_or_default().to_owned()
     }
 
+    fn reply(&self, request: &Request) -> Reply {
+        let number = self.answers.fetch_add(1, Ordering::SeqCst);
+        let is_ill = self.is_ill.load(Ordering::SeqCst);
+        let Some(ailment) = self.config.ailing.filter(|_| is_ill) else {
+            let response = self.respond(request);
+            let again = false;
+            return Reply { response, again };
+        };
+        let part = |salt: u64| scatter(number ^ (salt << 32)) % 1_000;
+        let id = Self::header(request, "Request-Id");
+        let again = part(1) < ailment.again;
+        let response = if part(0) < ailment.shed {
+            self.record
+                .line(&format!("shed by={} id={id}", self.config.id));
+            // As the example of the wire has it, without an id.
+            Response::new(503).with("Not-Executed", "1")
+        } else {
+            self.respond(request)
+        };
+        if again {
+            let status = response.status;
+            self.record.line(&format!(
+                "late-copy by={} of id={id} status={status}",
+                self.config.id
+            ));
+        }
+        Reply { response, again }
+    }
+
     fn respond(&self, request: &Request) -> Response {
         let id = Self::header(request, "Request-Id");
         let not_run = |status: u16, why: &str| {
@@ -317,6 +363,14 @@
     }
 }
 
+/// Scatters numbers evenly (the finalizer of SplitMix64).
+fn scatter(number: u64) -> u64 {
+    let mut n = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    n ^ (n >> 31)
+}
+
 /// The parts of a span that no granted row covers.
 fn outside(span: (u64, u64), granted: &[(u64, u64, u64)]) -> Vec<(u64, u64)> {
     let mut parts = vec![span];
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use stand_ins::store::Store;
 
-use crate::back_end::{BackEnd, Config};
+use crate::back_end::{Ailment, BackEnd, Config};
 use crate::record::Record;
 
 pub const STORE_PORT: u16 = 8_309;
@@ -70,6 +70,7 @@
     pub work: Duration,
     pub answer_bytes: usize,
     pub limit: Option<&'static str>,
+    pub ailing: Option<Ailment>,
 }
 
 impl MachineSpec {
@@ -81,6 +82,7 @@
             work: Duration::from_millis(80),
             answer_bytes: 5_000,
             limit: None,
+            ailing: None,
         }
     }
 }
@@ -141,6 +143,11 @@
 
     /// Writes a configuration; the store's response is its confirmation.
     pub fn configure(&self, version: u64, routes: &[Value]) {
+        self.configure_with(version, routes, 67_108_864);
+    }
+
+    /// The same with a limit on the bytes of a body.
+    pub fn configure_with(&self, version: u64, routes: &[Value], body_bytes: u64) {
         let mut services: Vec<(&str, bool)> = self
             .specs
             .iter()
@@ -167,7 +174,7 @@
                         "sharded"],
                     "rows": services,
                 },
-                "limits": {"headerBytes": 16_384, "bodyBytes": 67_108_864,
+                "limits": {"headerBytes": 16_384, "bodyBytes": body_bytes,
                     "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
             }),
         );
@@ -261,6 +268,7 @@
             work: spec.work,
             answer_bytes: spec.answer_bytes,
             limit: spec.limit,
+            ailing: spec.ailing,
         };
         self.back_ends.push(BackEnd::start(config, &self.record));
     }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -34,6 +34,8 @@
         "foreign-check-in" => cases::foreign_check_in::run(&folder, trouble),
         "foreign-service" => cases::foreign_service::run(&folder, trouble),
         "log-reader" => cases::log_reader::run(&folder, trouble),
+        "late-copy" => cases::late_copy::run(&folder, trouble),
+        "large-frame" => cases::large_frame::run(&folder, trouble),
         "limit" => cases::limit::run(&folder, trouble),
         "large-body" => cases::large_body::run(&folder, trouble),
         "stop" => cases::stop::run(&folder, trouble),
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -12,11 +12,18 @@
 
 const BOUNDS: Bounds = Bounds {
     head_bytes: 65_536,
-    body_bytes: 67_108_864,
+    body_bytes: 100_000_000,
 };
 
+/// What a server sends.
+pub struct Reply {
+    pub response: Response,
+    /// Whether the answer is sent a second time, late: where the next answer on the channel is due.
+    pub again: bool,
+}
+
 /// Answers a request.
-pub type Handler = Arc<dyn Fn(&Request) -> Response + Send + Sync>;
+pub type Handler = Arc<dyn Fn(&Request) -> Reply + Send + Sync>;
 
 /// A server that runs until it is closed or the process ends.
 pub struct Server {
@@ -66,14 +73,22 @@
     let mut reader = RequestReader::default();
     let mut buf = BytesMut::new();
     let mut chunk = vec![0; 262_144];
+    let mut late = BytesMut::new();
     loop {
         match reader.next(&mut buf, BOUNDS) {
             Ok(Some(request)) => {
+                if stream.write_all(&std::mem::take(&mut late)).is_err() {
+                    return;
+                }
+                let reply = handler(&request);
                 let mut out = BytesMut::new();
-                encode(&mut out, &handler(&request), false);
+                encode(&mut out, &reply.response, false);
                 if stream.write_all(&out).is_err() {
                     return;
                 }
+                if reply.again {
+                    late = out;
+                }
             }
             Ok(None) => match stream.read(&mut chunk) {
                 Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
