--- a/review/harness/src/back_end.rs
+++ b/review/harness/src/back_end.rs
@@ -95,15 +95,24 @@
     sequence: AtomicU64,
     /// Whether it has said that it leaves.
     has_left: AtomicBool,
+    /// Whether its check-ins say `draining`.
+    pub draining: AtomicBool,
+    /// Number of check-ins with that state that were confirmed.
+    pub drain_confirmed: AtomicU64,
     server: OnceLock<Server>,
     record: Record,
 }
 
 impl BackEnd {
     pub fn start(config: Config, record: &Record) -> Arc<Self> {
+        Self::start_born(config, record, unix_ms())
+    }
+
+    /// Starts a boot whose `born` is that of a clock which may have been set.
+    pub fn start_born(config: Config, record: &Record, born: u64) -> Arc<Self> {
         let back_end = Arc::new(Self {
             config,
-            born: unix_ms(),
+            born,
             running: Mutex::new(0),
             answers: AtomicU64::new(0),
             is_ill: AtomicBool::new(false),
@@ -111,6 +120,8 @@
             keys: Mutex::default(),
             sequence: AtomicU64::new(1),
             has_left: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            drain_confirmed: AtomicU64::new(0),
             server: OnceLock::new(),
             record: record.clone(),
         });
@@ -241,8 +252,15 @@
         while !self.has_left.load(Ordering::SeqCst) {
             let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
             let sent = Instant::now();
+            let is_draining = self.draining.load(Ordering::SeqCst);
             let body = self.check_in(sequence);
             let response = post(self.config.control, &self.check_in_path(), &body);
+            let confirmed = response
+                .as_ref()
+                .is_some_and(|r| (200..300).contains(&r.status));
+            if confirmed && is_draining {
+                self.drain_confirmed.fetch_add(1, Ordering::SeqCst);
+            }
             let mut again = self.config.heartbeat;
             if let Some(response) = response
                 && (200..300).contains(&response.status)
@@ -283,6 +301,7 @@
     ///
     /// Returns how many requests it was running.
     pub fn exit(&self) -> usize {
+        self.has_left.store(true, Ordering::SeqCst);
         let running = *self.running.lock().unwrap();
         if let Some(server) = self.server.get() {
             server.close();
@@ -296,6 +315,11 @@
 
     fn check_in(&self, sequence: u64) -> String {
         let now = Instant::now();
+        let state = if self.draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let keys = self.keys.lock().unwrap();
         let holds: Vec<Value> = keys
             .holds
@@ -305,7 +329,7 @@
             .collect();
         json!({
             "service": self.config.service, "address": self.config.address, "zone": "z1",
-            "version": "v1", "slots": self.config.slots, "state": "ready", "coldRemainingMs": 0,
+            "version": "v1", "slots": self.config.slots, "state": state, "coldRemainingMs": 0,
             "sequence": sequence, "born": self.born, "holds": holds, "freed": keys.freed
         })
         .to_string()
--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! One module a case.
 
+pub mod clock_back;
 pub mod deregister;
 pub mod foreign_check_in;
 pub mod foreign_service;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -30,6 +30,7 @@
     deployment::start_watchdog(LIMIT);
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
+        "clock-back" => cases::clock_back::run(&folder, trouble),
         "deregister" => cases::deregister::run(&folder, trouble),
         "foreign-check-in" => cases::foreign_check_in::run(&folder, trouble),
         "foreign-service" => cases::foreign_service::run(&folder, trouble),
