--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -49,26 +49,50 @@
 }
 
 struct IdleConnection {
-    stream: TcpStream,
+    connection: Connection,
     since: BootInstant,
     until: BootInstant,
 }
 
+/// A connection to the back end.
+struct Connection {
+    stream: TcpStream,
+    /// Whether the incarnation that reported last has responded on it.
+    used: bool,
+}
+
 /// Idle connections to the back end, and counts of those that were opened or are in use.
 pub struct ConnectionPool {
     address: SocketAddr,
     idle: RefCell<Vec<IdleConnection>>,
     active: Cell<usize>,
+    /// Number of the active connections that were used before.
+    active_used: Cell<usize>,
     opened: Cell<u64>,
     memory: ResponseMemory,
 }
 
 /// Counts a connection as in use until it is dropped.
-struct ActiveGuard<'a>(&'a Cell<usize>);
+struct ActiveGuard<'a> {
+    pool: &'a ConnectionPool,
+    used: bool,
+}
+
+impl<'a> ActiveGuard<'a> {
+    fn new(pool: &'a ConnectionPool, used: bool) -> Self {
+        pool.active.set(pool.active.get() + 1);
+        pool.active_used
+            .set(pool.active_used.get() + usize::from(used));
+        Self { pool, used }
+    }
+}
 
 impl Drop for ActiveGuard<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        let ActiveGuard { pool, used } = self;
+        pool.active.set(pool.active.get() - 1);
+        pool.active_used
+            .set(pool.active_used.get() - usize::from(*used));
     }
 }
 
@@ -81,6 +105,7 @@
             address,
             idle: RefCell::default(),
             active: Cell::new(0),
+            active_used: Cell::new(0),
             opened: Cell::new(0),
             memory: ResponseMemory::new(process_memory),
         }
@@ -109,28 +134,43 @@
     /// Returns how many remain.
     pub fn evict_closed(&self, now: BootInstant) -> usize {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|i| now < i.until && is_open_and_quiet(&i.stream));
+        idle.retain(|i| now < i.until && is_open_and_quiet(&i.connection.stream));
         idle.len()
     }
 
-    fn take_idle(&self, now: BootInstant, at_most_once: bool) -> Option<TcpStream> {
+    /// Returns whether a connection is open on which the incarnation that reported last has responded:
+    /// it has not exited then.
+    pub fn has_used(&self, now: BootInstant) -> bool {
+        self.evict_closed(now);
+        let idle = self.idle.borrow();
+        self.active_used.get() > 0 || idle.iter().any(|i| i.connection.used)
+    }
+
+    /// Drops the idle connections of an incarnation that has exited.
+    pub fn on_exit(&self) {
+        self.idle.borrow_mut().retain(|i| !i.connection.used);
+    }
+
+    fn take_idle(&self, now: BootInstant, at_most_once: bool) -> Option<Connection> {
         while let Some(idle) = self.idle.borrow_mut().pop() {
             let fresh = !at_most_once || now.since(idle.since) <= MAX_IDLE_NON_IDEMPOTENT;
-            if fresh && now < idle.until && is_open_and_quiet(&idle.stream) {
-                return Some(idle.stream);
+            if fresh && now < idle.until && is_open_and_quiet(&idle.connection.stream) {
+                return Some(idle.connection);
             }
         }
         None
     }
 
-    async fn connect(&self) -> Result<TcpStream, ExchangeError> {
+    async fn connect(&self) -> Result<Connection, ExchangeError> {
         self.opened.set(self.opened.get() + 1);
-        net::connect(self.address, CONNECT_TIMEOUT, KEEPALIVE_IDLE)
+        let stream = net::connect(self.address, CONNECT_TIMEOUT, KEEPALIVE_IDLE)
             .await
             .map_err(|error| match error.kind() {
                 ErrorKind::ConnectionRefused => ExchangeError::NobodyListens,
                 _ => ExchangeError::Unreachable,
-            })
+            })?;
+        let used = false;
+        Ok(Connection { stream, used })
     }
 
     /// Opens a connection to check whether the back end listens, and keeps it for the next request.
@@ -138,8 +178,8 @@
     /// # Errors
     /// Returns `NobodyListens` or `Unreachable`.
     pub async fn probe(&self) -> Result<(), ExchangeError> {
-        let stream = self.connect().await?;
-        self.push_idle(stream, DEFAULT_IDLE_TIMEOUT);
+        let connection = self.connect().await?;
+        self.push_idle(connection, DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
 
@@ -157,13 +197,12 @@
         id: &[u8],
         at_most_once: bool,
     ) -> Result<(Response, ResponseCheck), ExchangeError> {
-        let mut stream = match self.take_idle(BootClock.now(), at_most_once) {
-            Some(stream) => stream,
+        let mut connection = match self.take_idle(BootClock.now(), at_most_once) {
+            Some(connection) => connection,
             None => self.connect().await?,
         };
-        self.active.set(self.active.get() + 1);
-        let _guard = ActiveGuard(&self.active);
-        let (read, mut write) = stream.split();
+        let _guard = ActiveGuard::new(self, connection.used);
+        let (read, mut write) = connection.stream.split();
         let mut receiver = Receiver::new(read, id, self.memory.share());
         let send = async {
             write.write_all(head).await?;
@@ -187,22 +226,23 @@
         let reusable = sent && receiver.is_reusable();
         drop(receiver);
         if reusable && check != ResponseCheck::Corrupt {
-            self.keep_idle(stream, &response);
+            connection.used |= check == ResponseCheck::Valid;
+            self.keep_idle(connection, &response);
         }
         Ok((response, check))
     }
 
-    fn keep_idle(&self, stream: TcpStream, response: &Response) {
+    fn keep_idle(&self, connection: Connection, response: &Response) {
         let Some(idle) = message::idle_timeout(response, DEFAULT_IDLE_TIMEOUT) else {
             return;
         };
-        self.push_idle(stream, idle);
+        self.push_idle(connection, idle);
     }
 
-    fn push_idle(&self, stream: TcpStream, timeout: Duration) {
+    fn push_idle(&self, connection: Connection, timeout: Duration) {
         let now = BootClock.now();
         self.idle.borrow_mut().push(IdleConnection {
-            stream,
+            connection,
             since: now,
             until: now + timeout.mul_f64(IDLE_USE_RATIO),
         });
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod failure_rate;
 pub mod frame;
 pub mod frame_stream;
+pub mod heartbeat_check;
 pub mod leaving;
 pub mod link;
 pub mod log_queue;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -35,6 +35,7 @@
     denials: LabelledCounter,
     deferred_denials: Cell<u64>,
     unsigned_responses: Cell<u64>,
+    refused_heartbeats: Cell<u64>,
     store_requests: LabelledCounter,
     store_eras: Cell<u64>,
     back_end_exits: LabelledCounter,
@@ -53,6 +54,7 @@
             denials: LabelledCounter::default(),
             deferred_denials: Cell::new(0),
             unsigned_responses: Cell::new(0),
+            refused_heartbeats: Cell::new(0),
             store_requests: LabelledCounter::default(),
             store_eras: Cell::new(0),
             back_end_exits: LabelledCounter::default(),
@@ -109,6 +111,12 @@
             .set(self.unsigned_responses.get() + 1);
     }
 
+    /// Counts a heartbeat that does not speak for the local back end.
+    pub fn on_refused_heartbeat(&self) {
+        self.refused_heartbeats
+            .set(self.refused_heartbeats.get() + 1);
+    }
+
     /// Counts a request to the store by its outcome.
     pub fn on_store_request(&self, outcome: &'static str) {
         self.store_requests.increment(outcome);
@@ -171,6 +179,10 @@
                 "plantaingauge_unsigned_responses_total",
                 &self.unsigned_responses,
             ),
+            (
+                "plantaingauge_refused_heartbeats_total",
+                &self.refused_heartbeats,
+            ),
         ];
         for (name, count) in counters {
             let _ = writeln!(out, "# TYPE {name} counter\n{name} {}", count.get());
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -7,7 +7,7 @@
 
 use super::{BACK_END_START_TIMEOUT, Node};
 use crate::back_end::ExchangeError;
-use crate::back_end_proxy::{Availability, LocalBackEnd};
+use crate::back_end_proxy::{Availability, HEARTBEAT_TIMEOUT, LocalBackEnd};
 use crate::crash_watch::{self, ExitProof};
 use crate::frame::{BackEndStatus, Features, Frame, NodeStatus};
 
@@ -44,7 +44,13 @@
         let back_end = self.proxy.back_end.borrow();
         back_end
             .as_ref()
-            .map_or_else(|| self.settings.service.clone(), |b| b.service.clone())
+            .map_or_else(|| self.configured_service(), |b| b.service.clone())
+    }
+
+    /// Returns the service of the local back end as the settings file names it now.
+    #[must_use]
+    pub fn configured_service(&self) -> ServiceName {
+        self.configured_service.borrow().clone()
     }
 
     /// Returns whether the process has been asked to stop.
@@ -82,9 +88,7 @@
             machine: self.settings.machine.clone(),
             region: self.settings.region.clone(),
             zone: self.settings.zone.clone(),
-            service: back_end
-                .as_ref()
-                .map_or_else(|| self.settings.service.clone(), |b| b.service.clone()),
+            service: self.service(),
             address: self.settings.advertised_address,
             incarnation: self.incarnation,
             version: self.announced_version.get(),
@@ -170,6 +174,7 @@
             && *previous != back_end.incarnation
         {
             crash_watch::on_exit(self, previous, ExitProof::Replaced);
+            self.proxy.connections.on_exit();
         }
         self.proxy.crash_watch.on_heartbeat(&back_end.incarnation);
         self.proxy.set_back_end(back_end);
@@ -180,6 +185,19 @@
         }
     }
 
+    /// Returns whether the local back end's current incarnation runs beyond doubt, so that no other one
+    /// can have taken its address: a connection to it is open, and it has given a sign of life or may
+    /// still hold keys.
+    pub(crate) fn is_back_end_running(&self, now: BootInstant) -> bool {
+        let back_end = self.proxy.back_end.borrow();
+        let Some(back_end) = back_end.as_ref() else {
+            return false;
+        };
+        let is_heard = now.since(back_end.last_contact) <= HEARTBEAT_TIMEOUT;
+        let may_hold_keys = !self.shard_manager.borrow().have_grants_expired(now);
+        (is_heard || may_hold_keys) && self.proxy.connections.has_used(now)
+    }
+
     /// Changes whether the local back end takes requests; no effect before its first heartbeat.
     pub fn set_availability(&self, availability: Availability) {
         let changed = self
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -125,6 +125,8 @@
     /// Bounds of the deployment in force, such as its drain time, longest grant and retry budget;
     /// `settings` has those read at the start.
     bounds: Cell<Bounds>,
+    /// Service of the back end as the settings file names it now.
+    configured_service: RefCell<ServiceName>,
     /// Whether the member records have been listed since the start.
     members_listed: Cell<bool>,
 }
@@ -176,6 +178,7 @@
             pending_changes: RefCell::default(),
             link_delays: RefCell::default(),
             bounds: Cell::new(settings.bounds),
+            configured_service: RefCell::new(settings.service.clone()),
             members_listed: Cell::new(false),
             settings,
         }
--- a/components/node/src/node/retries.rs
+++ b/components/node/src/node/retries.rs
@@ -1,7 +1,8 @@
-//! Retry budgets and the bounds of the deployment.
+//! Retry budgets, and the settings that may change while the process runs.
 
 use balance::retry_budget::{RetryBudget, RetryLimit};
 use platform::bounds::Bounds;
+use platform::settings::Settings;
 use world::name::ServiceName;
 
 use super::Node;
@@ -26,9 +27,12 @@
         self.bounds.get()
     }
 
-    /// Puts changed bounds in force.
-    pub fn on_bounds(&self, bounds: Bounds) {
+    /// Puts changed settings in force, as far as they may change while the process runs: the bounds
+    /// and the service of the back end.
+    pub fn on_settings(&self, settings: &Settings) {
+        let bounds = settings.bounds;
         self.bounds.set(bounds);
+        *self.configured_service.borrow_mut() = settings.service.clone();
         self.shard_manager
             .borrow_mut()
             .set_max_grant(bounds.hold_max);
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -14,12 +14,13 @@
 use timer::{BootClock, Clock};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use world::excerpt::excerpt;
 use world::instant::BootInstant;
 use world::rate::RequestRate;
 
 use crate::back_end_proxy::{Availability, LocalBackEnd};
 use crate::node::Node;
-use crate::{accept, wall_clock};
+use crate::{accept, heartbeat_check, wall_clock};
 
 /// Limits on the head and body of a request.
 const BOUNDS: Bounds = Bounds {
@@ -95,17 +96,20 @@
     response
 }
 
+/// Logs and counts a heartbeat that names no back end to use, and refuses it.
+fn refuse_heartbeat(node: &Node, id: &str, status: u16, reason: &str) -> Response {
+    log::warn!(event = "heartbeat-refused", id = excerpt(id), status, error = excerpt(reason); "");
+    node.metrics.on_refused_heartbeat();
+    Response::new(status)
+}
+
 async fn heartbeat(node: &Rc<Node>, id: &str, body: &[u8]) -> Response {
     let heartbeat = match Heartbeat::from_json(id, body) {
         Ok(heartbeat) => heartbeat,
-        Err(error) => {
-            log::warn!(event = "heartbeat-refused", id, error:% = error; "");
-            return Response::new(400);
-        }
+        Err(error) => return refuse_heartbeat(node, id, 400, &error.to_string()),
     };
-    if heartbeat.address != node.settings.back_end_address {
-        log::warn!(event = "heartbeat-refused", id, address:% = heartbeat.address; "");
-        return Response::new(400);
+    if let Err(error) = heartbeat_check::check(node, &heartbeat) {
+        return refuse_heartbeat(node, id, 400, &error.to_string());
     }
     let now = BootClock.now();
     let incarnation = &heartbeat.keys.incarnation;
@@ -118,6 +122,12 @@
         log::info!(event = "heartbeat-outdated", id, sequence = heartbeat.keys.sequence; "");
         return json(encode_reply(None));
     }
+    let is_later = known
+        .as_ref()
+        .is_some_and(|k| k.incarnation != *incarnation);
+    if is_later && node.is_back_end_running(now) {
+        return refuse_heartbeat(node, id, 503, "the earlier incarnation still runs");
+    }
     node.last_sequence.set(heartbeat.keys.sequence);
     let is_leaving = node.is_deregistered(incarnation)
         || known
@@ -129,7 +139,7 @@
         Availability::Ready
     };
     // Without a configuration it is unknown whether the service is divided by key.
-    let may_hold_keys = node.is_keyed() || node.active_config().is_none();
+    let may_hold_keys = heartbeat.lists_keys && (node.is_keyed() || node.active_config().is_none());
     let reply = if may_hold_keys {
         node.shard_manager
             .borrow_mut()
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -67,15 +67,15 @@
     serve_node(node, stop).await
 }
 
-/// Puts the bounds of a changed settings file in force; checks the file periodically and on SIGHUP.
+/// Puts a changed settings file in force; checks the file periodically and on SIGHUP.
 async fn reload_settings(node: Rc<Node>, mut file: SettingsFile, mut hangup: Signal) {
     loop {
         let _ = tokio::time::timeout(SETTINGS_INTERVAL, hangup.recv()).await;
         match file.read_changed() {
             Ok(None) => {}
             Ok(Some(settings)) => {
-                log::info!(event = "reload", bounds:? = settings.bounds; "");
-                node.on_bounds(settings.bounds);
+                log::info!(event = "reload", service = settings.service.as_str(), bounds:? = settings.bounds; "");
+                node.on_settings(&settings);
             }
             Err(error) => {
                 log::error!(event = "reload-refused", error:% = error; "");
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -433,6 +433,23 @@
         self.back_ends[machine].set_heartbeats_paused(false);
     }
 
+    /// Sends a heartbeat of another writer to the process on a machine; returns the status.
+    pub(crate) fn send_heartbeat(&self, machine: usize, id: &str, body: &[u8]) -> u16 {
+        let head = format!(
+            "POST /plantaingauge/Instances.Heartbeat/{id} HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let address = self.layout.address(machine, layout::HEARTBEAT_PORT);
+        let request = [head.as_bytes(), body].concat();
+        let response = http::call(address, request, Duration::from_secs(2));
+        response.map_or(0, |r| r.status)
+    }
+
+    /// Returns the address of a machine's back end.
+    pub(crate) fn back_end_address(&self, machine: usize) -> SocketAddr {
+        self.layout.address(machine, layout::BACK_END_PORT)
+    }
+
     /// Drains a machine's back end and waits until its process has confirmed the announcement.
     pub(crate) fn drain(&self, machine: usize) {
         self.back_ends[machine].drain();
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -6,6 +6,7 @@
 mod denials;
 mod deployment;
 mod endless;
+mod foreign_heartbeats;
 mod late_copies;
 mod named_limits;
 mod restored_store;
--- a/components/shards/src/manager/grants.rs
+++ b/components/shards/src/manager/grants.rs
@@ -180,6 +180,12 @@
         grants
     }
 
+    /// Whether every grant to the local back end has expired on its clock, however slow.
+    #[must_use]
+    pub fn have_grants_expired(&self, now: BootInstant) -> bool {
+        now >= self.grants_expired_at
+    }
+
     /// Whether the local back end holds the key and is not being made to release it.
     #[must_use]
     pub fn serves(&self, now: BootInstant, key: u16) -> bool {
--- a/components/stand-ins/src/http.rs
+++ b/components/stand-ins/src/http.rs
@@ -174,9 +174,13 @@
     ///
     /// # Errors
     /// Fails if the response is malformed, incomplete or not read within `timeout`.
-    pub fn call(&mut self, request: &str, timeout: Duration) -> std::io::Result<Response> {
+    pub fn call(
+        &mut self,
+        request: impl AsRef<[u8]>,
+        timeout: Duration,
+    ) -> std::io::Result<Response> {
         let deadline = Instant::now() + timeout;
-        self.stream.write_all(request.as_bytes())?;
+        self.stream.write_all(request.as_ref())?;
         let mut reader = response::ResponseReader::new(MAX_RESPONSE_BYTES);
         let mut chunk = [0; 4_096];
         loop {
@@ -199,6 +203,10 @@
 ///
 /// # Errors
 /// Fails as [`Connection::open`] and [`Connection::call`] do; `timeout` applies to each.
-pub fn call(address: SocketAddr, request: &str, timeout: Duration) -> std::io::Result<Response> {
+pub fn call(
+    address: SocketAddr,
+    request: impl AsRef<[u8]>,
+    timeout: Duration,
+) -> std::io::Result<Response> {
     Connection::open(address, timeout)?.call(request, timeout)
 }
--- a/components/world/src/lib.rs
+++ b/components/world/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod contract;
 pub mod error_kind;
+pub mod excerpt;
 pub mod instant;
 pub mod key;
 pub mod machine;
