--- a/components/node/src/heartbeat_check.rs
+++ b/components/node/src/heartbeat_check.rs
@@ -11,6 +11,10 @@
 use world::name::{ServiceName, ZoneName};
 
 use crate::node::Node;
+use crate::wall_clock;
+
+/// Difference between the clocks of a back end and this process that is believed, in milliseconds.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 600_000;
 
 /// Why a heartbeat does not speak for the back end beside this process.
 #[derive(Debug, Snafu)]
@@ -33,6 +37,12 @@
         /// Availability zone as received.
         zone: ZoneName,
     },
+    /// The back end has not started yet.
+    #[snafu(display("its back end starts in the future, at {born}"))]
+    Unborn {
+        /// Start as received, in Unix milliseconds.
+        born: u64,
+    },
     /// The service is divided by key.
     #[snafu(display("it lists no keys"))]
     NoKeys,
@@ -64,8 +74,17 @@
         *zone == settings.zone,
         OtherZoneSnafu { zone: zone.clone() }
     );
+    let born = heartbeat.keys.incarnation.born;
+    ensure!(has_started(born), UnbornSnafu { born });
     let config = node.active_config();
     let is_keyed = config.is_some_and(|c| c.catalog.is_keyed(service));
     ensure!(heartbeat.lists_keys || !is_keyed, NoKeysSnafu);
     Ok(())
 }
+
+/// Returns whether an incarnation can have started at `born`, in Unix milliseconds; one that could not
+/// would count as later than all that follow.
+#[must_use]
+pub fn has_started(born: u64) -> bool {
+    born <= wall_clock::unix_ms().saturating_add(MAX_CLOCK_DIFFERENCE_MS)
+}
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -8,8 +8,10 @@
 use serde::{Deserialize, Serialize};
 use shards::manager::{StoreOp, StoreOutcome};
 use shards::revision::StoreEra;
+use tokio::sync::Mutex;
 use world::name::MachineName;
 
+use crate::departures::Departure;
 use crate::node::{ERA_SPREAD, Node};
 use crate::relay::StoreClient;
 use crate::store_update::RETRY_PAUSE;
@@ -28,24 +30,39 @@
     pub machine: MachineName,
     /// Address on which it accepts connections of peers.
     pub address: SocketAddr,
+    /// Back ends of the machine that have said that they leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<Departure>,
 }
 
 /// Writes the record of this process, then lists the records of the others for as long as the
-/// process runs; both again in each era of the store.
+/// process runs; both again in each era of the store. Writes the record whenever a back end leaves.
 ///
 /// Of any two processes, the later one to write its record finds that of the other.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
-    let mut era = register(&node, &store).await;
-    loop {
-        let next_list = list(&node, &store).await;
-        tokio::select! {
-            () = pause::jittered(next_list) => {}
-            _ = node.later_store_era(era) => {
-                pause::random_part(ERA_SPREAD).await;
-                era = register(&node, &store).await;
+    let writing = Mutex::new(());
+    let mut era = register(&node, &store, &writing).await;
+    let save_departures = async {
+        loop {
+            node.departures.changed().await;
+            register(&node, &store, &writing).await;
+        }
+    };
+    let list_members = async {
+        loop {
+            let next_list = list(&node, &store).await;
+            tokio::select! {
+                () = pause::jittered(next_list) => {}
+                _ = node.later_store_era(era) => {
+                    if !node.is_back_end_leaving() {
+                        pause::random_part(ERA_SPREAD).await;
+                    }
+                    era = register(&node, &store, &writing).await;
+                }
             }
         }
-    }
+    };
+    tokio::join!(save_departures, list_members);
 }
 
 /// Lists the records and connects to the processes found; returns the time until the next list.
@@ -74,16 +91,33 @@
     }
 }
 
-/// Writes the record of this process; returns the era in which the store has it.
-async fn register(node: &Node, store: &StoreClient) -> StoreEra {
-    let record = MemberRecord {
-        machine: node.settings.machine.clone(),
-        address: node.settings.advertised_address,
-    };
-    let name = record.machine.as_str();
-    let era = store_update::converge(store, MEMBERS, name, |_| record.clone()).await;
-    log::info!(event = "member-registered", era:% = era; "");
-    era
+/// Writes the record of this process, one call at a time; returns the era in which the store has it.
+///
+/// The first call takes over the departures that an earlier run of this process has stored.
+async fn register(node: &Node, store: &StoreClient, writing: &Mutex<()>) -> StoreEra {
+    let _writing = writing.lock().await;
+    let name = node.settings.machine.as_str();
+    loop {
+        let mut departures = Vec::new();
+        let record = |stored: Option<&MemberRecord>| {
+            if let Some(stored) = stored {
+                node.departures.restore(&stored.departures);
+            }
+            departures = node.departures.known();
+            MemberRecord {
+                machine: node.settings.machine.clone(),
+                address: node.settings.advertised_address,
+                departures: departures.clone(),
+            }
+        };
+        let era = store_update::converge(store, MEMBERS, name, record).await;
+        log::info!(event = "member-registered", era:% = era, departures = departures.len(); "");
+        let is_complete = departures == node.departures.known();
+        node.on_departures_stored(era, departures);
+        if is_complete {
+            return era;
+        }
+    }
 }
 
 /// Removes the record of this process, when its machine leaves the deployment.
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -1,6 +1,7 @@
 //! The process itself, its shutdown, its back end and what it announces.
 
 use shards::incarnation::BackEndIncarnation;
+use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use world::instant::BootInstant;
 use world::name::ServiceName;
@@ -9,6 +10,7 @@
 use crate::back_end::ExchangeError;
 use crate::back_end_proxy::{Availability, HEARTBEAT_TIMEOUT, LocalBackEnd};
 use crate::crash_watch::{self, ExitProof};
+use crate::departures::Departure;
 use crate::frame::{BackEndStatus, Features, Frame, NodeStatus};
 
 /// Steps into which the announced utilization is rounded, so that small changes are not announced.
@@ -214,10 +216,12 @@
         }
     }
 
-    /// Takes an incarnation of the local back end that has said that it leaves out of use, as if it
-    /// had deregistered; its keys move.
+    /// Takes an incarnation of the local back end that has said that it leaves out of use; its keys
+    /// move.
     pub fn on_back_end_leaving(&self, incarnation: &BackEndIncarnation) {
         if self.proxy.incarnation().as_ref() == Some(incarnation) {
+            let departure = Departure::from(incarnation);
+            self.departures.insert(departure, Some(incarnation));
             self.shard_manager
                 .borrow_mut()
                 .on_deregistered(&incarnation.id);
@@ -225,18 +229,22 @@
         }
     }
 
-    /// Records that a back end has deregistered at `unix_ms` (Unix time in milliseconds).
-    pub fn on_deregistered(&self, id: &str, unix_ms: u64) {
-        *self.deregistered.borrow_mut() = Some((id.to_owned(), unix_ms));
+    /// Returns whether the local back end has said that it leaves.
+    #[must_use]
+    pub(crate) fn is_back_end_leaving(&self) -> bool {
+        let incarnation = self.proxy.incarnation();
+        incarnation.is_some_and(|i| self.departures.contain(&i))
     }
 
-    /// Returns whether an incarnation of a back end has deregistered.
-    #[must_use]
-    pub fn is_deregistered(&self, incarnation: &BackEndIncarnation) -> bool {
-        let deregistered = self.deregistered.borrow();
-        deregistered
-            .as_ref()
-            .is_some_and(|(id, at)| *id == incarnation.id && incarnation.born <= *at)
+    /// Records which departures the store has; a back end that has left before this process started
+    /// is taken out of use.
+    pub(crate) fn on_departures_stored(&self, era: StoreEra, departures: Vec<Departure>) {
+        self.departures.on_stored(era, departures);
+        if let Some(incarnation) = self.proxy.incarnation()
+            && self.departures.contain(&incarnation)
+        {
+            self.on_back_end_leaving(&incarnation);
+        }
     }
 
     /// Records that the local back end has responded to a request sent at `sent`.
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -35,6 +35,7 @@
 use crate::back_end::ConnectionPool;
 use crate::back_end_proxy::BackEndProxy;
 use crate::config_check::ConfigCheck;
+use crate::departures::Departures;
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::leaving::LeavingBackEnds;
@@ -94,6 +95,8 @@
     pub suspects: Suspects,
     /// Back ends that have said in a response that they leave.
     pub leaving: LeavingBackEnds,
+    /// Back ends of this machine that have said that they leave.
+    pub departures: Departures,
     /// Notified when the shard manager may have something to do.
     pub keys_changed: Notify,
     /// Notified shortly before the process exits: callers get their final responses at once.
@@ -115,9 +118,6 @@
     /// Version of the status announced last; 0 before the first.
     announced_version: Cell<u64>,
     last_announced: RefCell<Option<NodeStatus>>,
-    /// Id of the back end that last deregistered, and when, in Unix milliseconds. Covers every
-    /// incarnation with this id born until then, also one whose first heartbeat comes later.
-    deregistered: RefCell<Option<(String, u64)>>,
     /// Assignment changes whose base revision has not arrived yet.
     pending_changes: RefCell<PendingChanges>,
     /// Delay of the links to each remote region.
@@ -159,6 +159,7 @@
             local_failures: FailureRate::default(),
             suspects: Suspects::default(),
             leaving: LeavingBackEnds::default(),
+            departures: Departures::default(),
             keys_changed: Notify::new(),
             abort_requests: Notify::new(),
             active_config: RefCell::default(),
@@ -174,7 +175,6 @@
             store_era: watch::Sender::default(),
             announced_version: Cell::new(0),
             last_announced: RefCell::default(),
-            deregistered: RefCell::default(),
             pending_changes: RefCell::default(),
             link_delays: RefCell::default(),
             bounds: Cell::new(settings.bounds),
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 
+use crate::back_end::ExchangeError;
 use crate::back_end_proxy::Availability;
 use crate::node::Node;
 use crate::{
@@ -127,7 +128,7 @@
 }
 
 /// Waits until requests in flight are finished, at most for `GRACE_FRACTION` of the grace period,
-/// and removes the member record unless the back end stays ready.
+/// and removes the member record if the back end has ended.
 async fn shut_down(node: &Rc<Node>, store: &relay::StoreClient) {
     let started = BootClock.now();
     log::info!(event = "stop-requested"; "");
@@ -150,15 +151,21 @@
             break;
         }
     }
-    let back_end_gone = !node
-        .proxy
-        .back_end
-        .borrow()
-        .as_ref()
-        .is_some_and(|b| b.state == Availability::Ready);
-    if back_end_gone {
+    if is_back_end_gone(node).await {
         let _ = tokio::time::timeout(TICK_INTERVAL * 3, members::unregister(node, store)).await;
     }
     log::info!(event = "stop"; "");
     log_queue::flush();
 }
+
+/// Returns whether the machine leaves the deployment: its back end has ended. One that only says that
+/// it leaves may outlast this process, and the next one has to know of it.
+async fn is_back_end_gone(node: &Node) -> bool {
+    let back_end = node.proxy.back_end.borrow().as_ref().map(|b| b.state);
+    if back_end == Some(Availability::Ready) {
+        return false;
+    }
+    let connections = &node.proxy.connections;
+    connections.evict_closed(BootClock.now()) == 0
+        && connections.probe().await == Err(ExchangeError::NobodyListens)
+}
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -423,7 +423,7 @@
         self.kill_process(machine);
         self.start_process(machine);
         let deadline = Instant::now() + START_TIMEOUT;
-        while self.back_ends[machine].deregister().is_err() {
+        while !matches!(self.back_ends[machine].deregister(), Ok(200)) {
             assert!(
                 Instant::now() < deadline,
                 "process of machine {machine} did not start"
@@ -433,10 +433,19 @@
         self.back_ends[machine].set_heartbeats_paused(false);
     }
 
-    /// Sends a heartbeat of another writer to the process on a machine; returns the status.
+    /// Sends a heartbeat to the process on a machine; returns the status, 0 without a response.
     pub(crate) fn send_heartbeat(&self, machine: usize, id: &str, body: &[u8]) -> u16 {
+        self.post(machine, &format!("Instances.Heartbeat/{id}"), body)
+    }
+
+    /// Sends a deregistration to the process on a machine; returns the status, 0 without a response.
+    pub(crate) fn send_deregistration(&self, machine: usize, id: &str, body: &[u8]) -> u16 {
+        self.post(machine, &format!("Instances.Deregister/{id}"), body)
+    }
+
+    fn post(&self, machine: usize, path: &str, body: &[u8]) -> u16 {
         let head = format!(
-            "POST /plantaingauge/Instances.Heartbeat/{id} HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+            "POST /plantaingauge/{path} HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
         let address = self.layout.address(machine, layout::HEARTBEAT_PORT);
--- a/components/node/tests/whole_path/foreign_heartbeats.rs
+++ b/components/node/tests/whole_path/foreign_heartbeats.rs
@@ -73,6 +73,7 @@
         other("zone", json!("elsewhere")),
         other("address", json!("127.0.0.1:9")),
         other("state", json!("asleep")),
+        other("born", json!(u64::MAX)),
     ]
 }
 
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -4,6 +4,7 @@
 mod crash_causing_requests;
 mod delayed_peer;
 mod denials;
+mod departures;
 mod deployment;
 mod endless;
 mod foreign_heartbeats;
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -181,17 +181,18 @@
         self.state.heartbeats_paused.store(paused, Ordering::SeqCst);
     }
 
-    /// Deregisters the back end, which continues to serve requests.
+    /// Deregisters the back end, which continues to serve requests; returns the status of the response.
     ///
     /// # Errors
     /// Fails if the node at the heartbeat address does not respond within a second.
-    pub fn deregister(&self) -> std::io::Result<()> {
+    pub fn deregister(&self) -> std::io::Result<u16> {
         let config = &self.state.config;
         let request = format!(
             "POST /plantaingauge/Instances.Deregister/{} HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
             config.id
         );
-        http::call(config.heartbeat_address, &request, Duration::from_secs(1)).map(drop)
+        let response = http::call(config.heartbeat_address, &request, Duration::from_secs(1));
+        response.map(|r| r.status)
     }
 
     /// Announces that it is draining and blocks until a heartbeat with that state is confirmed.
