--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http1::response::{Response, ResponseReader};
 use platform::message::{self, ResponseCheck};
+use smallvec::SmallVec;
 use timer::{BootClock, Clock};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -32,6 +33,8 @@
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 /// Responses to other requests that are skipped on one connection.
 const MAX_FOREIGN_RESPONSES: usize = 4;
+/// Requests that may be refused on one connection while it is kept.
+const MAX_REFUSED: usize = 64;
 
 /// Reason why an exchange with the back end has no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,8 +60,46 @@
 /// A connection to the back end.
 struct Connection {
     stream: TcpStream,
+    /// Whether it has carried a request. A response to that may come once more, late.
+    kept: bool,
     /// Whether the incarnation that reported last has responded on it.
     used: bool,
+    /// Ids of the non-idempotent requests that were refused on it, in responses that name them.
+    refused: SmallVec<[Bytes; 1]>,
+}
+
+impl Connection {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            kept: false,
+            used: false,
+            refused: SmallVec::new(),
+        }
+    }
+
+    /// Returns whether a refusal that arrives may be an earlier one, written once more, and not that of
+    /// the request `id`.
+    fn may_repeat_refusal(&self, id: &[u8]) -> bool {
+        self.refused.iter().any(|refused| refused == id)
+    }
+
+    /// Records the response to the request `id`; returns whether the connection may carry another one.
+    ///
+    /// After a refusal that does not name its request it may not: written once more, it would count for
+    /// any other.
+    fn on_response(&mut self, id: &[u8], response: &Response, check: ResponseCheck) -> bool {
+        self.kept = true;
+        self.used |= check == ResponseCheck::Valid;
+        match check {
+            ResponseCheck::Valid => true,
+            ResponseCheck::NotExecuted | ResponseCheck::WrongBackEnd => {
+                self.refused.push(Bytes::copy_from_slice(id));
+                message::is_identified(response) && self.refused.len() <= MAX_REFUSED
+            }
+            ResponseCheck::OtherRequest | ResponseCheck::Corrupt => false,
+        }
+    }
 }
 
 /// Idle connections to the back end, and counts of those that were opened or are in use.
@@ -151,11 +192,22 @@
         self.idle.borrow_mut().retain(|i| !i.connection.used);
     }
 
-    fn take_idle(&self, now: BootInstant, at_most_once: bool) -> Option<Connection> {
-        while let Some(idle) = self.idle.borrow_mut().pop() {
-            let fresh = !at_most_once || now.since(idle.since) <= MAX_IDLE_NON_IDEMPOTENT;
-            if fresh && now < idle.until && is_open_and_quiet(&idle.connection.stream) {
-                return Some(idle.connection);
+    fn take_idle(&self, now: BootInstant, id: &[u8], at_most_once: bool) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let is_fresh =
+            |i: &IdleConnection| !at_most_once || now.since(i.since) <= MAX_IDLE_NON_IDEMPOTENT;
+        let is_usable = |i: &IdleConnection| {
+            is_fresh(i) && now < i.until && is_open_and_quiet(&i.connection.stream)
+        };
+        let mut index = idle.len();
+        while index > 0 {
+            index -= 1;
+            if at_most_once && idle[index].connection.may_repeat_refusal(id) {
+                continue;
+            }
+            let taken = idle.remove(index);
+            if is_usable(&taken) {
+                return Some(taken.connection);
             }
         }
         None
@@ -169,8 +221,7 @@
                 ErrorKind::ConnectionRefused => ExchangeError::NobodyListens,
                 _ => ExchangeError::Unreachable,
             })?;
-        let used = false;
-        Ok(Connection { stream, used })
+        Ok(Connection::new(stream))
     }
 
     /// Opens a connection to check whether the back end listens, and keeps it for the next request.
@@ -185,7 +236,9 @@
 
     /// Sends a request and returns the back end's response with its check.
     ///
-    /// With `at_most_once` the request must not reach the back end twice.
+    /// With `at_most_once` the request must not reach the back end twice. A refusal that does not name
+    /// it then counts only on a connection that has carried no other request: else it may be an earlier
+    /// one, written once more.
     ///
     /// # Errors
     /// With `NobodyListens` and `Unreachable` nothing was sent; after the other errors the request
@@ -197,7 +250,7 @@
         id: &[u8],
         at_most_once: bool,
     ) -> Result<(Response, ResponseCheck), ExchangeError> {
-        let mut connection = match self.take_idle(BootClock.now(), at_most_once) {
+        let mut connection = match self.take_idle(BootClock.now(), id, at_most_once) {
             Some(connection) => connection,
             None => self.connect().await?,
         };
@@ -225,11 +278,18 @@
         };
         let reusable = sent && receiver.is_reusable();
         drop(receiver);
-        if reusable && check != ResponseCheck::Corrupt {
-            connection.used |= check == ResponseCheck::Valid;
+        let is_proven = !at_most_once || !connection.kept || message::is_identified(&response);
+        if connection.on_response(id, &response, check) && reusable {
             self.keep_idle(connection, &response);
         }
-        Ok((response, check))
+        Ok((
+            response,
+            if is_proven {
+                check
+            } else {
+                ResponseCheck::Corrupt
+            },
+        ))
     }
 
     fn keep_idle(&self, connection: Connection, response: &Response) {
