--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::store::MEMBERS;
+use platform::store::{MEMBERS, NamedObject};
 use serde::{Deserialize, Serialize};
 use shards::manager::{StoreOp, StoreOutcome};
 use shards::revision::StoreEra;
@@ -75,11 +75,9 @@
         }
     };
     for object in listing.objects {
-        match serde_json::from_value::<MemberRecord>(object.stored.value) {
+        match decode(object) {
             Ok(record) => node.add_peer(&record.machine, record.address),
-            Err(error) => {
-                log::warn!(event = "member-skipped", name = object.name.as_str(), error:% = error; "");
-            }
+            Err(name) => node.on_skipped_record(MEMBERS, &name),
         }
     }
     node.on_members_listed();
@@ -91,6 +89,16 @@
     }
 }
 
+/// Decodes a record, which stands under the name of its machine.
+///
+/// # Errors
+/// Returns the name of an object that another writer has made.
+fn decode(object: NamedObject) -> Result<MemberRecord, String> {
+    let record: Option<MemberRecord> = serde_json::from_value(object.stored.value).ok();
+    let own = record.filter(|r| r.machine.as_str() == object.name);
+    own.ok_or(object.name)
+}
+
 /// Writes the record of this process, one call at a time; returns the era in which the store has it.
 ///
 /// The first call takes over the departures that an earlier run of this process has stored.
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -30,6 +30,7 @@
 use timer::{BootClock, Clock};
 use tokio::sync::{Notify, watch};
 use world::instant::BootInstant;
+use world::log_limit::LogLimit;
 use world::name::{MachineName, RegionName, ServiceName};
 
 use crate::back_end::ConnectionPool;
@@ -125,6 +126,8 @@
     /// Bounds of the deployment in force, such as its drain time, longest grant and retry budget;
     /// `settings` has those read at the start.
     bounds: Cell<Bounds>,
+    /// Limits the lines about objects in the store that are no records of their kind.
+    skipped_records: LogLimit,
     /// Service of the back end as the settings file names it now.
     configured_service: RefCell<ServiceName>,
     /// Whether the member records have been listed since the start.
@@ -178,6 +181,7 @@
             pending_changes: RefCell::default(),
             link_delays: RefCell::default(),
             bounds: Cell::new(settings.bounds),
+            skipped_records: LogLimit::default(),
             configured_service: RefCell::new(settings.service.clone()),
             members_listed: Cell::new(false),
             settings,
--- a/components/node/src/node/store.rs
+++ b/components/node/src/node/store.rs
@@ -5,6 +5,7 @@
 use platform::store::{RequestError, StoreRequest, StoreResponse, Transport, WatchTransport};
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
+use world::excerpt::excerpt;
 use world::instant::BootInstant;
 
 use super::Node;
@@ -90,6 +91,14 @@
         }
     }
 
+    /// Logs that an object is left out, as it is no record of its kind: another writer's. One line
+    /// stands for many.
+    pub(crate) fn on_skipped_record(&self, kind: &str, name: &str) {
+        if let Some(count) = self.skipped_records.admit(BootClock.now(), 1) {
+            log::warn!(event = "records-skipped", count, kind, last = excerpt(name); "");
+        }
+    }
+
     /// Records whether the store can be reached directly, and announces a change of that.
     pub fn on_store_result(&self, reachable: bool) {
         if self.store_reachable.replace(reachable) != reachable {
--- a/components/node/src/quarantine_store.rs
+++ b/components/node/src/quarantine_store.rs
@@ -84,7 +84,7 @@
     let fingerprint: Result<Fingerprint, _> = object.name.parse();
     let stored: Result<StoredCount, _> = serde_json::from_value(object.stored.value);
     let (Ok(fingerprint), Ok(stored)) = (&fingerprint, &stored) else {
-        log::warn!(event = "quarantine-record-skipped", name = object.name.as_str(); "");
+        node.on_skipped_record(QUARANTINE, &object.name);
         return;
     };
     let report = CrashReport {
--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -352,6 +352,7 @@
         StoreOutcome::Done(_) => "done",
         StoreOutcome::Conflict(_) => "conflict",
         StoreOutcome::Absent => "absent",
+        StoreOutcome::Unreadable(_) => "unreadable",
         StoreOutcome::Unknown => "unknown",
         StoreOutcome::Refused => "refused",
     }
@@ -359,7 +360,10 @@
 
 /// Returns whether the store has not answered the operation.
 fn is_failure<T>(outcome: &StoreOutcome<T>) -> bool {
-    matches!(outcome, StoreOutcome::Unknown | StoreOutcome::Refused)
+    matches!(
+        outcome,
+        StoreOutcome::Unreadable(_) | StoreOutcome::Unknown | StoreOutcome::Refused
+    )
 }
 
 /// Returns whether the operation replaces the object at that revision.
--- a/components/node/src/store_update.rs
+++ b/components/node/src/store_update.rs
@@ -39,6 +39,10 @@
                 op = StoreOp::Replace(Versioned { revision, value });
             }
             StoreOutcome::Conflict(None) => op = StoreOp::Read,
+            StoreOutcome::Unreadable(revision) => {
+                let value = desired(None);
+                op = StoreOp::Replace(Versioned { revision, value });
+            }
             StoreOutcome::Absent => op = StoreOp::Create(desired(None)),
             StoreOutcome::Unknown | StoreOutcome::Refused => pause::jittered(RETRY_PAUSE).await,
         }
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -10,6 +10,7 @@
 mod foreign_heartbeats;
 mod late_copies;
 mod named_limits;
+mod odd_objects;
 mod restored_store;
 mod turned_away;
 mod unsigned;
--- a/components/shards/src/manager/renewal.rs
+++ b/components/shards/src/manager/renewal.rs
@@ -67,7 +67,9 @@
                 self.lease = None;
                 None
             }
-            (_, StoreOutcome::Unknown | StoreOutcome::Refused) => None,
+            (_, StoreOutcome::Unreadable(_) | StoreOutcome::Unknown | StoreOutcome::Refused) => {
+                None
+            }
         }
     }
 
--- a/components/shards/src/manager/takeover.rs
+++ b/components/shards/src/manager/takeover.rs
@@ -145,7 +145,13 @@
                 takeover.lease = None;
                 takeover.absent = true;
             }
-            (_, StoreOutcome::Conflict(None) | StoreOutcome::Unknown | StoreOutcome::Refused) => {
+            (
+                _,
+                StoreOutcome::Conflict(None)
+                | StoreOutcome::Unreadable(_)
+                | StoreOutcome::Unknown
+                | StoreOutcome::Refused,
+            ) => {
                 takeover.lease = None;
                 takeover.not_before = now + self.timing.renewal_interval / 4;
             }
--- a/components/shards/src/manager/types.rs
+++ b/components/shards/src/manager/types.rs
@@ -84,6 +84,8 @@
     Conflict(Option<Versioned<T>>),
     /// The object does not exist.
     Absent,
+    /// The object exists at this revision, but is no value of this type: another writer's.
+    Unreadable(Revision),
     /// No response: the operation may have taken effect or may still do so.
     Unknown,
     /// Not done, and will never take effect.
--- a/components/shards/src/manager/updates.rs
+++ b/components/shards/src/manager/updates.rs
@@ -87,7 +87,7 @@
                 self.on_assignment(stored)
             }
             StoreOutcome::Conflict(Some(found)) => self.on_assignment(found),
-            StoreOutcome::Conflict(None) | StoreOutcome::Unknown => {
+            StoreOutcome::Conflict(None) | StoreOutcome::Unreadable(_) | StoreOutcome::Unknown => {
                 self.needs_read = true;
                 if let Some(writes) = &mut self.unsettled {
                     writes.unknown.append(&mut writes.in_flight);
--- a/components/stand-ins/src/store/mod.rs
+++ b/components/stand-ins/src/store/mod.rs
@@ -155,6 +155,13 @@
         state.writes_by_kind.get(kind).copied().unwrap_or(0)
     }
 
+    /// Writes an object of another writer: wherever the object named `name` is sent, `text` is sent in
+    /// its place.
+    pub fn write_odd(&self, kind: &str, name: &str, text: &[u8]) {
+        let mark = self.lock().add_odd(text);
+        self.write(kind, name, mark);
+    }
+
     /// Writes an object without checking its revision.
     pub fn write(&self, kind: &str, name: &str, specification: Value) {
         let mut write = Write {
--- a/components/stand-ins/src/store/state.rs
+++ b/components/stand-ins/src/store/state.rs
@@ -63,13 +63,21 @@
     /// Revision of the copy at each restore.
     restored: Vec<u64>,
     objects: BTreeMap<Key, Stored>,
+    /// Texts of odd objects.
+    odd: Vec<Vec<u8>>,
     /// Changes since the last compaction.
     history: Vec<Change>,
     /// Changes of the last [`COPY_AGE`].
     undo: VecDeque<Undo>,
 }
 
+/// Start of the content of an odd object; its number follows.
+const ODD_MARK: &str = "@odd-";
+
 fn object(name: &str, stored: &Stored) -> Value {
+    if is_odd(&stored.specification) {
+        return stored.specification.clone();
+    }
     json!({
         "metadata": {"name": name, "revision": stored.revision, "created": 1, "finalizers": [],
             "deletionRequested": false},
@@ -78,7 +86,30 @@
     })
 }
 
+fn is_odd(specification: &Value) -> bool {
+    let text = specification.as_str();
+    text.is_some_and(|t| t.starts_with(ODD_MARK))
+}
+
+fn replace_all(text: &[u8], from: &[u8], to: &[u8]) -> Vec<u8> {
+    let mut replaced = Vec::with_capacity(text.len());
+    let mut rest = text;
+    while let Some(at) = rest.windows(from.len()).position(|w| w == from) {
+        replaced.extend_from_slice(&rest[..at]);
+        replaced.extend_from_slice(to);
+        rest = &rest[at + from.len()..];
+    }
+    replaced.extend_from_slice(rest);
+    replaced
+}
+
 impl State {
+    /// Returns the content that stands for an object of which every byte is given.
+    pub(super) fn add_odd(&mut self, text: &[u8]) -> Value {
+        self.odd.push(text.to_vec());
+        Value::String(format!("{ODD_MARK}{}", self.odd.len() - 1))
+    }
+
     /// Returns a response without a body.
     pub(super) fn empty_response(&self, status: u16) -> Response {
         Response::new(status).with("Store-Era", self.era.to_string())
@@ -87,7 +118,12 @@
     fn json_response(&self, status: u16, body: &Value) -> Response {
         let response = self.empty_response(status);
         let mut response = response.with("Content-Type", "application/json");
-        response.body = body.to_string().into();
+        let mut text = body.to_string().into_bytes();
+        for (number, odd) in self.odd.iter().enumerate() {
+            let mark = format!("\"{ODD_MARK}{number}\"");
+            text = replace_all(&text, mark.as_bytes(), odd);
+        }
+        response.body = text.into();
         response
     }
 
--- a/components/world/src/lib.rs
+++ b/components/world/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod excerpt;
 pub mod instant;
 pub mod key;
+pub mod log_limit;
 pub mod machine;
 pub mod name;
 pub mod rate;
