--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -157,8 +157,9 @@
     let mut headers = header_slots(&head);
     let mut parsed = httparse::Request::new(&mut headers);
     match parsed.parse(&head) {
-        Ok(httparse::Status::Complete(_)) => {}
-        Ok(httparse::Status::Partial) => return Err(malformed("request head")),
+        // A head that ends earlier, in bare line feeds, has part of the body behind it.
+        Ok(httparse::Status::Complete(length)) if length == head.len() => {}
+        Ok(_) => return Err(malformed("request head")),
         Err(httparse::Error::TooManyHeaders) => return Err(ParseError::HeadTooLong),
         Err(_) => return Err(malformed("request head")),
     }
--- a/components/http1/src/response.rs
+++ b/components/http1/src/response.rs
@@ -157,7 +157,8 @@
     let mut headers = header_slots(&head);
     let mut parsed = httparse::Response::new(&mut headers);
     match parsed.parse(&head) {
-        Ok(httparse::Status::Complete(_)) => {}
+        // A head that ends earlier, in bare line feeds, has part of the body behind it.
+        Ok(httparse::Status::Complete(length)) if length == head.len() => {}
         _ => return Err(malformed("answer head")),
     }
     let status = parsed.code.ok_or(malformed("status"))?;
--- a/components/http1/tests/framing.rs
+++ b/components/http1/tests/framing.rs
@@ -121,6 +121,64 @@
     assert!(read_response(bytes, true).is_err());
 }
 
+// Guards against: a response whose head is cut counts as a whole one with an empty or short body.
+#[rstest]
+#[case::length(
+    "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 12\r\n\r\n",
+    "0123456789ab"
+)]
+#[case::length_first(
+    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nRequest-Id: a\r\n\r\n",
+    "0123456789ab"
+)]
+#[case::no_content("HTTP/1.1 204 No Content\r\nRequest-Id: a\r\n\r\n", "")]
+#[case::empty("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: a\r\n\r\n", "")]
+#[case::chunked(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "3\r\nabc\r\n0\r\nT: 1\r\n\r\n"
+)]
+#[case::after_interim(
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n",
+    "abc"
+)]
+fn a_response_that_is_cut_is_never_whole(#[case] head: &str, #[case] body: &str) {
+    let whole = [head, body].concat();
+    assert!(matches!(read_response(whole.as_bytes(), true), Ok(Some(_))));
+    for cut in 0..whole.len() {
+        let found = read_response(&whole.as_bytes()[..cut], true);
+        assert!(found.is_err(), "cut at {cut}: {found:?}");
+    }
+}
+
+// Guards against: the same, of a response that ends with its connection.
+#[test]
+fn a_response_without_length_that_is_cut_in_its_head_is_never_whole() {
+    let head = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Stamp: 0.1.2\r\n\r\n";
+    for cut in 0..head.len() {
+        let found = read_response(&head[..cut], true);
+        assert!(found.is_err(), "cut at {cut}: {found:?}");
+    }
+}
+
+// Guards against: a head that ends early, in a bare line feed, takes the start of the body with it, which
+// is then lost while the rest counts as whole.
+#[rstest]
+#[case::bare_line_feeds("HTTP/1.1 200 OK\nRequest-Id: a\n\nabc\r\n\r\ndef")]
+#[case::one_bare_line_feed("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\nabc\r\n\r\ndef")]
+#[case::with_length("HTTP/1.1 200 OK\r\nContent-Length: 3\n\nabc\r\n\r\ndef")]
+fn a_response_with_bytes_behind_the_end_of_its_head_is_refused(#[case] text: &str) {
+    assert!(read_response(text.as_bytes(), true).is_err());
+}
+
+// Guards against: the same in a request, which reaches the back end without the start of its body.
+#[rstest]
+#[case::bare_line_feeds("POST /a HTTP/1.1\nHost: h\n\nabc\r\n\r\n")]
+#[case::with_length("POST /a HTTP/1.1\r\nHost: h\nContent-Length: 3\n\nabc\r\n\r\ndef")]
+#[case::another_request("GET /a HTTP/1.1\r\nHost: h\r\n\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n")]
+fn a_request_with_bytes_behind_the_end_of_its_head_is_refused(#[case] text: &str) {
+    assert!(read_all(text.as_bytes(), 0).is_err());
+}
+
 #[test]
 fn skips_interim_responses() {
     let bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
