--- a/components/node/src/departures.rs
+++ b/components/node/src/departures.rs
@@ -2,7 +2,8 @@
 //!
 //! That a back end leaves is confirmed to it for all machines, and binds also after a restart of this
 //! process. So it is confirmed only once the store has it, in this machine's member record, and a
-//! process that starts reads it there before it counts a back end as ready.
+//! process that starts reads it there before it counts a back end as ready. While the store cannot be
+//! reached, it hears of it from its peers, which remember what the earlier run has told them.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -62,13 +63,13 @@
 }
 
 impl Departures {
-    /// Records a departure. That of `current`, the incarnation that reported last, is not forgotten
-    /// for others.
-    pub fn insert(&self, departure: Departure, current: Option<&BackEndIncarnation>) {
+    /// Records a departure; returns whether it is new. That of `current`, the incarnation that reported
+    /// last, is not forgotten for others.
+    pub fn insert(&self, departure: Departure, current: Option<&BackEndIncarnation>) -> bool {
         let mut known = self.known.borrow_mut();
         let same_id = known.iter().position(|d| d.id == departure.id);
         if same_id.is_some_and(|i| known[i].born >= departure.born) {
-            return;
+            return false;
         }
         if let Some(index) = same_id {
             known.remove(index);
@@ -80,6 +81,7 @@
         }
         known.push(departure);
         self.changed.notify_one();
+        true
     }
 
     /// Takes over what an earlier run of this process has stored, before anything else is stored.
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -17,6 +17,8 @@
     /// Versions of the configuration in [`NodeStatus`](super::NodeStatus) and
     /// [`Frame::Catalog`](super::Frame::Catalog), which were revisions of its object before.
     pub configuration_versions: bool,
+    /// [`Frame::Departures`](super::Frame::Departures).
+    pub departures: bool,
 }
 
 impl Features {
@@ -27,12 +29,14 @@
         status_updates: true,
         store_eras: true,
         configuration_versions: true,
+        departures: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
     const STATUS_UPDATES_BIT: u32 = 1 << 2;
     const STORE_ERAS_BIT: u32 = 1 << 3;
     const CONFIGURATION_VERSIONS_BIT: u32 = 1 << 4;
+    const DEPARTURES_BIT: u32 = 1 << 5;
 
     pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
@@ -44,6 +48,7 @@
                 self.configuration_versions,
                 Self::CONFIGURATION_VERSIONS_BIT,
             ),
+            (self.departures, Self::DEPARTURES_BIT),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -62,6 +67,7 @@
             status_updates: bits & Self::STATUS_UPDATES_BIT != 0,
             store_eras: bits & Self::STORE_ERAS_BIT != 0,
             configuration_versions: bits & Self::CONFIGURATION_VERSIONS_BIT != 0,
+            departures: bits & Self::DEPARTURES_BIT != 0,
         })
     }
 }
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -19,6 +19,7 @@
 use shards::revision::{Revision, StoreEra};
 use world::name::{MachineName, ServiceName};
 
+use crate::departures::Departure;
 use crate::suspects::CrashReport;
 
 pub use codec::{FrameError, decode, encode};
@@ -128,4 +129,11 @@
     },
     /// The latest era of the store that the sender knows.
     StoreEra(StoreEra),
+    /// Back ends of a machine that have said that they leave: from its process, or to its next one.
+    Departures {
+        /// The machine.
+        machine: MachineName,
+        /// What its process knew last.
+        departures: Vec<Departure>,
+    },
 }
--- a/components/node/src/heartbeats.rs
+++ b/components/node/src/heartbeats.rs
@@ -70,8 +70,7 @@
         .draining
         .then(|| Departure::from(&incarnation));
     if let Some(departure) = &departure {
-        node.departures
-            .insert(departure.clone(), Some(&incarnation));
+        node.on_departure(departure.clone(), Some(&incarnation));
     }
     heartbeat.keys.draining |= has_left(node, known.as_ref(), &incarnation);
     let reply = grant(node, received, now, &heartbeat).await;
@@ -188,7 +187,7 @@
         id: id.to_owned(),
         born: born.unwrap_or_else(wall_clock::unix_ms),
     };
-    node.departures.insert(departure.clone(), known.as_ref());
+    node.on_departure(departure.clone(), known.as_ref());
     let known = known.filter(|k| departure.covers(k));
     log::info!(event = "back-end-deregistered", id = excerpt(id), born = departure.born, known = known.is_some(); "");
     if let Some(known) = known {
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -89,6 +89,10 @@
                     if let Some(announcement) = node.assignment_announcement() {
                         send_frame(&sender, &announcement);
                     }
+                    if node.is_back_end_leaving() {
+                        let machine = &node.settings.machine;
+                        peer.send_departures(machine, &node.departures.known());
+                    }
                     peer.send_crashes(&node.suspects.reports());
                     if node.store_era() > StoreEra::FIRST {
                         peer.send_store_era(node.store_era());
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -220,8 +220,7 @@
     /// move.
     pub fn on_back_end_leaving(&self, incarnation: &BackEndIncarnation) {
         if self.proxy.incarnation().as_ref() == Some(incarnation) {
-            let departure = Departure::from(incarnation);
-            self.departures.insert(departure, Some(incarnation));
+            self.on_departure(Departure::from(incarnation), Some(incarnation));
             self.shard_manager
                 .borrow_mut()
                 .on_deregistered(&incarnation.id);
@@ -236,10 +235,32 @@
         incarnation.is_some_and(|i| self.departures.contain(&i))
     }
 
-    /// Records which departures the store has; a back end that has left before this process started
-    /// is taken out of use.
+    /// Records that an incarnation of a back end leaves, and tells the peers.
+    pub(crate) fn on_departure(&self, departure: Departure, current: Option<&BackEndIncarnation>) {
+        if self.departures.insert(departure, current) {
+            for peer in self.peers() {
+                peer.send_departures(&self.settings.machine, &self.departures.known());
+            }
+        }
+    }
+
+    /// Records which departures the store has.
     pub(crate) fn on_departures_stored(&self, era: StoreEra, departures: Vec<Departure>) {
         self.departures.on_stored(era, departures);
+        self.apply_departures();
+    }
+
+    /// Records departures of which an earlier run of this process has told a peer.
+    pub(super) fn on_departures_returned(&self, departures: Vec<Departure>) {
+        let current = self.proxy.incarnation();
+        for departure in departures {
+            self.departures.insert(departure, current.as_ref());
+        }
+        self.apply_departures();
+    }
+
+    /// Takes the back end out of use if it has left before this process heard of it.
+    fn apply_departures(&self) {
         if let Some(incarnation) = self.proxy.incarnation()
             && self.departures.contain(&incarnation)
         {
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -15,6 +15,7 @@
 
 use super::Node;
 use super::keys::assignment_frame;
+use crate::departures::Departure;
 use crate::frame::{Frame, NodeStatus, StatusUpdate};
 use crate::frame_stream::{FrameSender, send_frame};
 use crate::link::keep_connected;
@@ -103,7 +104,7 @@
     /// Handles a frame from a peer that is not part of a request; replies go to `sender`.
     pub fn on_frame(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
         match frame {
-            Frame::Hello(status) => self.on_hello(*status),
+            Frame::Hello(status) => self.on_hello(*status, sender),
             Frame::Catalog { version, document } => match serde_json::from_slice(&document) {
                 Ok(document) => {
                     self.on_configuration(document, "peer");
@@ -175,6 +176,10 @@
                 }
             }
             Frame::StoreEra(era) => self.on_store_era(era),
+            Frame::Departures {
+                machine,
+                departures,
+            } => self.on_departures(&machine, departures),
             Frame::Ping { probe } => {
                 send_frame(sender, &Frame::Pong { probe });
             }
@@ -190,14 +195,36 @@
         }
     }
 
-    fn on_hello(self: &Rc<Self>, status: NodeStatus) {
+    /// Handles departures: those of a peer from its process, or from any peer those of which an earlier
+    /// run of this process has told it.
+    fn on_departures(&self, machine: &MachineName, departures: Vec<Departure>) {
+        if *machine == self.settings.machine {
+            self.on_departures_returned(departures);
+        } else if let Some(peer) = self.peer(machine) {
+            peer.on_departures(departures);
+        }
+    }
+
+    fn on_hello(self: &Rc<Self>, status: NodeStatus, sender: &FrameSender) {
         self.on_peer_lease(status.lease);
         self.add_peer(&status.machine, status.address);
-        if let Some(peer) = self.peer(&status.machine)
-            && peer.update(status)
-        {
+        let Some(peer) = self.peer(&status.machine) else {
+            return;
+        };
+        if peer.update(status) {
             self.keys_changed.notify_one();
         }
+        let departures = peer.departures_to_return();
+        if !departures.is_empty() {
+            let machine = peer.machine.clone();
+            send_frame(
+                sender,
+                &Frame::Departures {
+                    machine,
+                    departures,
+                },
+            );
+        }
     }
 
     /// Handles a change of the status of the process `incarnation` on a machine.
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -12,6 +12,7 @@
 use world::instant::BootInstant;
 use world::name::MachineName;
 
+use crate::departures::Departure;
 use crate::failure_rate::FailureRate;
 use crate::frame::{
     Features, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome, StatusUpdate,
@@ -39,6 +40,10 @@
     lease_received_at: Cell<BootInstant>,
     load: Cell<Option<(LoadReport, BootInstant)>>,
     failure_rate: FailureRate,
+    /// Departures of which its process has told; they outlast it.
+    departures: RefCell<Vec<Departure>>,
+    /// Incarnation of its process that knows of `departures`.
+    departures_known_by: Cell<u64>,
 }
 
 impl Peer {
@@ -58,6 +63,8 @@
             lease_received_at: Cell::new(now),
             load: Cell::new(None),
             failure_rate: FailureRate::default(),
+            departures: RefCell::default(),
+            departures_known_by: Cell::new(0),
         }
     }
 
@@ -208,6 +215,32 @@
         }
     }
 
+    /// Tells its process of the departures of a machine, if it decodes that.
+    pub(crate) fn send_departures(&self, machine: &MachineName, departures: &[Departure]) {
+        if self.features().departures {
+            self.send(&Frame::Departures {
+                machine: machine.clone(),
+                departures: departures.to_vec(),
+            });
+        }
+    }
+
+    /// Remembers the departures of which its process has told.
+    pub(crate) fn on_departures(&self, departures: Vec<Departure>) {
+        *self.departures.borrow_mut() = departures;
+        self.departures_known_by.set(self.incarnation());
+    }
+
+    /// Returns the departures of which an earlier run of its process has told, once for each run.
+    pub(crate) fn departures_to_return(&self) -> Vec<Departure> {
+        let incarnation = self.incarnation();
+        let is_known = self.departures_known_by.replace(incarnation) == incarnation;
+        if is_known || !self.features().departures {
+            return Vec::new();
+        }
+        self.departures.borrow().clone()
+    }
+
     /// Returns the id for a new request.
     #[must_use]
     pub fn next_id(&self) -> u64 {
--- a/components/node/tests/whole_path/departures.rs
+++ b/components/node/tests/whole_path/departures.rs
@@ -135,6 +135,21 @@
     assert_eq!(back_ends_in_use(&deployment), ["i-3"]);
 }
 
+// Guards against: the same, for as long as the store is away: the peers know of it.
+#[test]
+fn a_process_that_restarts_without_the_store_hears_from_its_peers_that_its_back_end_leaves() {
+    let mut deployment = start(172);
+    leave(&deployment, Way::Deregistered);
+    deployment.kill_process(LEAVING);
+    deployment.store.set_unavailable(true);
+    deployment.start_process(LEAVING);
+    while deployment.try_readiness(LEAVING) != Some(200) {
+        std::thread::sleep(SPREAD_TIME / 10);
+    }
+    deliver_late_heartbeat(&deployment);
+    assert_eq!(back_ends_in_use(&deployment), ["i-3"]);
+}
+
 // Guards against: leaving is confirmed by one process alone, which may end before the store knows of it.
 #[test]
 fn leaving_is_not_confirmed_before_the_store_has_it() {
