--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -109,22 +109,6 @@
     pub(crate) outcome: &'static str,
 }
 
-/// Counts a request as open until it is dropped.
-struct OpenRequest(Rc<Node>);
-
-impl OpenRequest {
-    fn new(node: &Rc<Node>) -> Self {
-        node.open_requests.set(node.open_requests.get() + 1);
-        Self(Rc::clone(node))
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
 /// Handles a request that arrived at `received` and returns its final response.
 ///
 /// The next number of `samples` picks the service if the route splits its traffic.
@@ -134,7 +118,6 @@
     request: Request,
     received: BootInstant,
 ) -> Response {
-    let _open = OpenRequest::new(&node);
     let incoming = message::decode_metadata(&request);
     let arrival = Arrival {
         node: &node,
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::denial::{self, Denial};
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::Node;
+use crate::open_request::OpenRequest;
 use crate::{accept, dispatch};
 
 /// Maximum number of in-flight requests per connection.
@@ -52,8 +53,8 @@
     buf: BytesMut,
     reader: RequestReader,
     last_activity: BootInstant,
-    /// For each in-flight request, in order, whether the connection closes after its response.
-    close_requested: VecDeque<bool>,
+    /// The requests whose responses have not been written, in their order.
+    open: VecDeque<OpenRequest>,
     /// Version of the configuration whose limits bound the request that is being received.
     limits_version: u64,
     /// Error that ends the connection once the requests before it are answered.
@@ -76,7 +77,7 @@
             buf: BytesMut::new(),
             reader: RequestReader::default(),
             last_activity: BootClock.now(),
-            close_requested: VecDeque::new(),
+            open: VecDeque::new(),
             limits_version: 0,
             parse_error: None,
             stop_reading: false,
@@ -94,11 +95,12 @@
         let mut check_timer = tokio::time::interval(CHECK_INTERVAL);
         check_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            while self.close_requested.len() < MAX_PIPELINED && !self.stop_reading {
+            while self.open.len() < MAX_PIPELINED && !self.stop_reading {
                 let Some(request) = self.next_request() else {
                     break;
                 };
-                self.close_requested.push_back(request.close);
+                self.open
+                    .push_back(OpenRequest::new(&self.node, request.close));
                 self.stop_reading |= request.close;
                 let samples = Rc::clone(&self.samples);
                 let node = Rc::clone(&self.node);
@@ -110,7 +112,7 @@
                 self.send_parse_error(error).await;
                 return;
             }
-            let reading = !self.stop_reading && self.close_requested.len() < MAX_PIPELINED;
+            let reading = !self.stop_reading && self.open.len() < MAX_PIPELINED;
             self.buf.reserve(if reading { 1024 } else { 0 });
             tokio::select! {
                 Some(response) = responses.next(), if !responses.is_empty() => {
@@ -170,9 +172,11 @@
 
     /// Writes a response; returns false if the connection ends with it.
     async fn respond(&mut self, response: &Response) -> bool {
-        let requested = self.close_requested.pop_front().unwrap_or(true);
+        let Some(request) = self.open.pop_front() else {
+            return false;
+        };
         let stopping = self.node.is_stopping();
-        let close = requested || (stopping && self.close_requested.is_empty());
+        let close = request.close || (stopping && self.open.is_empty());
         let written = self.write_response(response, close).await;
         self.last_activity = BootClock.now();
         written && !close
@@ -186,6 +190,7 @@
     }
 
     async fn send_parse_error(&mut self, error: ParseError) {
+        let open = OpenRequest::new(&self.node, true);
         let request = self.reader.incomplete();
         let id = request.map(|r| message::decode_metadata(r).id);
         let id = id.unwrap_or_default();
@@ -203,7 +208,9 @@
             denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
         }
         let denied = denial::respond(&self.node, &id, denial, self.limits_version);
-        if self.write_response(&denied.response, true).await {
+        let written = self.write_response(&denied.response, true).await;
+        drop(open);
+        if written {
             drain(&mut self.read).await;
         }
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod metrics;
 pub mod named_limit;
 pub mod node;
+mod open_request;
 pub mod pause;
 pub mod peer;
 pub mod peer_requests;
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -516,6 +516,16 @@
         self.layout.address(machine, layout::PEER_PORT)
     }
 
+    /// Sends an order and returns the connection on which its response will come.
+    pub(crate) fn send_order(&self, machine: usize, path: &str) -> TcpStream {
+        let mut stream = self.connect(machine);
+        let text = encode(&self.next_id(), "POST", path, None);
+        stream
+            .write_all(text.as_bytes())
+            .expect("the process reads the bytes");
+        stream
+    }
+
     /// Opens a connection for callers to the process on a machine.
     pub(crate) fn connect(&self, machine: usize) -> TcpStream {
         let at = self.layout.address(machine, layout::CALLER_PORT);
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -16,9 +16,11 @@
 mod unsigned;
 
 use std::collections::HashSet;
+use std::io::Read;
 use std::time::Duration;
 
 use deployment::{Deployment, LISTING, ORDER, Reply};
+use stand_ins::back_end::LONG_BODY_BYTES;
 use stand_ins::layout;
 
 /// Longest time until every key has an owner, or a change is in force on every machine.
@@ -196,6 +198,21 @@
     assert_eq!(reply.status, 200, "{reply:?}");
 }
 
+// Guards against: a stopping process exits while it writes a response, of which the caller gets a part.
+#[test]
+fn a_graceful_shutdown_finishes_writing_responses() {
+    let mut deployment = Deployment::start(21, 2);
+    deployment.await_serving(SETTLE_TIMEOUT);
+    let mut response = deployment.send_order(1, "/orders/long/");
+    // The response has begun, and the rest waits for its caller, beyond the time for new requests.
+    let mut received = vec![0; 1];
+    response.read_exact(&mut received).expect("a response");
+    deployment.request_stop(1);
+    std::thread::sleep(Duration::from_secs(3));
+    response.read_to_end(&mut received).expect("the rest");
+    assert!(received.len() > LONG_BODY_BYTES, "{}", received.len());
+}
+
 #[test]
 fn a_request_that_outlasts_the_grace_period_gets_a_response_before_the_process_exits() {
     let mut deployment = Deployment::start(19, 2);
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -4,7 +4,8 @@
 //! and `/late-cut/` lose their response, `/endless-head/` and `/endless-body/` get bytes without end,
 //! `/turned-away/` is answered with 421, `/crash/` crashes the
 //! back end as it begins to run, `/late-crash/` a moment later. `/signed/STATUS/` and
-//! `/unsigned/STATUS/` are answered with that status after they have run, with or without a signature.
+//! `/unsigned/STATUS/` are answered with that status after they have run, with or without a signature,
+//! `/long/` with a body of [`LONG_BODY_BYTES`].
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -34,6 +35,8 @@
     ),
     ("/endless-body/", b"HTTP/1.1 200 OK\r\n\r\n", b"filler"),
 ];
+/// Length of the body of a response to a long path, more than the buffers of a connection hold.
+pub const LONG_BODY_BYTES: usize = 14_000_000;
 /// Number of requests that a back end announces it can run at once.
 const SLOTS: u32 = 8;
 
@@ -322,7 +325,11 @@
         if is_signed {
             response = response.with("Response-Stamp", "0.1.2");
         }
-        response.body = format!("answer to {path}").into();
+        response.body = if path.ends_with("/long/") {
+            vec![b'x'; LONG_BODY_BYTES].into()
+        } else {
+            format!("answer to {path}").into()
+        };
         Some(response)
     }
 
