An overtaken heartbeat does not confirm that a back end leaves (DRAIN)

Cause: heartbeats that are outdated were answered before what they say of leaving was looked at.

Evidence: an_overtaken_heartbeat_does_not_confirm... fails on the commit before (200 for 503). Found by reading.

Change: the departure is recorded first, and any heartbeat that says it is confirmed only when the store has it. Whether an incarnation has left is asked of the departures alone; they hold whatever had set the state to leaving.

Measured: the tests of departures, foreign heartbeats and drains pass.

--- a/components/node/src/heartbeats.rs
+++ b/components/node/src/heartbeats.rs
@@ -55,44 +55,37 @@
     node.departures.await_read(delay_left(received)).await;
     let now = BootClock.now();
     let incarnation = heartbeat.keys.incarnation.clone();
-    let known = node.proxy.back_end.borrow().clone();
-    if is_outdated(node, known.as_ref(), &heartbeat.keys) {
-        log::info!(event = "heartbeat-outdated", id, sequence = heartbeat.keys.sequence; "");
-        return json(encode_reply(None));
-    }
-    let is_later = known.as_ref().is_some_and(|k| k.incarnation != incarnation);
+    let known = node.proxy.incarnation();
+    let is_later = known
+        .as_ref()
+        .is_some_and(|k| *k != incarnation && k.born < incarnation.born);
     if is_later && node.is_back_end_running(now) {
         return refuse(node, id, 503, "the earlier incarnation still runs");
     }
-    node.last_sequence.set(heartbeat.keys.sequence);
-    let departure = heartbeat
-        .keys
-        .draining
-        .then(|| Departure::from(&incarnation));
-    if let Some(departure) = &departure {
-        node.on_departure(departure.clone(), Some(&incarnation));
+    let is_leaving = heartbeat.keys.draining;
+    if is_leaving {
+        node.on_departure(Departure::from(&incarnation), known.as_ref());
     }
-    heartbeat.keys.draining |= has_left(node, known.as_ref(), &incarnation);
-    let reply = grant(node, received, now, &heartbeat).await;
-    match departure {
-        Some(departure) if !is_stored(node, received, &departure).await => Response::new(503),
-        _ => json(encode_reply(reply.as_ref())),
+    let reply = if is_outdated(node, known.as_ref(), &heartbeat.keys) {
+        log::info!(event = "heartbeat-outdated", id, sequence = heartbeat.keys.sequence; "");
+        None
+    } else {
+        node.last_sequence.set(heartbeat.keys.sequence);
+        heartbeat.keys.draining = node.departures.contain(&incarnation);
+        grant(node, received, now, &heartbeat).await
+    };
+    if is_leaving && !is_stored(node, received, &Departure::from(&incarnation)).await {
+        return Response::new(503);
     }
-}
-
-/// Returns whether an incarnation has said before that it leaves, or in a response.
-fn has_left(node: &Node, known: Option<&LocalBackEnd>, incarnation: &BackEndIncarnation) -> bool {
-    let is_known_as_leaving =
-        known.is_some_and(|k| k.incarnation == *incarnation && k.state == Availability::Leaving);
-    is_known_as_leaving || node.departures.contain(incarnation)
+    json(encode_reply(reply.as_ref()))
 }
 
 /// Returns whether a later heartbeat, or one of a later incarnation, has arrived before.
-fn is_outdated(node: &Node, known: Option<&LocalBackEnd>, report: &KeyReport) -> bool {
+fn is_outdated(node: &Node, known: Option<&BackEndIncarnation>, report: &KeyReport) -> bool {
     let incarnation = &report.incarnation;
     known.is_some_and(|k| {
-        k.incarnation != *incarnation && incarnation.born <= k.incarnation.born
-            || k.incarnation == *incarnation && report.sequence <= node.last_sequence.get()
+        k != incarnation && incarnation.born <= k.born
+            || k == incarnation && report.sequence <= node.last_sequence.get()
     })
 }
 
--- a/components/node/tests/whole_path/departures.rs
+++ b/components/node/tests/whole_path/departures.rs
@@ -78,16 +78,20 @@
     }
 }
 
-/// Sends the heartbeat that the back end sent last before it left, which has been delayed.
-fn deliver_late_heartbeat(deployment: &Deployment) -> u16 {
+/// Sends a heartbeat of the back end; returns the status.
+fn send_heartbeat(deployment: &Deployment, state: &str, sequence: u64) -> u16 {
     let body = json!({
         "service": "orders", "address": deployment.back_end_address(LEAVING), "zone": "z",
-        "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 9_999,
+        "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": sequence,
         "born": BORN
     });
-    let status = deployment.send_heartbeat(LEAVING, LEAVING_ID, body.to_string().as_bytes());
+    deployment.send_heartbeat(LEAVING, LEAVING_ID, body.to_string().as_bytes())
+}
+
+/// Sends the heartbeat that the back end sent last before it left, which has been delayed.
+fn deliver_late_heartbeat(deployment: &Deployment) {
+    send_heartbeat(deployment, "ready", 9_999);
     std::thread::sleep(SPREAD_TIME);
-    status
 }
 
 /// Returns the back ends that run orders, whichever machine these begin at.
@@ -167,6 +171,19 @@
     assert!((0..100).any(confirmed), "leaving is never confirmed");
 }
 
+// Guards against: the same, by a heartbeat that a later one has overtaken.
+#[test]
+fn an_overtaken_heartbeat_does_not_confirm_leaving_before_the_store_has_it() {
+    let deployment = start(173);
+    deployment.store.set_unavailable(true);
+    deployment.back_end(LEAVING).set_heartbeats_paused(true);
+    assert_eq!(send_heartbeat(&deployment, "draining", 9_999), 503);
+    assert_eq!(send_heartbeat(&deployment, "draining", 9_998), 503);
+    deployment.store.set_unavailable(false);
+    std::thread::sleep(2 * SPREAD_TIME);
+    assert_eq!(send_heartbeat(&deployment, "draining", 9_997), 200);
+}
+
 // Guards against: the next incarnation under the same id is taken for the one that has left.
 #[test]
 fn the_next_incarnation_under_the_same_id_has_not_left() {
