A back end without keys is not taken to hold any in the first seconds of its process

A later incarnation is refused while the earlier one runs beyond doubt, for which it counts that its grants have not run out. A process that has just started takes grants of its earlier run to be in force for 10 s, also where the service is not divided by key. There, a crash that leaves connections silent would have kept the next boot out for as long. Found by reading; not seen in a run. Tests of foreign heartbeats and kept connections pass.

--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -64,7 +64,7 @@
     kept: bool,
     /// Whether the incarnation that reported last has responded on it.
     used: bool,
-    /// Ids of the non-idempotent requests that were refused on it, in responses that name them.
+    /// Ids of the requests that were refused on it.
     refused: SmallVec<[Bytes; 1]>,
 }
 
@@ -282,14 +282,12 @@
         if connection.on_response(id, &response, check) && reusable {
             self.keep_idle(connection, &response);
         }
-        Ok((
-            response,
-            if is_proven {
-                check
-            } else {
-                ResponseCheck::Corrupt
-            },
-        ))
+        let check = if is_proven {
+            check
+        } else {
+            ResponseCheck::Corrupt
+        };
+        Ok((response, check))
     }
 
     fn keep_idle(&self, connection: Connection, response: &Response) {
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -196,7 +196,8 @@
             return false;
         };
         let is_heard = now.since(back_end.last_contact) <= HEARTBEAT_TIMEOUT;
-        let may_hold_keys = !self.shard_manager.borrow().have_grants_expired(now);
+        let may_hold_keys =
+            self.is_keyed() && !self.shard_manager.borrow().have_grants_expired(now);
         (is_heard || may_hold_keys) && self.proxy.connections.has_used(now)
     }
 
