One way in which a back end leaves, from the reading of the whole change

Read as a newcomer: three functions stood on top of each other for a back end that leaves (on_departure, on_back_end_leaving, apply_departures), two callers named the current incarnation that the third looked up, and a deregistration went through two of them. A line about an outdated heartbeat shows an excerpt of the id.

Tests: since peers remember departures, the test of a restart without the store no longer showed that the store alone is enough. It restarts all processes now, so that no peer remembers; it fails if the stored departures are not restored (tried on the work tree). Its setup has one copy less.

--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -14,6 +14,7 @@
 use super::guards::{SlotGuard, WaitGuard};
 use super::{BackEndProxy, LocalBackEnd, millis};
 use crate::back_end::ExchangeError;
+use crate::departures::Departure;
 use crate::frame::{
     ForwardedRequest, ForwardedResponse, LossCause, RejectReason, RequestOutcome, pack_headers,
     unpack_headers,
@@ -188,7 +189,7 @@
                 named_limit::on_response(&node, incarnation, &response, slot.started);
                 let headers = response.headers.iter().map(|h| (&h.name, &h.value));
                 if leaving::on_response(&node, incarnation, headers) {
-                    node.on_back_end_leaving(incarnation);
+                    node.on_departure(Departure::from(incarnation));
                 }
             }
             let outcome = classify_response(response, check, default_retry_ms);
--- a/components/node/src/heartbeats.rs
+++ b/components/node/src/heartbeats.rs
@@ -27,7 +27,7 @@
     response
 }
 
-/// Logs and counts a heartbeat that proves nothing, and refuses it.
+/// Logs and counts a heartbeat or deregistration that proves nothing, and refuses it.
 fn refuse(node: &Node, id: &str, status: u16, reason: &str) -> Response {
     log::warn!(event = "heartbeat-refused", id = excerpt(id), status, error = excerpt(reason); "");
     node.metrics.on_refused_heartbeat();
@@ -64,10 +64,10 @@
     }
     let is_leaving = heartbeat.keys.draining;
     if is_leaving {
-        node.on_departure(Departure::from(&incarnation), known.as_ref());
+        node.on_departure(Departure::from(&incarnation));
     }
     let reply = if is_outdated(node, known.as_ref(), &heartbeat.keys) {
-        log::info!(event = "heartbeat-outdated", id, sequence = heartbeat.keys.sequence; "");
+        log::info!(event = "heartbeat-outdated", id = excerpt(id), sequence = heartbeat.keys.sequence; "");
         None
     } else {
         node.last_sequence.set(heartbeat.keys.sequence);
@@ -180,12 +180,9 @@
         id: id.to_owned(),
         born: born.unwrap_or_else(wall_clock::unix_ms),
     };
-    node.on_departure(departure.clone(), known.as_ref());
-    let known = known.filter(|k| departure.covers(k));
-    log::info!(event = "back-end-deregistered", id = excerpt(id), born = departure.born, known = known.is_some(); "");
-    if let Some(known) = known {
-        node.on_back_end_leaving(&known);
-    }
+    let is_known = known.as_ref().is_some_and(|k| departure.covers(k));
+    log::info!(event = "back-end-deregistered", id = excerpt(id), born = departure.born, known = is_known; "");
+    node.on_departure(departure.clone());
     if is_stored(node, received, &departure).await {
         json(b"{}".to_vec())
     } else {
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -1,6 +1,5 @@
 //! The process itself, its shutdown, its back end and what it announces.
 
-use shards::incarnation::BackEndIncarnation;
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use world::instant::BootInstant;
@@ -217,18 +216,6 @@
         }
     }
 
-    /// Takes an incarnation of the local back end that has said that it leaves out of use; its keys
-    /// move.
-    pub fn on_back_end_leaving(&self, incarnation: &BackEndIncarnation) {
-        if self.proxy.incarnation().as_ref() == Some(incarnation) {
-            self.on_departure(Departure::from(incarnation), Some(incarnation));
-            self.shard_manager
-                .borrow_mut()
-                .on_deregistered(&incarnation.id);
-            self.set_availability(Availability::Leaving);
-        }
-    }
-
     /// Returns whether the local back end has said that it leaves.
     #[must_use]
     pub(crate) fn is_back_end_leaving(&self) -> bool {
@@ -236,13 +223,18 @@
         incarnation.is_some_and(|i| self.departures.contain(&i))
     }
 
-    /// Records that an incarnation of a back end leaves, and tells the peers.
-    pub(crate) fn on_departure(&self, departure: Departure, current: Option<&BackEndIncarnation>) {
-        if self.departures.insert(departure, current) {
+    /// Records that back ends leave, and tells the peers. If the local one is among them, it is taken out
+    /// of use and its keys move.
+    pub(crate) fn on_departure(&self, departure: Departure) {
+        if self
+            .departures
+            .insert(departure, self.proxy.incarnation().as_ref())
+        {
             for peer in self.peers() {
                 peer.send_departures(&self.settings.machine, &self.departures.known());
             }
         }
+        self.apply_departures();
     }
 
     /// Records which departures the store has.
@@ -260,12 +252,15 @@
         self.apply_departures();
     }
 
-    /// Takes the back end out of use if it has left before this process heard of it.
+    /// Takes the back end out of use if it has said that it leaves, also to an earlier run of this process.
     fn apply_departures(&self) {
         if let Some(incarnation) = self.proxy.incarnation()
             && self.departures.contain(&incarnation)
         {
-            self.on_back_end_leaving(&incarnation);
+            self.shard_manager
+                .borrow_mut()
+                .on_deregistered(&incarnation.id);
+            self.set_availability(Availability::Leaving);
         }
     }
 
--- a/components/node/tests/whole_path/departures.rs
+++ b/components/node/tests/whole_path/departures.rs
@@ -72,6 +72,10 @@
             deployment.stop_process(LEAVING);
         }
     }
+    start_and_await_ready(deployment);
+}
+
+fn start_and_await_ready(deployment: &mut Deployment) {
     deployment.start_process(LEAVING);
     while deployment.try_readiness(LEAVING) != Some(200) {
         std::thread::sleep(SPREAD_TIME / 10);
@@ -124,32 +128,33 @@
     assert_eq!(back_ends_in_use(&deployment), ["i-3"]);
 }
 
-// Guards against: a restart while the store is away brings a back end back that leaves, for good.
+// Guards against: a restart of all while the store is away brings a back end back that leaves, for good.
 #[test]
-fn a_process_that_restarts_without_the_store_learns_later_that_its_back_end_leaves() {
+fn a_process_that_restarts_without_store_and_peers_learns_later_that_its_back_end_leaves() {
     let mut deployment = start(166);
     leave(&deployment, Way::Deregistered);
-    deployment.kill_process(LEAVING);
     deployment.store.set_unavailable(true);
-    deployment.start_process(LEAVING);
+    for machine in 0..MACHINES {
+        deployment.kill_process(machine);
+    }
+    for machine in 0..MACHINES {
+        deployment.start_process(machine);
+    }
     std::thread::sleep(SPREAD_TIME);
     deliver_late_heartbeat(&deployment);
     deployment.store.set_unavailable(false);
-    std::thread::sleep(2 * SPREAD_TIME);
+    deployment.await_serving(SETTLE_TIMEOUT);
     assert_eq!(back_ends_in_use(&deployment), ["i-3"]);
 }
 
-// Guards against: the same, for as long as the store is away: the peers know of it.
+// Guards against: a restart while the store is away brings it back until the store returns.
 #[test]
 fn a_process_that_restarts_without_the_store_hears_from_its_peers_that_its_back_end_leaves() {
     let mut deployment = start(172);
     leave(&deployment, Way::Deregistered);
     deployment.kill_process(LEAVING);
     deployment.store.set_unavailable(true);
-    deployment.start_process(LEAVING);
-    while deployment.try_readiness(LEAVING) != Some(200) {
-        std::thread::sleep(SPREAD_TIME / 10);
-    }
+    start_and_await_ready(&mut deployment);
     deliver_late_heartbeat(&deployment);
     assert_eq!(back_ends_in_use(&deployment), ["i-3"]);
 }
