--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
-use world::name::ServiceName;
+use world::name::{RegionName, ServiceName};
+use world::rate::RequestRate;
 
 /// One accepted configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -33,6 +34,10 @@
     pub prefix: String,
     /// Whether a request may be executed more than once.
     pub idempotent: bool,
+    /// Whether the responses are large, as those of downloads; such requests are idempotent.
+    pub large_responses: bool,
+    /// Regions in which a request may run and to which its body may be sent; empty for any region.
+    pub homes: SmallVec<[RegionName; 2]>,
     /// Upper bound on the time for a response, whatever timeout the caller states.
     pub timeout: Duration,
     /// Time within which a response should arrive.
@@ -61,6 +66,10 @@
     pub keyed: bool,
     /// Largest number of connections to one back end.
     pub max_connections: usize,
+    /// Time for which a back end is cold after its start; zero if it is not stated.
+    pub cold_start: Duration,
+    /// Requests per second that a cold back end takes; `None` for any number.
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// Limits on requests and connections of callers.
@@ -136,6 +145,12 @@
 }
 
 impl Route {
+    /// Returns whether a request may run in a region.
+    #[must_use]
+    pub fn may_run_in(&self, region: &RegionName) -> bool {
+        self.homes.is_empty() || self.homes.contains(region)
+    }
+
     /// Returns the service for a request; a `sample` uniform in 0..1 selects the services in
     /// proportion to their weights. `None` if no service has a weight above zero.
     #[must_use]
--- a/components/node/src/dispatch/outcome.rs
+++ b/components/node/src/dispatch/outcome.rs
@@ -85,7 +85,7 @@
                 self.search.on_rejection(distance);
                 self.on_rejection(machine, retry_ms, final_pass)
             }
-            RejectReason::NoBackEnd | RejectReason::Unreachable
+            RejectReason::NoBackEnd | RejectReason::Unreachable | RejectReason::WrongRegion
                 if self.keyed_assignment().is_none() =>
             {
                 self.on_rejection(machine, retry_ms, final_pass)
@@ -111,7 +111,7 @@
                 self.on_not_holder(destination).await
             }
             RejectReason::NotHolder => self.on_not_holder(destination).await,
-            RejectReason::NoBackEnd | RejectReason::Unreachable => {
+            RejectReason::NoBackEnd | RejectReason::Unreachable | RejectReason::WrongRegion => {
                 self.await_assignment_change().await;
                 self.check_handover_timeout()
             }
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -19,6 +19,13 @@
     pub configuration_versions: bool,
     /// [`Frame::Departures`](super::Frame::Departures).
     pub departures: bool,
+    /// [`Frame::Evacuations`](super::Frame::Evacuations) and
+    /// [`WrongRegion`](super::RejectReason::WrongRegion).
+    pub evacuations: bool,
+    /// [`Frame::LargeRequest`](super::Frame::LargeRequest),
+    /// [`Frame::LargeResponse`](super::Frame::LargeResponse) and
+    /// [`Frame::BodyPart`](super::Frame::BodyPart).
+    pub streams: bool,
 }
 
 impl Features {
@@ -30,6 +37,8 @@
         store_eras: true,
         configuration_versions: true,
         departures: true,
+        evacuations: false,
+        streams: false,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
@@ -37,6 +46,8 @@
     const STORE_ERAS_BIT: u32 = 1 << 3;
     const CONFIGURATION_VERSIONS_BIT: u32 = 1 << 4;
     const DEPARTURES_BIT: u32 = 1 << 5;
+    const EVACUATIONS_BIT: u32 = 1 << 6;
+    const STREAMS_BIT: u32 = 1 << 7;
 
     pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
@@ -49,6 +60,8 @@
                 Self::CONFIGURATION_VERSIONS_BIT,
             ),
             (self.departures, Self::DEPARTURES_BIT),
+            (self.evacuations, Self::EVACUATIONS_BIT),
+            (self.streams, Self::STREAMS_BIT),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -68,6 +81,8 @@
             store_eras: bits & Self::STORE_ERAS_BIT != 0,
             configuration_versions: bits & Self::CONFIGURATION_VERSIONS_BIT != 0,
             departures: bits & Self::DEPARTURES_BIT != 0,
+            evacuations: bits & Self::EVACUATIONS_BIT != 0,
+            streams: bits & Self::STREAMS_BIT != 0,
         })
     }
 }
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -11,13 +11,14 @@
 mod request;
 mod status;
 
+use bytes::Bytes;
 use platform::store::{RequestError, StoreRequest, StoreResponse};
 use quarantine::exits::Exits;
 use serde::{Deserialize, Serialize};
 use shards::assignment::{Assignment, Change};
 use shards::manager::KeyClaim;
 use shards::revision::{Revision, StoreEra};
-use world::name::{MachineName, ServiceName};
+use world::name::{MachineName, ServiceName, ZoneName};
 
 use crate::departures::Departure;
 use crate::suspects::CrashReport;
@@ -136,4 +137,36 @@
         /// What its process knew last.
         departures: Vec<Departure>,
     },
+    /// The zones that the operator has evacuated, as the sender knows them.
+    Evacuations {
+        /// Revision of the store at which they were listed.
+        revision: Revision,
+        /// The zones.
+        zones: Vec<ZoneName>,
+    },
+    /// A request whose body follows in parts under its id.
+    LargeRequest {
+        /// The request, with an empty body.
+        request: Box<ForwardedRequest>,
+        /// Length of the body in bytes.
+        body_bytes: u64,
+    },
+    /// Outcome of a request, whose response's body follows in parts under its id.
+    LargeResponse {
+        /// The sender's id of the request.
+        id: u64,
+        /// The outcome, whose response has an empty body.
+        outcome: RequestOutcome,
+        /// Current load of the back end.
+        load: LoadReport,
+        /// Length of the body in bytes.
+        body_bytes: u64,
+    },
+    /// The next bytes of a body.
+    BodyPart {
+        /// Id of the request.
+        id: u64,
+        /// The bytes.
+        bytes: Bytes,
+    },
 }
--- a/components/node/src/frame/request.rs
+++ b/components/node/src/frame/request.rs
@@ -86,6 +86,7 @@
             RejectReason::Isolated if !features.crash_reports => RejectReason::Full,
             RejectReason::TurnedAway if !features.crash_reports && keyed => RejectReason::NotHolder,
             RejectReason::TurnedAway if !features.crash_reports => RejectReason::NoBackEnd,
+            RejectReason::WrongRegion if !features.evacuations => RejectReason::NoBackEnd,
             other => other,
         };
         Self::NotRun { reason, retry_ms }
@@ -126,6 +127,8 @@
     Isolated,
     /// The back end responded that it is another one or does not hold the shard key.
     TurnedAway,
+    /// The machine is in no region in which the request may run.
+    WrongRegion,
 }
 
 /// Reason why there is no response to a request that may have run.
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -189,7 +189,11 @@
             | Frame::Response { .. }
             | Frame::Cancel { .. }
             | Frame::StoreRequest { .. }
-            | Frame::StoreResponse { .. } => {
+            | Frame::StoreResponse { .. }
+            | Frame::Evacuations { .. }
+            | Frame::LargeRequest { .. }
+            | Frame::LargeResponse { .. }
+            | Frame::BodyPart { .. } => {
                 log::warn!(event = "frame-unexpected"; "");
             }
         }
