Send large bodies in parts, behind three queues for each link

Callers would see calls due in 100 ms wait for responses of up to 540 KB: a link wrote whole frames in the order of their arrival, and a frame of 540 KB occupies a link of 15 Mbit/s for 290 ms.

Cause: one channel of encoded frames for each connection, and a send buffer of the kernel that grows to megabytes, in which no order can be changed.

Change: `link_queue` holds control frames, small requests and responses by rank, and bodies, and says which of them is written next; it is pure. Bodies above 16 KiB follow their head in parts that are cut from their `Bytes` and written without a copy; `body_assembly` puts them together in one buffer. A request or response never overtakes a control frame that was queued before it, so that a report of a crash still arrives before the response it explains. An empty part ends a body that its sender has stopped after a `Cancel`. The kernel holds 128 KiB of a link at most, 32 KiB of them unsent. As less is in the kernel, a process that stops waits until its links have written what is queued. `Features::streams` is announced; a peer without it gets whole frames.

Also mended: a request that no frame can hold was sent again over the same connection without yielding, so that the process hung; it is now reported as not run. An outcome that no frame can hold left its request in flight for ever; it is now reported as lost.

Evidence: tests `link_queue` (order, one of eight writes for each queue, crash reports first, stops, malformed parts) and `large_bodies` (two ends of a link: sizes around 16 KiB, oversized requests and outcomes, callers that leave).

--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -42,3 +42,19 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
+
+/// Bounds what the kernel holds of the bytes written to a connection: all of it to `total` bytes by
+/// the kernel's count, and the part not sent yet to about `unsent`, as far as the system allows.
+///
+/// # Errors
+/// Returns the operating system's error when it rejects an option.
+pub fn bound_send_buffer(stream: &TcpStream, total: usize, unsent: u32) -> std::io::Result<()> {
+    let socket = socket2::SockRef::from(stream);
+    // Linux doubles the value to count its own overhead.
+    socket.set_send_buffer_size(total / 2)?;
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_notsent_lowat(unsent)?;
+    #[cfg(not(target_os = "linux"))]
+    let _ = unsent;
+    Ok(())
+}
--- a/components/node/src/dispatch/sending.rs
+++ b/components/node/src/dispatch/sending.rs
@@ -7,7 +7,7 @@
 
 use super::{Destination, REROUTE_INTERVAL, RequestDispatch, millis};
 use crate::back_end_proxy::submission;
-use crate::frame::{ForwardedRequest, Frame, LossCause, RejectReason, RequestOutcome};
+use crate::frame::{ForwardedRequest, LossCause, RejectReason, RequestOutcome};
 use crate::peer::Peer;
 
 /// Time for a lost connection to reopen before a request sent over it counts as lost.
@@ -40,14 +40,12 @@
     /// each id only once.
     async fn send_to_peer(&self, peer: &Rc<Peer>, mut request: ForwardedRequest) -> RequestOutcome {
         let incarnation = peer.incarnation();
-        let id = request.id;
         loop {
             // Arrives before the request, in case the peer has not learned of a crash yet.
             peer.send_crashes(&self.node.suspects.reports_on(&request));
             request.remaining_ms = millis(self.remaining());
             request.sent_ms = BootClock.now().as_millis();
-            let frame = Frame::Request(Box::new(request.clone()));
-            let outcome = peer.request(id, &frame).await;
+            let outcome = peer.request(request.clone()).await;
             if !matches!(outcome, RequestOutcome::Lost(LossCause::LinkLost)) {
                 return outcome;
             }
@@ -68,6 +66,8 @@
         let until = BootClock.now() + timeout;
         while BootClock.now() < until {
             if peer.is_connected() {
+                // Lets the connection's task run in case that it is about to end.
+                tokio::task::yield_now().await;
                 return peer.incarnation() == incarnation;
             }
             tokio::time::sleep(REROUTE_INTERVAL).await;
--- a/components/node/src/frame/codec.rs
+++ b/components/node/src/frame/codec.rs
@@ -6,7 +6,7 @@
 use super::{Features, Frame};
 
 /// Maximum length of an encoded frame: room for a body of 64 MiB, the default limit, and the rest.
-const MAX_FRAME_BYTES: usize = 80 << 20;
+pub const MAX_FRAME_BYTES: usize = 80 << 20;
 /// Size of the length prefix.
 const LENGTH_BYTES: usize = 4;
 
@@ -27,6 +27,33 @@
     },
 }
 
+/// Checks that a frame or body is not longer than the longest frame.
+///
+/// # Errors
+/// Returns `TooLong` if it is.
+pub fn check_length(length: usize) -> Result<(), FrameError> {
+    ensure!(length <= MAX_FRAME_BYTES, TooLongSnafu { length });
+    Ok(())
+}
+
+/// Encodes a [`Frame::BodyPart`] up to its bytes, of which there are `length`, so that they need not
+/// be copied.
+///
+/// # Errors
+/// Returns `Malformed` if it cannot be encoded.
+pub fn encode_part_prefix(id: u64, length: usize) -> Result<Bytes, FrameError> {
+    let bytes = Bytes::new();
+    let mut prefix = postcard::to_stdvec(&Frame::BodyPart { id, bytes }).context(MalformedSnafu)?;
+    // The length of the bytes, 0 here, comes last.
+    prefix.pop();
+    prefix.extend(postcard::to_stdvec(&length).context(MalformedSnafu)?);
+    let frame_bytes = prefix.len() + length;
+    let mut out = BytesMut::with_capacity(LENGTH_BYTES + prefix.len());
+    out.put_u32(u32::try_from(frame_bytes).unwrap_or(u32::MAX));
+    out.extend_from_slice(&prefix);
+    Ok(out.freeze())
+}
+
 /// Encodes a frame with its length prefix.
 ///
 /// # Errors
@@ -38,7 +65,7 @@
         body.extend_from_slice(&features);
     }
     let length = body.len();
-    ensure!(length <= MAX_FRAME_BYTES, TooLongSnafu { length });
+    check_length(length)?;
     let mut out = BytesMut::with_capacity(LENGTH_BYTES + length);
     out.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
     out.extend_from_slice(&body);
@@ -54,7 +81,7 @@
         return Ok(None);
     }
     let length = u32::from_be_bytes([buf[0], buf[1], buf[2], buf[3]]) as usize;
-    ensure!(length <= MAX_FRAME_BYTES, TooLongSnafu { length });
+    check_length(length)?;
     if buf.len() < LENGTH_BYTES + length {
         return Ok(None);
     }
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -38,7 +38,7 @@
         configuration_versions: true,
         departures: true,
         evacuations: false,
-        streams: false,
+        streams: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -23,7 +23,7 @@
 use crate::departures::Departure;
 use crate::suspects::CrashReport;
 
-pub use codec::{FrameError, decode, encode};
+pub use codec::{FrameError, MAX_FRAME_BYTES, check_length, decode, encode, encode_part_prefix};
 pub use features::Features;
 pub use request::{
     ForwardedRequest, ForwardedResponse, LoadReport, LossCause, RejectReason, RequestOutcome,
--- a/components/node/src/frame/request.rs
+++ b/components/node/src/frame/request.rs
@@ -73,6 +73,13 @@
 }
 
 impl RequestOutcome {
+    /// Sets the body of a response that was received without it.
+    pub fn set_body(&mut self, body: Bytes) {
+        if let Self::Response(response) = self {
+            response.body = body;
+        }
+    }
+
     /// Returns the outcome of a request, with a shard key or not, as a process with these features
     /// decodes it.
     #[must_use]
--- a/components/node/src/frame_stream.rs
+++ b/components/node/src/frame_stream.rs
@@ -1,47 +1,183 @@
 //! Frames as a stream over one connection.
 
-use bytes::{Bytes, BytesMut};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::sync::mpsc;
+use tokio::sync::Notify;
 
+use crate::body_assembly::BodyError;
 use crate::frame::{self, Frame};
+use crate::link_queue::{LinkQueue, Write};
+use crate::outgoing::Outgoing;
+
+/// Bytes that wait to be written to all connections of the process.
+#[derive(Clone, Debug, Default)]
+pub struct QueuedBytes(Rc<Cell<usize>>);
+
+impl QueuedBytes {
+    /// Returns their number.
+    #[must_use]
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// What the sender and the writer of one connection share.
+struct Shared {
+    queue: RefCell<LinkQueue>,
+    total: QueuedBytes,
+    /// Notified when something is queued.
+    queued: Notify,
+    is_closed: Cell<bool>,
+    /// Whether the receiver takes bodies in parts.
+    streams: Cell<bool>,
+}
+
+impl Shared {
+    /// Changes the queue and counts its bytes.
+    fn update<R>(&self, change: impl FnOnce(&mut LinkQueue) -> R) -> R {
+        let mut queue = self.queue.borrow_mut();
+        let before = queue.queued_bytes();
+        let result = change(&mut queue);
+        let total = &self.total.0;
+        total.set(total.get() + queue.queued_bytes() - before);
+        result
+    }
+}
+
+/// Queues frames for one connection.
+#[derive(Clone)]
+pub struct FrameSender(Rc<Shared>);
+
+/// What waits to be written to one connection; dropped when the connection ends.
+pub struct FrameQueue(Rc<Shared>);
+
+/// Creates the queue of one connection; its bytes count in `total`.
+#[must_use]
+pub fn channel(total: &QueuedBytes) -> (FrameSender, FrameQueue) {
+    let shared = Rc::new(Shared {
+        queue: RefCell::default(),
+        total: total.clone(),
+        queued: Notify::new(),
+        is_closed: Cell::new(false),
+        streams: Cell::new(false),
+    });
+    (FrameSender(Rc::clone(&shared)), FrameQueue(shared))
+}
+
+impl FrameSender {
+    /// Encodes and queues a control frame; returns whether it was queued.
+    pub fn send(&self, frame: &Frame) -> bool {
+        match frame::encode(frame) {
+            Ok(bytes) => self.push(|queue| queue.push_control(bytes)),
+            Err(error) => {
+                log::error!(event = "frame-not-sent", error:% = error; "");
+                false
+            }
+        }
+    }
+
+    /// Queues a request or response; returns whether it was queued.
+    pub fn send_outgoing(&self, outgoing: &Outgoing) -> bool {
+        let Outgoing {
+            id,
+            rank,
+            frame,
+            body,
+        } = outgoing.clone();
+        self.push(|queue| {
+            if body.is_empty() {
+                queue.push_small(rank, id, frame);
+            } else {
+                queue.push_body(id, frame, body);
+            }
+        })
+    }
 
-/// Size from which a batch of frames takes no further frame.
-const BATCH_BYTES: usize = 65_536;
+    /// Stops the sending of a request or response that is not wanted any more.
+    pub fn stop(&self, id: u64) {
+        self.push(|queue| queue.stop(id));
+    }
 
-/// Sender of encoded frames to one connection.
-pub type FrameSender = mpsc::UnboundedSender<Bytes>;
+    /// Records whether the receiver takes bodies in parts, from its `Hello`.
+    pub fn set_streams(&self, streams: bool) {
+        self.0.streams.set(streams);
+    }
+
+    /// Returns whether the receiver takes bodies in parts.
+    #[must_use]
+    pub fn streams(&self) -> bool {
+        self.0.streams.get()
+    }
 
-/// Encodes a frame and queues it for a connection; returns whether it was queued.
-pub fn send_frame(sender: &FrameSender, frame: &Frame) -> bool {
-    match frame::encode(frame) {
-        Ok(bytes) => sender.send(bytes).is_ok(),
-        Err(error) => {
-            log::error!(event = "frame-not-sent", error:% = error; "");
-            false
+    fn push(&self, change: impl FnOnce(&mut LinkQueue)) -> bool {
+        if self.0.is_closed.get() {
+            return false;
         }
+        self.0.update(change);
+        self.0.queued.notify_one();
+        true
     }
 }
 
-/// Writes frames until the sender is dropped or the connection ends.
-pub async fn write_frames(
-    mut write: impl AsyncWrite + Unpin,
-    mut frames: mpsc::UnboundedReceiver<Bytes>,
-) {
-    while let Some(first) = frames.recv().await {
-        let mut batch = BytesMut::from(first);
-        while batch.len() < BATCH_BYTES {
-            let Ok(next) = frames.try_recv() else { break };
-            batch.extend_from_slice(&next);
+impl FrameQueue {
+    /// Removes what is written next; `None` if nothing waits.
+    #[must_use]
+    pub fn try_next_write(&self) -> Option<Write> {
+        self.0.update(LinkQueue::next_write)
+    }
+
+    /// Removes what is written next, once there is something.
+    async fn next_write(&self) -> Write {
+        loop {
+            if let Some(write) = self.try_next_write() {
+                return write;
+            }
+            self.0.queued.notified().await;
         }
-        if write.write_all(&batch).await.is_err() {
+    }
+}
+
+impl Drop for FrameQueue {
+    fn drop(&mut self) {
+        self.0.is_closed.set(true);
+        self.0.update(|queue| *queue = LinkQueue::default());
+    }
+}
+
+/// Writes what is queued until the connection ends.
+pub async fn write_frames(mut write: impl AsyncWrite + Unpin, queue: FrameQueue) {
+    loop {
+        let (frames, part) = match queue.next_write().await {
+            Write::Frames(frames) => (frames, Bytes::new()),
+            Write::Part { head, id, bytes } => {
+                let prefix = frame::encode_part_prefix(id, bytes.len());
+                let Ok(prefix) = prefix else { return };
+                let frames = match head {
+                    None => prefix,
+                    Some(head) => {
+                        let mut joined = BytesMut::from(head);
+                        joined.extend_from_slice(&prefix);
+                        joined.freeze()
+                    }
+                };
+                (frames, bytes)
+            }
+        };
+        if write.write_all_buf(&mut frames.chain(part)).await.is_err() {
             return;
         }
     }
 }
 
-/// Reads frames and passes each to `handle` until the connection ends or a frame is malformed.
-pub async fn read_frames(mut read: impl AsyncRead + Unpin, mut handle: impl FnMut(Frame)) {
+/// Reads frames and passes each to `handle` until the connection ends, a frame is malformed or
+/// `handle` returns an error.
+pub async fn read_frames(
+    mut read: impl AsyncRead + Unpin,
+    mut handle: impl FnMut(Frame) -> Result<(), BodyError>,
+) {
     let mut buf = BytesMut::new();
     loop {
         buf.reserve(2048);
@@ -51,7 +187,12 @@
         }
         loop {
             match frame::decode(&mut buf) {
-                Ok(Some(frame)) => handle(frame),
+                Ok(Some(frame)) => {
+                    if let Err(error) = handle(frame) {
+                        log::warn!(event = "frame-refused", error:% = error; "");
+                        return;
+                    }
+                }
                 Ok(None) => break,
                 Err(error) => {
                     log::warn!(event = "frame-refused", error:% = error; "");
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -9,11 +9,12 @@
 use rand::Rng;
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 use world::instant::BootInstant;
 
+use crate::body_assembly::BodyAssembly;
 use crate::frame::Frame;
-use crate::frame_stream::{read_frames, send_frame, write_frames};
+use crate::frame_stream::{self, read_frames, write_frames};
 use crate::node::Node;
 use crate::peer::Peer;
 
@@ -31,6 +32,10 @@
 const PING_IDLE: Duration = Duration::from_millis(350);
 /// Time without a frame after a ping before the connection is closed.
 const PONG_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes that the kernel holds of a connection at most, unsent or not acknowledged.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+/// Unsent bytes in the kernel from which a connection takes no more.
+const UNSENT_BYTES: u32 = 32 << 10;
 /// Interval between two checks whether a peer responds.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -65,10 +70,12 @@
 /// Sends and receives frames until the connection ends; returns false if another machine has
 /// answered at the address.
 async fn run_link(node: &Rc<Node>, peer: &Rc<Peer>, stream: tokio::net::TcpStream) -> bool {
+    bound_send_buffer(&stream);
     let (read, write) = stream.into_split();
-    let (sender, frames) = mpsc::unbounded_channel();
+    let (sender, frames) = frame_stream::channel(&node.queued_bytes);
     let sent = node.status();
-    send_frame(&sender, &Frame::Hello(Box::new(sent.clone())));
+    sender.send(&Frame::Hello(Box::new(sent.clone())));
+    let mut bodies = BodyAssembly::default();
     peer.on_received(BootClock.now());
     let wrong_machine = Notify::new();
     let reading = read_frames(read, |frame| {
@@ -78,16 +85,37 @@
             Frame::StoreResponse { id, result } => peer.on_store_response(id, result),
             Frame::Pong { probe } => node.on_pong(peer, probe),
             Frame::Hello(status) if status.machine != peer.machine => wrong_machine.notify_one(),
+            Frame::LargeResponse {
+                id,
+                outcome,
+                load,
+                body_bytes,
+            } => {
+                bodies.begin(id, (outcome, load), body_bytes)?;
+                if !peer.awaits(id) {
+                    bodies.discard(id);
+                }
+            }
+            Frame::BodyPart { id, bytes } => {
+                if !peer.awaits(id) {
+                    bodies.discard(id);
+                }
+                if let Some(((mut outcome, load), body)) = bodies.append(id, &bytes)? {
+                    outcome.set_body(body);
+                    peer.on_response(id, outcome, load);
+                }
+            }
             Frame::Hello(status) => {
+                sender.set_streams(status.features.streams);
                 node.on_frame(Frame::Hello(status), &sender);
                 if peer.on_connected(&sender) {
                     // Changes announced since the first `Hello` went to open connections only.
                     let announced = node.last_announced();
                     if announced != sent {
-                        send_frame(&sender, &Frame::Hello(Box::new(announced)));
+                        sender.send(&Frame::Hello(Box::new(announced)));
                     }
                     if let Some(announcement) = node.assignment_announcement() {
-                        send_frame(&sender, &announcement);
+                        sender.send(&announcement);
                     }
                     if node.is_back_end_leaving() {
                         let machine = &node.settings.machine;
@@ -102,6 +130,7 @@
             }
             other => node.on_frame(other, &sender),
         }
+        Ok(())
     });
     tokio::select! {
         () = reading => {}
@@ -117,6 +146,13 @@
     true
 }
 
+/// Bounds what the kernel holds of a connection, so that the order of its queue takes effect.
+pub(crate) fn bound_send_buffer(stream: &tokio::net::TcpStream) {
+    if let Err(error) = net::bound_send_buffer(stream, SEND_BUFFER_BYTES, UNSENT_BYTES) {
+        log::warn!(event = "socket-option-failed", error:% = error; "");
+    }
+}
+
 /// Returns when a peer with in-flight requests does not respond to a ping.
 ///
 /// The timeout is extended by the queueing delay of the links to its region.
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -39,6 +39,7 @@
 use crate::departures::Departures;
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
+use crate::frame_stream::QueuedBytes;
 use crate::leaving::LeavingBackEnds;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
@@ -82,6 +83,8 @@
     pub shard_manager: RefCell<ShardManager>,
     /// Requests that peers have forwarded to this machine.
     pub peer_requests: RefCell<PeerRequests>,
+    /// Bytes that wait to be written to the connections of peers.
+    pub queued_bytes: QueuedBytes,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Recognises callers' retries by their shorter timeouts.
@@ -155,6 +158,7 @@
                     .with_first_start(settings.first_start),
             ),
             peer_requests: RefCell::default(),
+            queued_bytes: QueuedBytes::default(),
             metrics: Metrics::default(),
             retry_detector: RetryDetector::default(),
             open_requests: Cell::new(0),
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -17,7 +17,7 @@
 use super::keys::assignment_frame;
 use crate::departures::Departure;
 use crate::frame::{Frame, NodeStatus, StatusUpdate};
-use crate::frame_stream::{FrameSender, send_frame};
+use crate::frame_stream::FrameSender;
 use crate::link::keep_connected;
 use crate::peer::Peer;
 use crate::suspects::{self, CrashReport, Source};
@@ -115,13 +115,10 @@
             },
             Frame::CatalogRequest => {
                 if let Some(c) = self.active_config() {
-                    send_frame(
-                        sender,
-                        &Frame::Catalog {
-                            version: c.catalog.version,
-                            document: c.document.to_string().into_bytes(),
-                        },
-                    );
+                    sender.send(&Frame::Catalog {
+                        version: c.catalog.version,
+                        document: c.document.to_string().into_bytes(),
+                    });
                 }
             }
             Frame::Assignment {
@@ -148,7 +145,7 @@
                         s == service && *revision >= stored.revision
                     };
                     if !known.iter().any(up_to_date) {
-                        send_frame(sender, &assignment_frame(service, stored));
+                        sender.send(&assignment_frame(service, stored));
                     }
                 }
             }
@@ -181,7 +178,7 @@
                 departures,
             } => self.on_departures(&machine, departures),
             Frame::Ping { probe } => {
-                send_frame(sender, &Frame::Pong { probe });
+                sender.send(&Frame::Pong { probe });
             }
             Frame::Pong { .. } => {}
             Frame::Request(_)
@@ -221,13 +218,10 @@
         let departures = peer.departures_to_return();
         if !departures.is_empty() {
             let machine = peer.machine.clone();
-            send_frame(
-                sender,
-                &Frame::Departures {
-                    machine,
-                    departures,
-                },
-            );
+            sender.send(&Frame::Departures {
+                machine,
+                departures,
+            });
         }
     }
 
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -15,9 +15,11 @@
 use crate::departures::Departure;
 use crate::failure_rate::FailureRate;
 use crate::frame::{
-    Features, Frame, LoadReport, LossCause, NodeStatus, RequestOutcome, StatusUpdate,
+    Features, ForwardedRequest, Frame, LoadReport, LossCause, NodeStatus, RejectReason,
+    RequestOutcome, StatusUpdate,
 };
-use crate::frame_stream::{FrameSender, send_frame};
+use crate::frame_stream::FrameSender;
+use crate::outgoing::Outgoing;
 use crate::suspects::{self, CrashReport};
 
 /// Channel to the waiter for the result of an in-flight request.
@@ -190,7 +192,7 @@
     /// Sends a frame; returns false if the connection is closed or the frame cannot be encoded.
     pub fn send(&self, frame: &Frame) -> bool {
         match self.sender.borrow().as_ref() {
-            Some(sender) => send_frame(sender, frame),
+            Some(sender) => sender.send(frame),
             None => false,
         }
     }
@@ -252,7 +254,22 @@
     /// Sends a request and waits for its outcome.
     ///
     /// Dropping the future cancels the request at the peer.
-    pub async fn request(self: &Rc<Self>, id: u64, frame: &Frame) -> RequestOutcome {
+    pub async fn request(self: &Rc<Self>, request: ForwardedRequest) -> RequestOutcome {
+        let id = request.id;
+        let link = self.sender.borrow().clone();
+        let Some(link) = link else {
+            return RequestOutcome::Lost(LossCause::LinkLost);
+        };
+        let outgoing = match Outgoing::request(request, link.streams()) {
+            Ok(outgoing) => outgoing,
+            Err(error) => {
+                log::error!(event = "frame-not-sent", error:% = error; "");
+                return RequestOutcome::NotRun {
+                    reason: RejectReason::Unreachable,
+                    retry_ms: 0,
+                };
+            }
+        };
         let (sender, receiver) = oneshot::channel();
         self.pending
             .borrow_mut()
@@ -261,9 +278,10 @@
             peer: Rc::clone(self),
             id,
         };
-        if !self.send(frame) {
+        if !link.send_outgoing(&outgoing) {
             return RequestOutcome::Lost(LossCause::LinkLost);
         }
+        drop(outgoing);
         let outcome = receiver.await;
         drop(guard);
         outcome.unwrap_or(RequestOutcome::Lost(LossCause::LinkLost))
@@ -302,6 +320,19 @@
         }
     }
 
+    /// Returns whether the request with this id waits for its outcome.
+    pub(crate) fn awaits(&self, id: u64) -> bool {
+        self.pending.borrow().contains_key(&id)
+    }
+
+    /// Cancels a request, also one that has not been sent entirely.
+    fn cancel(&self, id: u64) {
+        if let Some(sender) = self.sender.borrow().as_ref() {
+            sender.stop(id);
+            sender.send(&Frame::Cancel { id });
+        }
+    }
+
     pub(crate) fn on_store_response(&self, id: u64, result: Result<StoreResponse, RequestError>) {
         if let Some(Pending::StoreRequest(sender)) = self.pending.borrow_mut().remove(&id) {
             let _ = sender.send(result);
@@ -337,7 +368,7 @@
     fn drop(&mut self) {
         let in_flight = self.peer.pending.borrow_mut().remove(&self.id).is_some();
         if in_flight {
-            self.peer.send(&Frame::Cancel { id: self.id });
+            self.peer.cancel(self.id);
         }
     }
 }
--- a/components/node/src/peer_requests.rs
+++ b/components/node/src/peer_requests.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use balance::link_delay::OneWayDelay;
-use bytes::Bytes;
 use tokio::task::AbortHandle;
 use world::instant::BootInstant;
 
 use crate::frame_stream::FrameSender;
+use crate::outgoing::Outgoing;
 
 /// Time for which a response is kept in case the peer reconnects and sends its request again;
 /// longer than it waits for a reconnect.
@@ -29,7 +29,7 @@
     /// When it ended or was cancelled; `None` while it runs.
     ended_at: Option<BootInstant>,
     /// Its encoded response, for [`RESPONSE_RETENTION`] after its end.
-    response: Option<Bytes>,
+    response: Option<Outgoing>,
     task: Option<AbortHandle>,
     /// Instant from which a further copy would be too late to run.
     copies_until: BootInstant,
@@ -82,7 +82,7 @@
         if let Some(request) = self.requests.get_mut(&id) {
             request.reply_to = Some(reply_to.clone());
             if let Some(response) = &request.response {
-                let _ = reply_to.send(response.clone());
+                reply_to.send_outgoing(response);
             }
             return false;
         }
@@ -111,19 +111,20 @@
     }
 
     /// Ends a request and sends its encoded response.
-    pub fn on_response(&mut self, id: PeerRequestId, response: Bytes, now: BootInstant) {
+    pub fn on_response(&mut self, id: PeerRequestId, response: Outgoing, now: BootInstant) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         if let Some(reply_to) = &request.reply_to {
-            let _ = reply_to.send(response.clone());
+            reply_to.send_outgoing(&response);
         }
         request.response = Some(response);
         request.ended_at = Some(now);
         request.task = None;
     }
 
-    /// Cancels a request, also one that has not arrived yet: its task ends, and no copy of it runs.
+    /// Cancels a request, also one that has not arrived yet: its task ends, no copy of it runs, and no
+    /// more of its response is sent.
     pub fn cancel(&mut self, id: PeerRequestId, now: BootInstant) {
         let request = self.requests.entry(id).or_insert(PeerRequest {
             reply_to: None,
@@ -133,6 +134,10 @@
             copies_until: now,
         });
         request.ended_at = Some(now);
+        request.response = None;
+        if let Some(reply_to) = &request.reply_to {
+            reply_to.stop(id.1);
+        }
         if let Some(task) = request.task.take() {
             task.abort();
         }
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -7,14 +7,15 @@
 
 use timer::{BootClock, Clock};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 use world::name::MachineName;
 
 use crate::back_end_proxy::submission;
-use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
-use crate::frame_stream::{FrameSender, read_frames, send_frame, write_frames};
-use crate::link::KEEPALIVE_IDLE;
+use crate::body_assembly::BodyAssembly;
+use crate::frame::{Features, ForwardedRequest, Frame, LossCause, RequestOutcome};
+use crate::frame_stream::{self, FrameSender, read_frames, write_frames};
+use crate::link::{self, KEEPALIVE_IDLE};
 use crate::node::Node;
+use crate::outgoing::Outgoing;
 use crate::{accept, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
@@ -38,50 +39,60 @@
 }
 
 async fn serve_link(node: Rc<Node>, stream: TcpStream) {
+    link::bound_send_buffer(&stream);
     let (read, write) = stream.into_split();
-    let (sender, frames) = mpsc::unbounded_channel();
-    send_frame(&sender, &Frame::Hello(Box::new(node.status())));
+    let (sender, frames) = frame_stream::channel(&node.queued_bytes);
+    sender.send(&Frame::Hello(Box::new(node.status())));
     let mut process = PeerProcess::default();
-    let reading = read_frames(read, |frame| match frame {
-        Frame::Hello(status) => {
-            process.machine = Some(status.machine.clone());
-            process.incarnation = status.incarnation;
-            process.features = status.features;
-            node.on_frame(Frame::Hello(status), &sender);
-        }
-        Frame::StatusUpdate(update) => {
-            if let Some(machine) = &process.machine {
-                node.on_status_update(machine, process.incarnation, update);
+    let mut bodies = BodyAssembly::default();
+    let reading = read_frames(read, |frame| {
+        match frame {
+            Frame::Hello(status) => {
+                process.machine = Some(status.machine.clone());
+                process.incarnation = status.incarnation;
+                process.features = status.features;
+                sender.set_streams(status.features.streams);
+                node.on_frame(Frame::Hello(status), &sender);
             }
+            Frame::StatusUpdate(update) => {
+                if let Some(machine) = &process.machine {
+                    node.on_status_update(machine, process.incarnation, update);
+                }
+            }
+            Frame::Request(request) => on_request(&node, &process, *request, &sender),
+            Frame::LargeRequest {
+                request,
+                body_bytes,
+            } => bodies.begin(request.id, request, body_bytes)?,
+            Frame::BodyPart { id, bytes } => {
+                if let Some((mut request, body)) = bodies.append(id, &bytes)? {
+                    request.body = body;
+                    on_request(&node, &process, *request, &sender);
+                }
+            }
+            Frame::CatalogRequest if !process.features.configuration_versions => {
+                // It would take the version for a revision, and ignore later ones of the store.
+                log::debug!(event = "configuration-not-sent"; "");
+            }
+            Frame::Cancel { id } => {
+                bodies.remove(id);
+                // A non-idempotent request that the back end runs goes on.
+                let mut requests = node.peer_requests.borrow_mut();
+                requests.cancel((process.incarnation, id), BootClock.now());
+            }
+            Frame::StoreRequest { id, request } => {
+                // Sent over this process's own connection to the store, never through another peer.
+                let node = Rc::clone(&node);
+                let sender = sender.clone();
+                tokio::task::spawn_local(async move {
+                    let result = node.perform(&request).await;
+                    node.on_store_result(result.is_ok());
+                    sender.send(&Frame::StoreResponse { id, result });
+                });
+            }
+            other => node.on_frame(other, &sender),
         }
-        Frame::Request(mut request) => {
-            let mut requests = node.peer_requests.borrow_mut();
-            let delay =
-                requests.observe_delay(process.incarnation, request.sent_ms, BootClock.now());
-            drop(requests);
-            request.subtract_delay(delay);
-            on_request(&node, &process, *request, &sender);
-        }
-        Frame::CatalogRequest if !process.features.configuration_versions => {
-            // It would take the version for a revision, and ignore later ones of the store.
-            log::debug!(event = "configuration-not-sent"; "");
-        }
-        Frame::Cancel { id } => {
-            // A non-idempotent request that the back end runs goes on.
-            let mut requests = node.peer_requests.borrow_mut();
-            requests.cancel((process.incarnation, id), BootClock.now());
-        }
-        Frame::StoreRequest { id, request } => {
-            // Sent over this process's own connection to the store, never through another peer.
-            let node = Rc::clone(&node);
-            let sender = sender.clone();
-            tokio::task::spawn_local(async move {
-                let result = node.perform(&request).await;
-                node.on_store_result(result.is_ok());
-                send_frame(&sender, &Frame::StoreResponse { id, result });
-            });
-        }
-        other => node.on_frame(other, &sender),
+        Ok(())
     });
     tokio::select! {
         () = reading => {}
@@ -89,14 +100,19 @@
     }
 }
 
+/// Runs a request that has arrived entirely, unless it is a copy.
 fn on_request(
     node: &Rc<Node>,
     process: &PeerProcess,
-    request: ForwardedRequest,
+    mut request: ForwardedRequest,
     sender: &FrameSender,
 ) {
     let id = (process.incarnation, request.id);
     let now = BootClock.now();
+    let mut requests = node.peer_requests.borrow_mut();
+    let delay = requests.observe_delay(process.incarnation, request.sent_ms, now);
+    drop(requests);
+    request.subtract_delay(delay);
     // An idempotent request may run again.
     let copies_until = if request.idempotent {
         now
@@ -123,22 +139,21 @@
         RequestOutcome::Lost(_) => node.suspects.reports_on(&request),
         _ => Vec::new(),
     };
-    let response = Frame::Response {
-        id,
-        outcome: outcome.for_features(process.features, node.shard_key(&request).is_some()),
-        load: node.proxy.load(),
-    };
-    match frame::encode(&response) {
-        Ok(bytes) => {
-            let mut requests = node.peer_requests.borrow_mut();
-            // Arrives before the response, so that the peer knows of a crash when it retries.
-            if let Some(sender) = requests.reply_to((process.incarnation, id))
-                && let Some(reports) = suspects::report_frame(&crashes, process.features)
-            {
-                send_frame(sender, &reports);
-            }
-            requests.on_response((process.incarnation, id), bytes, BootClock.now());
-        }
-        Err(error) => log::error!(event = "frame-not-sent", error:% = error; ""),
+    let load = node.proxy.load();
+    let rank = request.priority;
+    let outcome = outcome.for_features(process.features, node.shard_key(&request).is_some());
+    let encode = |outcome| Outgoing::response(id, rank, outcome, load, process.features.streams);
+    let response = encode(outcome).or_else(|error| {
+        log::error!(event = "frame-not-sent", error:% = error; "");
+        encode(RequestOutcome::Lost(LossCause::Spoilt))
+    });
+    let Ok(response) = response else { return };
+    let mut requests = node.peer_requests.borrow_mut();
+    // Arrives before the response, so that the peer knows of a crash when it retries.
+    if let Some(sender) = requests.reply_to((process.incarnation, id))
+        && let Some(reports) = suspects::report_frame(&crashes, process.features)
+    {
+        sender.send(&reports);
     }
+    requests.on_response((process.incarnation, id), response, BootClock.now());
 }
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -88,6 +88,10 @@
         ("plantaingauge_back_end_waiting", f64::from(load.waiting)),
         ("plantaingauge_back_end_slots", f64::from(load.slots)),
         ("plantaingauge_peers_connected", connected as f64),
+        (
+            "plantaingauge_link_queued_bytes",
+            node.queued_bytes.get() as f64,
+        ),
         (
             "plantaingauge_store_era",
             f64::from(node.store_era().number()),
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -146,7 +146,8 @@
         }
         let idle = node.proxy.is_idle()
             && node.peer_requests.borrow().in_flight() == 0
-            && node.open_requests.get() == 0;
+            && node.open_requests.get() == 0
+            && node.queued_bytes.get() == 0;
         if (elapsed >= SERVE_AFTER_STOP && idle) || elapsed >= grace {
             break;
         }
--- a/components/node/tests/configuration_order.rs
+++ b/components/node/tests/configuration_order.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 
 use node::frame::{Features, Frame, NodeStatus};
+use node::frame_stream;
+use node::link_queue::Write;
 use node::node::Node;
 use rstest::rstest;
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
 
 use common::offline_node;
 
@@ -29,7 +30,7 @@
 }
 
 fn receive(node: &Rc<Node>, frame: Frame) {
-    let (sender, _frames) = mpsc::unbounded_channel();
+    let (sender, _frames) = frame_stream::channel(&node.queued_bytes);
     node.on_frame(frame, &sender);
 }
 
@@ -110,9 +111,11 @@
     let node = offline_node();
     let sent = document(5, "a");
     assert!(node.on_configuration(sent.clone(), "store"));
-    let (sender, mut frames) = mpsc::unbounded_channel();
+    let (sender, frames) = frame_stream::channel(&node.queued_bytes);
     node.on_frame(Frame::CatalogRequest, &sender);
-    let bytes = frames.try_recv().expect("a frame");
+    let Some(Write::Frames(bytes)) = frames.try_next_write() else {
+        panic!("a frame");
+    };
     let mut buf = bytes::BytesMut::from(&bytes[..]);
     let frame = node::frame::decode(&mut buf).expect("well-formed");
     let Some(Frame::Catalog { version, document }) = frame else {
--- /dev/null
+++ b/components/node/tests/large_bodies/main.rs
@@ -0,0 +1,102 @@
+//! Large bodies between the two ends of a link.
+
+mod ends;
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use node::frame::{LossCause, MAX_FRAME_BYTES, RejectReason, RequestOutcome};
+use rstest::rstest;
+use tokio::task::LocalSet;
+
+use ends::{Ends, TIMEOUT, pattern, request, response_body, until};
+
+// Guards against bodies that lose bytes or their order between the parts.
+#[rstest]
+#[tokio::test]
+async fn bodies_of_any_size_arrive_whole(
+    #[values(1, 16 << 10, (16 << 10) + 1, 540_000)] length: usize,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let ends = Ends::start().await;
+            let peer = ends.connect(ends.far_address).await;
+            let response = response_body(&peer, request(&peer, length, Bytes::new())).await;
+            assert!(response == pattern(length), "the response");
+            let echo = response_body(&peer, request(&peer, 0, pattern(length))).await;
+            assert!(echo == pattern(length), "the request");
+            until("nothing is queued", || ends.near.queued_bytes.get() == 0).await;
+        })
+        .await;
+}
+
+// Guards against a process that hangs: a request that no frame can hold was sent again at once and
+// for ever.
+#[tokio::test]
+async fn a_request_that_no_frame_can_hold_is_not_run() {
+    LocalSet::new()
+        .run_until(async {
+            let ends = Ends::start().await;
+            let peer = ends.connect(ends.far_address).await;
+            let body = Bytes::from(vec![0; MAX_FRAME_BYTES + 1]);
+            let outcome = peer.request(request(&peer, 1, body)).await;
+            let RequestOutcome::NotRun { reason, .. } = outcome else {
+                panic!("{outcome:?}");
+            };
+            assert_eq!(reason, RejectReason::Unreachable);
+            assert!(peer.is_connected());
+            assert_eq!(peer.in_flight(), 0);
+        })
+        .await;
+}
+
+// Guards against a request that stays in flight for ever, with its caller, as no frame can hold its
+// outcome.
+#[tokio::test]
+async fn a_response_that_no_frame_can_hold_is_lost() {
+    LocalSet::new()
+        .run_until(async {
+            let ends = Ends::start().await;
+            let peer = ends.connect(ends.far_address).await;
+            let request = request(&peer, MAX_FRAME_BYTES + 1, Bytes::new());
+            let outcome = tokio::time::timeout(TIMEOUT, peer.request(request)).await;
+            assert!(
+                matches!(outcome, Ok(RequestOutcome::Lost(LossCause::Spoilt))),
+                "{:?}",
+                outcome.is_ok()
+            );
+            assert_eq!(ends.far.peer_requests.borrow().in_flight(), 0);
+        })
+        .await;
+}
+
+// Guards against the parts of a response that are sent and held although its caller has gone.
+#[tokio::test]
+async fn a_response_whose_caller_has_gone_is_sent_no_further() {
+    LocalSet::new()
+        .run_until(async {
+            let ends = Ends::start().await;
+            let peer = ends.connect(ends.far_address).await;
+            for delay_turns in [0, 1, 3, 30] {
+                let request = request(&peer, 5_400_000, Bytes::new());
+                let sending = Rc::clone(&peer);
+                let caller =
+                    tokio::task::spawn_local(async move { sending.request(request).await });
+                until("it is sent", || peer.in_flight() == 1).await;
+                for _ in 0..delay_turns {
+                    tokio::task::yield_now().await;
+                }
+                caller.abort();
+                until("it has ended", || {
+                    peer.in_flight() == 0
+                        && ends.far.peer_requests.borrow().in_flight() == 0
+                        && ends.far.queued_bytes.get() == 0
+                })
+                .await;
+                let next = response_body(&peer, ends::request(&peer, 40_000, Bytes::new())).await;
+                assert!(next == pattern(40_000), "over the same connection");
+            }
+            assert!(peer.is_connected());
+        })
+        .await;
+}
--- a/components/node/tests/store_era/known.rs
+++ b/components/node/tests/store_era/known.rs
@@ -6,7 +6,6 @@
 use shards::incarnation::BackEndIncarnation;
 use shards::lease::Lease;
 use shards::revision::{Revision, StoreEra};
-use tokio::sync::mpsc;
 use world::name::{MachineName, ServiceName};
 
 use crate::common::offline_node;
@@ -80,7 +79,7 @@
 #[tokio::test]
 async fn a_process_learns_of_an_era_from_its_peers(#[case] frame: Frame) {
     let node = offline_node();
-    let (sender, _frames) = mpsc::unbounded_channel();
+    let (sender, _frames) = node::frame_stream::channel(&node.queued_bytes);
     node.on_frame(frame, &sender);
     assert_eq!(node.store_era(), era(4));
 }
