A busy link is not closed as a silent one

Callers would see a connection closed, and their requests lost, while a frame arrived that took longer than the timeout of a ping, or while a large request left, behind which the pong was still due.

Cause: only whole frames counted as signs of life, and a ping's deadline did not depend on what moved.

Change: any received bytes count. A ping's deadline starts again when a write completes that had to wait for room in the send buffer: the peer's machine has acknowledged bytes. A write that completes at once does not count, as the buffer takes it over a dead link too. `link_liveness` decides this and is pure.

--- a/components/node/src/frame_stream.rs
+++ b/components/node/src/frame_stream.rs
@@ -1,11 +1,16 @@
 //! Frames as a stream over one connection.
 
 use std::cell::{Cell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 
 use bytes::{Buf, Bytes, BytesMut};
+use futures::poll;
+use timer::{BootClock, Clock};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
+use world::instant::BootInstant;
 
 use crate::body_assembly::BodyError;
 use crate::frame::{self, Frame};
@@ -33,6 +38,8 @@
     is_closed: Cell<bool>,
     /// Whether the receiver takes bodies in parts.
     streams: Cell<bool>,
+    /// When a write last completed that had to wait.
+    last_drained: Cell<Option<BootInstant>>,
 }
 
 impl Shared {
@@ -63,6 +70,7 @@
         queued: Notify::new(),
         is_closed: Cell::new(false),
         streams: Cell::new(false),
+        last_drained: Cell::new(None),
     });
     (FrameSender(Rc::clone(&shared)), FrameQueue(shared))
 }
@@ -112,6 +120,13 @@
         self.0.streams.get()
     }
 
+    /// Returns when a write last completed that had to wait for room in the kernel's send buffer;
+    /// `None` if none has.
+    #[must_use]
+    pub fn last_drained(&self) -> Option<BootInstant> {
+        self.0.last_drained.get()
+    }
+
     fn push(&self, change: impl FnOnce(&mut LinkQueue)) -> bool {
         if self.0.is_closed.get() {
             return false;
@@ -166,16 +181,27 @@
                 (frames, bytes)
             }
         };
-        if write.write_all_buf(&mut frames.chain(part)).await.is_err() {
+        let mut bytes = frames.chain(part);
+        let mut writing = pin!(write.write_all_buf(&mut bytes));
+        let written = match poll!(&mut writing) {
+            Poll::Ready(result) => result,
+            Poll::Pending => {
+                let result = writing.await;
+                queue.0.last_drained.set(Some(BootClock.now()));
+                result
+            }
+        };
+        if written.is_err() {
             return;
         }
     }
 }
 
 /// Reads frames and passes each to `handle` until the connection ends, a frame is malformed or
-/// `handle` returns an error.
+/// `handle` returns an error; calls `on_bytes` whenever bytes arrive.
 pub async fn read_frames(
     mut read: impl AsyncRead + Unpin,
+    on_bytes: impl Fn(),
     mut handle: impl FnMut(Frame) -> Result<(), BodyError>,
 ) {
     let mut buf = BytesMut::new();
@@ -183,7 +209,7 @@
         buf.reserve(2048);
         match read.read_buf(&mut buf).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) => on_bytes(),
         }
         loop {
             match frame::decode(&mut buf) {
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -10,11 +10,11 @@
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use tokio::sync::Notify;
-use world::instant::BootInstant;
 
 use crate::body_assembly::BodyAssembly;
 use crate::frame::Frame;
-use crate::frame_stream::{self, read_frames, write_frames};
+use crate::frame_stream::{self, FrameSender, read_frames, write_frames};
+use crate::link_liveness::{Liveness, Signs, Verdict};
 use crate::node::Node;
 use crate::peer::Peer;
 
@@ -28,10 +28,6 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(1_500);
 /// Backoff after another machine than the expected one has answered at the address.
 const WRONG_MACHINE_BACKOFF: Duration = Duration::from_secs(10);
-/// Time without a frame after which a peer with in-flight requests is pinged.
-const PING_IDLE: Duration = Duration::from_millis(350);
-/// Time without a frame after a ping before the connection is closed.
-const PONG_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes that the kernel holds of a connection at most, unsent or not acknowledged.
 const SEND_BUFFER_BYTES: usize = 128 << 10;
 /// Unsent bytes in the kernel from which a connection takes no more.
@@ -78,8 +74,8 @@
     let mut bodies = BodyAssembly::default();
     peer.on_received(BootClock.now());
     let wrong_machine = Notify::new();
-    let reading = read_frames(read, |frame| {
-        peer.on_received(BootClock.now());
+    let on_bytes = || peer.on_received(BootClock.now());
+    let reading = read_frames(read, on_bytes, |frame| {
         match frame {
             Frame::Response { id, outcome, load } => peer.on_response(id, outcome, load),
             Frame::StoreResponse { id, result } => peer.on_store_response(id, result),
@@ -139,7 +135,7 @@
             return false;
         }
         () = write_frames(write, frames) => {}
-        () = detect_unresponsive(node, peer) => {
+        () = detect_unresponsive(node, peer, &sender) => {
             log::warn!(event = "link-silent", machine = peer.machine.as_str(); "");
         }
     }
@@ -156,26 +152,26 @@
 /// Returns when a peer with in-flight requests does not respond to a ping.
 ///
 /// The timeout is extended by the queueing delay of the links to its region.
-async fn detect_unresponsive(node: &Node, peer: &Rc<Peer>) {
-    let mut ping_sent_at: Option<BootInstant> = None;
+async fn detect_unresponsive(node: &Node, peer: &Peer, sender: &FrameSender) {
+    let mut liveness = Liveness::default();
     let link_delay = || {
         let delay = peer.with_status(|s| node.link_delay(&s.region));
         delay.unwrap_or_default()
     };
     loop {
         tokio::time::sleep(LIVENESS_CHECK_INTERVAL).await;
-        let now = BootClock.now();
-        if ping_sent_at.is_some_and(|at| peer.last_received() >= at) || peer.in_flight() == 0 {
-            ping_sent_at = None;
-        }
-        match ping_sent_at {
-            Some(at) if now.since(at) > PONG_TIMEOUT + link_delay() => return,
-            Some(_) => {}
-            None if peer.in_flight() > 0 && now.since(peer.last_received()) > PING_IDLE => {
+        let signs = Signs {
+            last_received: peer.last_received(),
+            last_drained: sender.last_drained(),
+            awaits_response: peer.in_flight() > 0,
+            link_delay: link_delay(),
+        };
+        match liveness.check(BootClock.now(), signs) {
+            Verdict::Keep => {}
+            Verdict::Ping => {
                 peer.send(&Frame::Ping { probe: 0 });
-                ping_sent_at = Some(now);
             }
-            None => {}
+            Verdict::Dead => return,
         }
     }
 }
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -90,13 +90,13 @@
         self.address.get()
     }
 
-    /// Returns when a frame was last received from it, or the connection was opened.
+    /// Returns when bytes were last received from it, or the connection was opened.
     #[must_use]
     pub fn last_received(&self) -> BootInstant {
         self.last_received.get()
     }
 
-    /// Records that a frame has been received, or the connection opened.
+    /// Records that bytes have been received, or the connection opened.
     pub(crate) fn on_received(&self, now: BootInstant) {
         self.last_received.set(now);
     }
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -45,55 +45,59 @@
     sender.send(&Frame::Hello(Box::new(node.status())));
     let mut process = PeerProcess::default();
     let mut bodies = BodyAssembly::default();
-    let reading = read_frames(read, |frame| {
-        match frame {
-            Frame::Hello(status) => {
-                process.machine = Some(status.machine.clone());
-                process.incarnation = status.incarnation;
-                process.features = status.features;
-                sender.set_streams(status.features.streams);
-                node.on_frame(Frame::Hello(status), &sender);
-            }
-            Frame::StatusUpdate(update) => {
-                if let Some(machine) = &process.machine {
-                    node.on_status_update(machine, process.incarnation, update);
+    let reading = read_frames(
+        read,
+        || (),
+        |frame| {
+            match frame {
+                Frame::Hello(status) => {
+                    process.machine = Some(status.machine.clone());
+                    process.incarnation = status.incarnation;
+                    process.features = status.features;
+                    sender.set_streams(status.features.streams);
+                    node.on_frame(Frame::Hello(status), &sender);
                 }
-            }
-            Frame::Request(request) => on_request(&node, &process, *request, &sender),
-            Frame::LargeRequest {
-                request,
-                body_bytes,
-            } => bodies.begin(request.id, request, body_bytes)?,
-            Frame::BodyPart { id, bytes } => {
-                if let Some((mut request, body)) = bodies.append(id, &bytes)? {
-                    request.body = body;
-                    on_request(&node, &process, *request, &sender);
+                Frame::StatusUpdate(update) => {
+                    if let Some(machine) = &process.machine {
+                        node.on_status_update(machine, process.incarnation, update);
+                    }
                 }
+                Frame::Request(request) => on_request(&node, &process, *request, &sender),
+                Frame::LargeRequest {
+                    request,
+                    body_bytes,
+                } => bodies.begin(request.id, request, body_bytes)?,
+                Frame::BodyPart { id, bytes } => {
+                    if let Some((mut request, body)) = bodies.append(id, &bytes)? {
+                        request.body = body;
+                        on_request(&node, &process, *request, &sender);
+                    }
+                }
+                Frame::CatalogRequest if !process.features.configuration_versions => {
+                    // It would take the version for a revision, and ignore later ones of the store.
+                    log::debug!(event = "configuration-not-sent"; "");
+                }
+                Frame::Cancel { id } => {
+                    bodies.remove(id);
+                    // A non-idempotent request that the back end runs goes on.
+                    let mut requests = node.peer_requests.borrow_mut();
+                    requests.cancel((process.incarnation, id), BootClock.now());
+                }
+                Frame::StoreRequest { id, request } => {
+                    // Sent over this process's own connection to the store, never through another peer.
+                    let node = Rc::clone(&node);
+                    let sender = sender.clone();
+                    tokio::task::spawn_local(async move {
+                        let result = node.perform(&request).await;
+                        node.on_store_result(result.is_ok());
+                        sender.send(&Frame::StoreResponse { id, result });
+                    });
+                }
+                other => node.on_frame(other, &sender),
             }
-            Frame::CatalogRequest if !process.features.configuration_versions => {
-                // It would take the version for a revision, and ignore later ones of the store.
-                log::debug!(event = "configuration-not-sent"; "");
-            }
-            Frame::Cancel { id } => {
-                bodies.remove(id);
-                // A non-idempotent request that the back end runs goes on.
-                let mut requests = node.peer_requests.borrow_mut();
-                requests.cancel((process.incarnation, id), BootClock.now());
-            }
-            Frame::StoreRequest { id, request } => {
-                // Sent over this process's own connection to the store, never through another peer.
-                let node = Rc::clone(&node);
-                let sender = sender.clone();
-                tokio::task::spawn_local(async move {
-                    let result = node.perform(&request).await;
-                    node.on_store_result(result.is_ok());
-                    sender.send(&Frame::StoreResponse { id, result });
-                });
-            }
-            other => node.on_frame(other, &sender),
-        }
-        Ok(())
-    });
+            Ok(())
+        },
+    );
     tokio::select! {
         () = reading => {}
         () = write_frames(write, frames) => {}
--- a/components/node/tests/large_bodies/main.rs
+++ b/components/node/tests/large_bodies/main.rs
@@ -1,6 +1,7 @@
 //! Large bodies between the two ends of a link.
 
 mod ends;
+mod slow_link;
 
 use std::rc::Rc;
 
