Calls inherit the priority of the request that they serve where a route has priority 0

Callers would see: where an operator gives a route the top priority 0, calls of unimportant requests went level with important new ones, and took their room at a small service in a burst.

Cause: every call had priority 0, and "is a call" was read from that priority.

Change: a call has the priority of its parent, found among the requests that the proxy runs, and goes before new requests of it. `admission::rank::Rank` holds both; a queue orders by its place. On the link the top bit of the priority byte marks a call, sent only to processes that announce `call_ranks`; others get the priority alone, so that they order calls like new requests of it. Without a route of priority 0 calls keep priority 0 and are encoded as before. Target and search limit depend on whether a request is a call. Priorities above 127 count as 127.

Why it works: a parent stays in the map of running requests until its response, and a call is made before that; its entry is the process that runs the parent.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod estimate;
 pub mod queue;
+pub mod rank;
 pub mod rate_limit;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -21,7 +21,7 @@
 pub struct Job {
     /// Identifies the request within the queue.
     pub id: u64,
-    /// Priority; 0 runs first.
+    /// Place in the order of ranks, see [`Rank::order`](crate::rank::Rank::order); 0 runs first.
     pub priority: u8,
     /// Class of the request; requests of one class have similar service times.
     pub class: u32,
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -21,6 +21,9 @@
     pub services: HashMap<ServiceName, Service>,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
+    /// Whether a route has the top priority 0, so that calls inherit the priority of the request that
+    /// they serve.
+    pub has_top_priority: bool,
 }
 
 /// A rule that maps requests with a host and path prefix to services.
@@ -105,6 +108,7 @@
         services: HashMap<ServiceName, Service>,
         limits: Limits,
     ) -> Self {
+        let has_top_priority = routes.iter().any(|r| r.priority == 0);
         let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -118,6 +122,7 @@
             routes: by_host,
             services,
             limits,
+            has_top_priority,
         }
     }
 
--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -151,10 +151,10 @@
             .set(self.utilization.get() + gain * (offered - self.utilization.get()));
     }
 
-    /// Returns whether the back end runs the request with this `Request-Id`.
+    /// Returns the request with this `Request-Id` if the back end runs it.
     #[must_use]
-    pub fn is_running(&self, id: &Bytes) -> bool {
-        self.running.borrow().contains_key(id)
+    pub fn running_request(&self, id: &Bytes) -> Option<Rc<ForwardedRequest>> {
+        self.running.borrow().get(id).cloned()
     }
 
     /// Returns the requests that the back end runs.
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -65,7 +65,7 @@
     let deadline = now + remaining_time(&request);
     let job = Job {
         id,
-        priority: request.priority,
+        priority: request.rank().order(),
         class: request.class,
         missed_target: request.missed_target,
         target: now + Duration::from_millis(u64::from(request.target_ms)),
@@ -77,7 +77,7 @@
         Admission::Rejected(wait) => {
             log_decision(proxy, &request, "refuse", wait);
             let queue = proxy.queue.borrow();
-            let is_limited = queue.rate_wait(now, request.priority, request.missed_target) >= wait;
+            let is_limited = queue.rate_wait(now, job.priority, job.missed_target) >= wait;
             let cause = if queue.rate().is_some() && is_limited {
                 "limit"
             } else {
@@ -134,7 +134,8 @@
     log::info!(
         event = event,
         id = std::str::from_utf8(&request.request_id).unwrap_or("?"),
-        priority = request.priority,
+        priority = request.rank().priority(),
+        call = request.rank().is_call(),
         late = request.missed_target,
         wait_ms = wait.as_millis() as u64,
         target_ms = request.target_ms,
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admission::rank::Rank;
 use balance::search::{Search, SearchLimit};
 use catalog::Route;
 use http1::request::Request;
@@ -34,7 +35,7 @@
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::node::Node;
 use crate::peer::Peer;
-use crate::{leaving, suspects};
+use crate::{call_rank, leaving, suspects};
 
 /// Timeout of a request without a `Deadline-Ms` header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -46,9 +47,6 @@
 const REROUTE_INTERVAL: Duration = Duration::from_millis(25);
 /// Share of the remaining time for which a request waits for a usable back end.
 const REROUTE_TIMEOUT_RATIO: f64 = 0.25;
-/// Priority of requests on which other requests wait; they are rejected only if they cannot meet
-/// their deadline.
-const TOP_PRIORITY: u8 = 0;
 
 /// The back end that a request is sent to.
 #[derive(Clone)]
@@ -74,6 +72,9 @@
     service: ServiceName,
     /// The request to forward; each send sets its own id and times in a copy.
     template: ForwardedRequest,
+    /// Whether a request that the local back end runs waits for it; it is rejected only if it cannot
+    /// meet its deadline.
+    is_call: bool,
     deadline: BootInstant,
     /// Until when it waits for a usable back end, or for the end of a copy of it.
     reroute_until: BootInstant,
@@ -148,8 +149,14 @@
         node.with_retry_budget(&service, |b| b.on_request(received));
     }
     let deadline = received + timeout.min(route.timeout);
-    let template = request_template(&node, &service, &route, request, incoming);
-    let mut dispatch = RequestDispatch::new(&node, &route, service, template, deadline, timeout);
+    // A request that the back end runs waits for this one.
+    let parent = incoming.parent.as_ref();
+    let parent = parent.and_then(|id| node.proxy.running_request(id));
+    let rank = call_rank::assign(&config.catalog, &route, parent.as_deref());
+    let is_call = parent.is_some();
+    drop(parent);
+    let template = request_template(&node, &service, &route, request, incoming, rank);
+    let mut dispatch = RequestDispatch::new(&node, &route, template, is_call, deadline, timeout);
     let completion = dispatch.run_to_end().await;
     let attempts = Attempts {
         last_machine: dispatch.machine.as_ref(),
@@ -165,14 +172,10 @@
     route: &Route,
     request: Request,
     incoming: RequestMetadata,
+    rank: Rank,
 ) -> ForwardedRequest {
     let mut headers = request.headers;
     message::strip_headers(&mut headers);
-    // A request that the back end runs waits for this one, so it goes before new requests.
-    let nested = incoming
-        .parent
-        .as_ref()
-        .is_some_and(|id| node.proxy.is_running(id));
     let class = xxh3::xxh3_64(route.name.as_bytes()) as u32;
     ForwardedRequest {
         id: 0,
@@ -187,7 +190,7 @@
         missed_target: false,
         target_ms: 0,
         idempotent: route.idempotent,
-        priority: if nested { TOP_PRIORITY } else { route.priority },
+        priority: rank.encode(),
         class,
         key: incoming.key,
         caller: node.service(),
@@ -202,13 +205,13 @@
     fn new(
         node: &'a Rc<Node>,
         route: &'a Route,
-        service: ServiceName,
         template: ForwardedRequest,
+        is_call: bool,
         deadline: BootInstant,
         timeout: Duration,
     ) -> Self {
         let now = BootClock.now();
-        let search_limit = if template.priority == TOP_PRIORITY {
+        let search_limit = if is_call {
             SearchLimit::NESTED
         } else {
             SearchLimit::CALLER
@@ -216,10 +219,11 @@
         Self {
             node,
             route,
+            service: template.service.clone(),
             template,
+            is_call,
             search: Search::new(search_limit),
             is_retry: node.retry_detector.is_retry(route, timeout),
-            service,
             deadline,
             reroute_until: now + deadline.since(now).mul_f64(REROUTE_TIMEOUT_RATIO),
             timeout,
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -10,15 +10,15 @@
 use timer::{BootClock, Clock};
 use world::name::MachineName;
 
-use super::{Destination, RequestDispatch, TOP_PRIORITY};
+use super::{Destination, RequestDispatch};
 use crate::frame::{LoadReport, NodeStatus};
 
 /// Time that a request and its response travel between the caller and this process.
 const CALLER_ROUND_TRIP: Duration = Duration::from_millis(20);
 /// Share of the remaining time within which the response to a caller's retry should be ready.
 const RETRY_TARGET_RATIO: f64 = 0.5;
-/// Share of the remaining time within which the response to such a request should be ready.
-const TOP_PRIORITY_TARGET_RATIO: f64 = 0.9;
+/// Share of the remaining time within which the response to a call should be ready.
+const CALL_TARGET_RATIO: f64 = 0.9;
 /// Share of the time to the latency target that a request may take at a back end while others may
 /// have room.
 const FIRST_PASS_TARGET_RATIO: f64 = 0.75;
@@ -207,10 +207,10 @@
     ///
     /// A longer queue would not raise the throughput, only make every response miss its target.
     pub(super) fn target(&self, final_pass: bool, distance: Distance, delay: Duration) -> Duration {
-        if self.template.priority == TOP_PRIORITY {
+        if self.is_call {
             return self
                 .remaining()
-                .mul_f64(TOP_PRIORITY_TARGET_RATIO)
+                .mul_f64(CALL_TARGET_RATIO)
                 .saturating_sub(delay);
         }
         if self.is_retry {
--- a/components/node/src/dispatch/sending.rs
+++ b/components/node/src/dispatch/sending.rs
@@ -46,7 +46,7 @@
             peer.send_crashes(&self.node.suspects.reports_on(&request));
             request.remaining_ms = millis(self.remaining());
             request.sent_ms = BootClock.now().as_millis();
-            let frame = Frame::Request(Box::new(request.clone()));
+            let frame = Frame::Request(Box::new(request.clone().for_features(peer.features())));
             let outcome = peer.request(id, &frame).await;
             if !matches!(outcome, RequestOutcome::Lost(LossCause::LinkLost)) {
                 return outcome;
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -26,6 +26,9 @@
     /// [`Frame::LargeResponse`](super::Frame::LargeResponse) and
     /// [`Frame::BodyPart`](super::Frame::BodyPart).
     pub streams: bool,
+    /// Ranks in [`ForwardedRequest::priority`](super::ForwardedRequest::priority), which was the
+    /// priority alone before.
+    pub call_ranks: bool,
 }
 
 impl Features {
@@ -39,6 +42,7 @@
         departures: true,
         evacuations: false,
         streams: false,
+        call_ranks: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
@@ -48,6 +52,7 @@
     const DEPARTURES_BIT: u32 = 1 << 5;
     const EVACUATIONS_BIT: u32 = 1 << 6;
     const STREAMS_BIT: u32 = 1 << 7;
+    const CALL_RANKS_BIT: u32 = 1 << 8;
 
     pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
@@ -62,6 +67,7 @@
             (self.departures, Self::DEPARTURES_BIT),
             (self.evacuations, Self::EVACUATIONS_BIT),
             (self.streams, Self::STREAMS_BIT),
+            (self.call_ranks, Self::CALL_RANKS_BIT),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -83,6 +89,7 @@
             departures: bits & Self::DEPARTURES_BIT != 0,
             evacuations: bits & Self::EVACUATIONS_BIT != 0,
             streams: bits & Self::STREAMS_BIT != 0,
+            call_ranks: bits & Self::CALL_RANKS_BIT != 0,
         })
     }
 }
--- a/components/node/src/frame/request.rs
+++ b/components/node/src/frame/request.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use admission::rank::Rank;
 use balance::choice::Load;
 use bytes::Bytes;
 use http1::headers::Headers;
@@ -37,7 +38,8 @@
     pub target_ms: u32,
     /// Whether it may run more than once.
     pub idempotent: bool,
-    /// Priority; 0 runs first.
+    /// Rank as [`Rank::encode`] encodes it. To a process without [`Features::call_ranks`] the priority
+    /// alone is sent.
     pub priority: u8,
     /// Class of requests with similar service times: a hash of the route name.
     pub class: u32,
@@ -48,6 +50,21 @@
 }
 
 impl ForwardedRequest {
+    /// Returns the rank of the request.
+    #[must_use]
+    pub fn rank(&self) -> Rank {
+        Rank::decode(self.priority)
+    }
+
+    /// Returns the request as a process with these features decodes it.
+    #[must_use]
+    pub fn for_features(mut self, features: Features) -> Self {
+        if !features.call_ranks {
+            self.priority = self.rank().priority();
+        }
+        self
+    }
+
     /// Subtracts the one-way delay of the frame from the remaining time and the target.
     pub fn subtract_delay(&mut self, delay: Duration) {
         let delay = u32::try_from(delay.as_millis()).unwrap_or(u32::MAX);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod accept;
 pub mod back_end;
 pub mod back_end_proxy;
+pub mod call_rank;
 pub mod catalog_watch;
 pub mod config_check;
 pub mod crash_watch;
