--- a/components/node/src/dispatch/sending.rs
+++ b/components/node/src/dispatch/sending.rs
@@ -45,7 +45,8 @@
             peer.send_crashes(&self.node.suspects.reports_on(&request));
             request.remaining_ms = millis(self.remaining());
             request.sent_ms = BootClock.now().as_millis();
-            let outcome = peer.request(request.clone()).await;
+            let sent = request.clone().for_features(peer.features());
+            let outcome = peer.request(sent).await;
             if !matches!(outcome, RequestOutcome::Lost(LossCause::LinkLost)) {
                 return outcome;
             }
--- a/components/node/src/outgoing.rs
+++ b/components/node/src/outgoing.rs
@@ -29,7 +29,7 @@
     /// # Errors
     /// Returns an error if it cannot be encoded within the largest frame.
     pub fn request(mut request: ForwardedRequest, streams: bool) -> Result<Self, FrameError> {
-        let (id, rank) = (request.id, request.priority);
+        let (id, rank) = (request.id, request.rank().order());
         if !streams || request.body.len() < MIN_STREAMED_BYTES {
             let frame = Frame::Request(Box::new(request));
             return Self::whole(id, rank, &frame);
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -144,7 +144,7 @@
         _ => Vec::new(),
     };
     let load = node.proxy.load();
-    let rank = request.priority;
+    let rank = request.rank().order();
     let outcome = outcome.for_features(process.features, node.shard_key(&request).is_some());
     let encode = |outcome| Outgoing::response(id, rank, outcome, load, process.features.streams);
     let response = encode(outcome).or_else(|error| {
