Requests of a route with home regions run only there

Callers of a route with home regions could get their request served, and its body sent, in any region.

Cause: neither the selection of a back end nor the back end proxy looked at the homes.

Change: candidates, owners of keys, machines for trials and the local back end are destinations only if their region is a home, both by the route at arrival and by the configuration in force at each send, including a resend after a lost connection. The back end proxy checks host and target against its own configuration before and after the request has waited, and rejects with `WrongRegion`; without a configuration it rejects with `NoBackEnd`, as it then knows no homes. If no home can serve the request, it is rejected at once with 503, `Retry-After`, `event=no-home` and a counter. Unknown homes are logged once per version and route. `Host` is no longer removed when a caller lists it in `Connection`: the proxy would have found no route.

The stand-ins can spread machines over regions and zones.

The whole of whole_path has not been run on this commit yet.

Why it works: every send passes the selection and every run the back end proxy, and both check at that moment.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -17,6 +17,8 @@
     pub version: u64,
     /// Routes by host in lower case, the longest path prefix first.
     routes: HashMap<String, Vec<Rc<Route>>>,
+    /// Whether any route names home regions.
+    has_homes: bool,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
     /// Limits on requests and connections of callers.
@@ -105,6 +107,7 @@
         services: HashMap<ServiceName, Service>,
         limits: Limits,
     ) -> Self {
+        let has_homes = routes.iter().any(|r| !r.homes.is_empty());
         let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -116,6 +119,7 @@
         Self {
             version,
             routes: by_host,
+            has_homes,
             services,
             limits,
         }
@@ -131,6 +135,17 @@
             .find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns whether any route names home regions.
+    #[must_use]
+    pub fn has_homes(&self) -> bool {
+        self.has_homes
+    }
+
     /// Returns the sharded services.
     pub fn keyed_services(&self) -> impl Iterator<Item = &ServiceName> {
         let keyed = self.services.iter().filter(|(_, s)| s.keyed);
@@ -145,10 +160,11 @@
 }
 
 impl Route {
-    /// Returns whether a request may run in a region.
+    /// Returns whether a request may run in a region; an empty name among the homes is no region.
     #[must_use]
     pub fn may_run_in(&self, region: &RegionName) -> bool {
-        self.homes.is_empty() || self.homes.contains(region)
+        let is_home = |home: &RegionName| home == region && !home.as_str().is_empty();
+        self.homes.is_empty() || self.homes.iter().any(is_home)
     }
 
     /// Returns the service for a request; a `sample` uniform in 0..1 selects the services in
--- a/components/http1/src/headers.rs
+++ b/components/http1/src/headers.rs
@@ -104,6 +104,8 @@
     }
 
     /// Removes the hop-by-hop header fields, those that `Connection` lists and `Content-Length`.
+    ///
+    /// `Host` stays even if it is listed, as it decides which route a request has.
     pub fn remove_hop_by_hop(&mut self) {
         let connection_lists: SmallVec<[Bytes; 2]> = self
             .0
@@ -112,10 +114,11 @@
             .map(|h| h.value.clone())
             .collect();
         self.0.retain(|h| {
-            !is_hop_by_hop(&h.name)
-                && !connection_lists
-                    .iter()
-                    .any(|list| list_contains(list, &h.name))
+            let is_listed = || {
+                let mut lists = connection_lists.iter();
+                lists.any(|list| list_contains(list, &h.name))
+            };
+            h.name.eq_ignore_ascii_case(b"host") || !(is_hop_by_hop(&h.name) || is_listed())
         });
     }
 
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -20,7 +20,7 @@
     unpack_headers,
 };
 use crate::node::Node;
-use crate::{crash_watch, leaving, named_limit, suspects};
+use crate::{crash_watch, homes, leaving, named_limit, suspects};
 
 /// Time after the deadline in which the back end's own timeout response is still accepted.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
@@ -44,6 +44,9 @@
     if node.is_closing() || proxy.ready_for(&request.service).is_none() {
         return not_run(RejectReason::NoBackEnd, default_retry_ms);
     }
+    if let Err(reason) = homes::check(node, &request) {
+        return not_run(reason, default_retry_ms);
+    }
     if request.remaining_ms == 0 {
         return not_run(RejectReason::Expired, default_retry_ms);
     }
@@ -158,6 +161,10 @@
     let Some(back_end) = node.proxy.ready_for(&request.service) else {
         return not_run(RejectReason::NoBackEnd, default_retry_ms);
     };
+    // The homes may have changed while the request waited.
+    if let Err(reason) = homes::check(&node, &request) {
+        return not_run(reason, default_retry_ms);
+    }
     if let Some(key) = node.shard_key(&request)
         && !node.shard_manager.borrow().serves(BootClock.now(), key)
     {
--- a/components/node/src/dispatch/completion.rs
+++ b/components/node/src/dispatch/completion.rs
@@ -6,6 +6,7 @@
 use platform::message;
 use rand::Rng;
 
+use super::homes::NoHome;
 use super::{Completion, OUTAGE_RETRY_AFTER, RequestDispatch};
 use crate::frame::{ForwardedResponse, unpack_headers};
 
@@ -54,6 +55,29 @@
         }
     }
 
+    /// Returns the final response when no home region of its route can serve the request.
+    pub(super) fn no_home(&mut self, cause: NoHome) -> Completion {
+        if self.maybe_executed {
+            return self.give_up();
+        }
+        self.node.metrics.on_no_home(cause.name());
+        log::info!(
+            event = "no-home",
+            id = self.id_text(),
+            route = self.route.name.as_str(),
+            service = self.service.as_str(),
+            cause = cause.name();
+            ""
+        );
+        let id = &self.template.request_id;
+        let jitter = rand::rng().random_range(0.7..1.4);
+        let retry_after = OUTAGE_RETRY_AFTER.mul_f64(jitter);
+        Completion {
+            response: message::error_response(503, id, Some(retry_after)),
+            outcome: "no-home",
+        }
+    }
+
     /// Returns the final response when the request is blocked for `remaining`, as it has crashed too
     /// many back ends.
     pub(super) fn quarantined(&mut self, remaining: Duration) -> Completion {
--- /dev/null
+++ b/components/node/src/dispatch/homes.rs
@@ -0,0 +1,109 @@
+//! Restricts the destinations of a request to the home regions of its route.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::Route;
+use timer::{BootClock, Clock};
+use world::name::{MachineName, RegionName};
+
+use super::RequestDispatch;
+use crate::frame::NodeStatus;
+use crate::homes;
+use crate::peer::Peer;
+
+/// Time after the loss of the connection to a machine in which it still counts as offering its
+/// service, as most lost connections reopen within it.
+const RECONNECT_GRACE: Duration = Duration::from_millis(900);
+
+/// Why no home region can serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoHome {
+    /// No machine in a home region offers the service.
+    NoMachine,
+    /// The owner of the key is in another region.
+    KeyElsewhere,
+}
+
+impl NoHome {
+    /// Name in the log and the metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::NoMachine => "no-machine",
+            Self::KeyElsewhere => "key-elsewhere",
+        }
+    }
+}
+
+/// The regions in which a request may run, both by the configuration at its arrival and by the one in
+/// force now.
+pub(super) struct Homes<'a> {
+    at_arrival: &'a Route,
+    /// `None` if it is the same or names no homes.
+    in_force: Option<Rc<Route>>,
+}
+
+impl Homes<'_> {
+    /// Returns whether the request may run in a region.
+    pub(super) fn allow(&self, region: &RegionName) -> bool {
+        let in_force = self.in_force.as_ref();
+        self.at_arrival.may_run_in(region) && in_force.is_none_or(|r| r.may_run_in(region))
+    }
+
+    fn are_named(&self) -> bool {
+        let in_force = self.in_force.as_ref();
+        !self.at_arrival.homes.is_empty() || in_force.is_some_and(|r| !r.homes.is_empty())
+    }
+}
+
+impl RequestDispatch<'_> {
+    /// Returns where the request may run now.
+    pub(super) fn homes(&self) -> Homes<'_> {
+        let is_replaced = self.node.configuration_version() != self.version;
+        let in_force = is_replaced.then(|| homes::route_in_force(self.node, &self.template));
+        Homes {
+            at_arrival: self.route,
+            in_force: in_force.flatten(),
+        }
+    }
+
+    /// Returns whether the request may be sent to a peer now.
+    pub(super) fn may_send_to(&self, peer: &Peer) -> bool {
+        let homes = self.homes();
+        peer.with_status(|s| homes.allow(&s.region)) == Some(true)
+    }
+
+    /// Returns why no home region can serve the request; `None` if one may, or if it has no homes.
+    pub(super) fn missing_home(&self) -> Option<NoHome> {
+        let homes = self.homes();
+        if !homes.are_named() {
+            return None;
+        }
+        if let Some(assignment) = self.keyed_assignment() {
+            let assignment = assignment?;
+            let owner = &assignment.value.range(self.template.key?)?.machine;
+            let region = self.region_of(owner)?;
+            return (!homes.allow(&region)).then_some(NoHome::KeyElsewhere);
+        }
+        let is_local = homes.allow(&self.node.settings.region)
+            && self.node.proxy.ready_for(&self.service).is_some();
+        let serves = |s: &NodeStatus| homes.allow(&s.region) && self.offers_service(s);
+        let now = BootClock.now();
+        let may_serve = |peer: &Rc<Peer>| {
+            let lost_for = now.since(peer.link_changed_at());
+            match peer.with_status(serves) {
+                Some(serves) => serves && (peer.is_connected() || lost_for < RECONNECT_GRACE),
+                None => lost_for < RECONNECT_GRACE,
+            }
+        };
+        let is_offered = is_local || self.node.peers().iter().any(may_serve);
+        (!is_offered).then_some(NoHome::NoMachine)
+    }
+
+    fn region_of(&self, machine: &MachineName) -> Option<RegionName> {
+        if *machine == self.node.settings.machine {
+            return Some(self.node.settings.region.clone());
+        }
+        self.node.peer(machine)?.with_status(|s| s.region.clone())
+    }
+}
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod arrival;
 mod completion;
+mod homes;
 mod outcome;
 mod selection;
 mod sending;
@@ -71,6 +72,8 @@
 struct RequestDispatch<'a> {
     node: &'a Rc<Node>,
     route: &'a Route,
+    /// Version of the configuration that has the route.
+    version: u64,
     service: ServiceName,
     /// The request to forward; each send sets its own id and times in a copy.
     template: ForwardedRequest,
@@ -149,7 +152,8 @@
     }
     let deadline = received + timeout.min(route.timeout);
     let template = request_template(&node, &service, &route, request, incoming);
-    let mut dispatch = RequestDispatch::new(&node, &route, service, template, deadline, timeout);
+    let placed = (&*route, version);
+    let mut dispatch = RequestDispatch::new(&node, placed, service, template, deadline, timeout);
     let completion = dispatch.run_to_end().await;
     let attempts = Attempts {
         last_machine: dispatch.machine.as_ref(),
@@ -201,7 +205,7 @@
 impl<'a> RequestDispatch<'a> {
     fn new(
         node: &'a Rc<Node>,
-        route: &'a Route,
+        (route, version): (&'a Route, u64),
         service: ServiceName,
         template: ForwardedRequest,
         deadline: BootInstant,
@@ -216,6 +220,7 @@
         Self {
             node,
             route,
+            version,
             template,
             search: Search::new(search_limit),
             is_retry: node.retry_detector.is_retry(route, timeout),
@@ -266,6 +271,9 @@
                 continue;
             }
             let Some((machine, destination)) = self.select_destination(final_pass) else {
+                if let Some(cause) = self.missing_home() {
+                    return self.no_home(cause);
+                }
                 if !self.rejections.is_empty() && !final_pass {
                     final_pass = true;
                     continue;
--- a/components/node/src/dispatch/outcome.rs
+++ b/components/node/src/dispatch/outcome.rs
@@ -5,6 +5,7 @@
 use timer::{BootClock, Clock};
 use world::name::MachineName;
 
+use super::homes::NoHome;
 use super::{Completion, Destination, REROUTE_INTERVAL, RequestDispatch};
 use crate::frame::{RejectReason, RequestOutcome};
 use crate::peer::Peer;
@@ -111,7 +112,8 @@
                 self.on_not_holder(destination).await
             }
             RejectReason::NotHolder => self.on_not_holder(destination).await,
-            RejectReason::NoBackEnd | RejectReason::Unreachable | RejectReason::WrongRegion => {
+            RejectReason::WrongRegion => Some(self.no_home(NoHome::KeyElsewhere)),
+            RejectReason::NoBackEnd | RejectReason::Unreachable => {
                 self.await_assignment_change().await;
                 self.check_handover_timeout()
             }
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -100,12 +100,17 @@
         if !final_pass && self.rejections.iter().any(|(m, _)| *m == machine) {
             return None;
         }
+        let homes = self.homes();
         if machine == self.node.settings.machine {
+            if !homes.allow(&self.node.settings.region) {
+                return None;
+            }
             self.node.proxy.ready_for(&self.service)?;
             return Some((machine, Destination::Local));
         }
         let peer = self.node.peer(&machine)?;
-        let usable = peer.is_connected() && peer.with_status(|s| self.takes_requests(s))?;
+        let takes = |s: &NodeStatus| self.takes_requests(s) && homes.allow(&s.region);
+        let usable = peer.is_connected() && peer.with_status(takes)?;
         usable.then_some((machine, Destination::Peer(peer)))
     }
 
@@ -132,7 +137,9 @@
         let mut candidates = Vec::new();
         let usable = |m: &MachineName| self.is_untried(m, final_pass);
         let own = &self.node.settings.machine;
+        let homes = self.homes();
         if let Some(b) = self.node.proxy.ready_for(&self.service)
+            && homes.allow(&self.node.settings.region)
             && usable(own)
             && (final_pass || self.search.allows(Distance::Local))
         {
@@ -153,7 +160,7 @@
             }
             let candidate = peer.with_status(|status| {
                 let back_end = status.back_end.as_ref()?;
-                if !self.offers_service(status) {
+                if !self.offers_service(status) || !homes.allow(&status.region) {
                     return None;
                 }
                 let idle = LoadReport {
--- a/components/node/src/dispatch/sending.rs
+++ b/components/node/src/dispatch/sending.rs
@@ -51,7 +51,7 @@
             if !matches!(outcome, RequestOutcome::Lost(LossCause::LinkLost)) {
                 return outcome;
             }
-            if !self.await_reconnect(peer, incarnation).await {
+            if !self.await_reconnect(peer, incarnation).await || !self.may_send_to(peer) {
                 return outcome;
             }
         }
--- a/components/node/src/dispatch/trial.rs
+++ b/components/node/src/dispatch/trial.rs
@@ -22,10 +22,12 @@
         final_pass: bool,
     ) -> Option<(MachineName, Destination)> {
         let own = &self.node.settings.machine;
-        let is_local = self.node.proxy.ready_for(&self.service).is_some();
+        let homes = self.homes();
+        let is_local = self.node.proxy.ready_for(&self.service).is_some()
+            && homes.allow(&self.node.settings.region);
         let local = is_local.then(|| (own.clone(), Destination::Local));
         let remote = self.node.peers().into_iter().filter_map(|peer| {
-            let offers = peer.with_status(|s| self.offers_service(s));
+            let offers = peer.with_status(|s| self.offers_service(s) && homes.allow(&s.region));
             let is_usable = peer.is_connected() && offers == Some(true);
             is_usable.then(|| (peer.machine.clone(), Destination::Peer(peer)))
         });
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod frame_stream;
 pub mod heartbeat_check;
 pub mod heartbeats;
+pub mod homes;
 pub mod leaving;
 pub mod link;
 pub mod log_queue;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -33,6 +33,7 @@
     back_end_sends: Cell<u64>,
     rejections: LabelledCounter,
     denials: LabelledCounter,
+    no_home: LabelledCounter,
     deferred_denials: Cell<u64>,
     unsigned_responses: Cell<u64>,
     refused_heartbeats: Cell<u64>,
@@ -52,6 +53,7 @@
             back_end_sends: Cell::new(0),
             rejections: LabelledCounter::default(),
             denials: LabelledCounter::default(),
+            no_home: LabelledCounter::default(),
             deferred_denials: Cell::new(0),
             unsigned_responses: Cell::new(0),
             refused_heartbeats: Cell::new(0),
@@ -100,6 +102,11 @@
         self.denials.increment(reason);
     }
 
+    /// Counts a request that is rejected as no home region of its route can serve it, by the cause.
+    pub fn on_no_home(&self, cause: &'static str) {
+        self.no_home.increment(cause);
+    }
+
     /// Counts a caller's request that is refused, but not for good, as the configuration may be stale.
     pub fn on_deferred_denial(&self) {
         self.deferred_denials.set(self.deferred_denials.get() + 1);
@@ -146,6 +153,7 @@
             ("plantaingauge_sends_total", "outcome", &self.sends),
             ("plantaingauge_rejections_total", "cause", &self.rejections),
             ("plantaingauge_denials_total", "reason", &self.denials),
+            ("plantaingauge_no_home_total", "cause", &self.no_home),
             (
                 "plantaingauge_store_calls_total",
                 "outcome",
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -39,6 +39,7 @@
 use crate::departures::Departures;
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
+use crate::homes;
 use crate::leaving::LeavingBackEnds;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
@@ -264,6 +265,7 @@
             return false;
         }
         log::info!(event = "configuration-in-force", version, source; "");
+        homes::log_unknown(&self.settings, &catalog);
         *self.active_config.borrow_mut() = Some(ActiveConfig {
             catalog: Rc::new(catalog),
             document: Rc::new(document),
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -241,6 +241,20 @@
         deployment
     }
 
+    /// Starts machines, three in each zone, in this number of regions with as many zones each; the
+    /// configuration is not written.
+    pub(crate) fn start_spread(
+        net: u8,
+        machines: usize,
+        regions: usize,
+        zones_per_region: usize,
+    ) -> Self {
+        let mut deployment = Self::new(net, start_store(net));
+        deployment.layout = deployment.layout.spread(regions, zones_per_region);
+        deployment.start_machines(machines);
+        deployment
+    }
+
     fn start_with_store(net: u8, machines: usize, store: Store) -> Self {
         let mut deployment = Self::new(net, store);
         deployment.start_machines(machines);
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod endless;
 mod foreign_heartbeats;
+mod home_regions;
 mod late_copies;
 mod named_limits;
 mod odd_objects;
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -105,6 +105,8 @@
     pub id: String,
     /// Service that it offers.
     pub service: &'static str,
+    /// Availability zone that its heartbeats name.
+    pub zone: String,
     /// Address that it listens on.
     pub listen_address: SocketAddr,
     /// Address that its heartbeats announce.
@@ -371,7 +373,7 @@
             .map(|g| json!([g.from, g.to, g.fence]))
             .collect();
         json!({
-            "service": self.config.service, "address": self.config.advertised_address, "zone": "z",
+            "service": self.config.service, "address": self.config.advertised_address, "zone": self.config.zone,
             "version": "v1", "slots": SLOTS, "state": if draining { "draining" } else { "ready" },
             "coldRemainingMs": 0, "sequence": sequence, "born": self.born,
             "holds": holds, "freed": keys.released
--- a/components/stand-ins/src/layout.rs
+++ b/components/stand-ins/src/layout.rs
@@ -3,6 +3,7 @@
 //! The back end of every third machine, from machine 0 on, offers the service `orders`; the others
 //! offer `lists`, which is sharded by key.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde_json::json;
@@ -32,8 +33,13 @@
 pub struct Layout {
     second_octet: u8,
     third_octet: u8,
+    regions: usize,
+    zones_per_region: usize,
 }
 
+/// Machines in a row that are in the same zone: one of `orders` and two of `lists`.
+const MACHINES_PER_ZONE: usize = 3;
+
 /// Settings of a node that differ between deployments or machines.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeSettings<'a> {
@@ -56,9 +62,42 @@
         Self {
             second_octet,
             third_octet,
+            regions: 1,
+            zones_per_region: 1,
+        }
+    }
+
+    /// Spreads the machines over regions and their availability zones, three machines in a row in each
+    /// zone; without it all are in one zone.
+    #[must_use]
+    pub fn spread(self, regions: usize, zones_per_region: usize) -> Self {
+        Self {
+            regions,
+            zones_per_region,
+            ..self
         }
     }
 
+    /// Returns the availability zone of a machine.
+    #[must_use]
+    pub fn zone(self, machine: usize) -> String {
+        numbered("z", self.zone_number(machine))
+    }
+
+    /// Returns the region of a machine.
+    #[must_use]
+    pub fn region(self, machine: usize) -> String {
+        self.region_of_zone(self.zone_number(machine))
+    }
+
+    fn zone_number(self, machine: usize) -> usize {
+        machine / MACHINES_PER_ZONE % (self.regions * self.zones_per_region)
+    }
+
+    fn region_of_zone(self, zone: usize) -> String {
+        numbered("r", zone / self.zones_per_region)
+    }
+
     /// Returns the address of a port on a machine.
     ///
     /// # Panics
@@ -75,6 +114,7 @@
         BackEndConfig {
             id: back_end_id(machine),
             service: service(machine),
+            zone: self.zone(machine),
             listen_address: self.address(machine, BACK_END_PORT),
             advertised_address: self.address(machine, BACK_END_PORT),
             heartbeat_address: self.address(machine, HEARTBEAT_PORT),
@@ -85,8 +125,12 @@
     #[must_use]
     pub fn settings(self, machine: usize, node: &NodeSettings) -> String {
         let address = |port| self.address(machine, port);
+        let zones: BTreeMap<String, String> = (0..self.regions * self.zones_per_region)
+            .map(|zone| (numbered("z", zone), self.region_of_zone(zone)))
+            .collect();
         json!({
-            "nodeName": node.name, "ip": address(PEER_PORT).ip(), "zone": "z", "region": "r",
+            "nodeName": node.name, "ip": address(PEER_PORT).ip(),
+            "zone": self.zone(machine), "region": self.region(machine), "zones": zones,
             "listenAddresses": {
                 "outbound": address(CALLER_PORT), "ready": address(READINESS_PORT),
                 "control": address(HEARTBEAT_PORT)
@@ -100,6 +144,14 @@
     }
 }
 
+/// Returns the name of a zone or region; the first one has no number.
+fn numbered(prefix: &str, number: usize) -> String {
+    match number {
+        0 => prefix.to_owned(),
+        _ => format!("{prefix}-{number}"),
+    }
+}
+
 fn back_end_id(machine: usize) -> String {
     format!("{BACK_END_PREFIX}{machine}")
 }
--- a/components/stand-ins/src/store/config.rs
+++ b/components/stand-ins/src/store/config.rs
@@ -33,6 +33,25 @@
         self.write("config", "main", document(version, extra_paths, cap));
     }
 
+    /// Writes a configuration with one more route per path of `extra_paths`, in which routes have home
+    /// regions: `homes` names them by route name, which is the path for an extra one.
+    pub fn write_homes_config(
+        &self,
+        version: u64,
+        extra_paths: &[&str],
+        homes: &[(&str, &[&str])],
+    ) {
+        let mut document = document(version, extra_paths, DEFAULT_CONNECTION_CAP);
+        let rows = document["routes"]["rows"].as_array_mut().expect("a list");
+        for row in rows {
+            let regions = homes.iter().find(|(name, _)| row[0] == *name);
+            let row = row.as_array_mut().expect("a list");
+            row.push(Value::Null);
+            row.push(json!(regions.map(|(_, regions)| regions)));
+        }
+        self.write("config", "main", document);
+    }
+
     /// Writes a configuration with one more route per path, which leads to `orders` with that weight.
     pub fn write_weighted_config(&self, version: u64, weighted_paths: &[(&str, f64)]) {
         let mut document = document(version, &[], DEFAULT_CONNECTION_CAP);
@@ -63,7 +82,7 @@
         "version": version,
         "routes": {
             "columns": ["name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs",
-                "priority", "service", "attempts", "trafficSplit"],
+                "priority", "service", "attempts", "trafficSplit", "homeRegions"],
             "rows": rows
         },
         "services": {
--- a/components/stand-ins/src/store/mod.rs
+++ b/components/stand-ins/src/store/mod.rs
@@ -178,6 +178,18 @@
         self.notify();
     }
 
+    /// Removes an object without checking its revision; does nothing if there is none.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let write = Write {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            condition: Condition::Present,
+            specification: None,
+        };
+        self.lock().execute(&write);
+        self.notify();
+    }
+
     fn handle(&self, request: &Request) -> Option<Response> {
         if let StoreFault::Slow(delay) = self.fault() {
             std::thread::sleep(delay);
