Unbound requests leave room in home regions

Callers of a route bound to one region would get rejections while the back ends of other regions were idle.

Cause: requests that may run anywhere prefer their own region until its queues are long, as another region costs 290 ms, and take the room that bound requests need.

Change: a candidate whose region is a home of another route to the same service that excludes some region counts as reserved, unless the request itself has just one home. Its cost rises from half of its slots in use. Without homes in the configuration no candidate is reserved.

Why it works: at three quarters of its slots a reserved back end costs more than one in another region, so that unbound requests go there before the home is full.

--- a/components/balance/src/choice.rs
+++ b/components/balance/src/choice.rs
@@ -69,6 +69,8 @@
     pub failure_rate: f64,
     /// Whether it has started recently and is still slow.
     pub cold: bool,
+    /// Whether its room is wanted by requests that may run in fewer regions than this one.
+    pub reserved: bool,
 }
 
 /// Age at which a load report counts half.
@@ -83,6 +85,11 @@
 const JITTER_RATIO: f64 = 0.1;
 /// Cost of a failed request, in seconds.
 const FAILURE_COST_SECS: f64 = 1.5;
+/// Share of the slots in use above which a reserved back end becomes more expensive.
+const RESERVED_FROM: f64 = 0.5;
+/// Additional cost of a reserved back end whose slots are all in use, in seconds. More than twice the
+/// cost of another region, so that this is cheaper from three quarters of the slots on.
+const RESERVED_COST_SECS: f64 = 0.6;
 /// Factor by which a cold back end is slower.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -119,7 +126,14 @@
         let congestion = service * 0.3 * (outstanding / slots).min(1.5).powi(3);
         let network =
             self.distance.round_trip() + self.queueing_delay + self.distance.transfer_cost();
-        network.as_secs_f64() + service + wait + congestion + self.failure_rate * FAILURE_COST_SECS
+        let reserved = if self.reserved {
+            let excess = (outstanding / slots - RESERVED_FROM).max(0.0);
+            excess / (1.0 - RESERVED_FROM) * RESERVED_COST_SECS
+        } else {
+            0.0
+        };
+        let failures = self.failure_rate * FAILURE_COST_SECS;
+        network.as_secs_f64() + service + wait + congestion + reserved + failures
     }
 }
 
--- a/components/balance/tests/choice.rs
+++ b/components/balance/tests/choice.rs
@@ -22,6 +22,7 @@
         in_flight: 0,
         failure_rate: 0.0,
         cold: false,
+        reserved: false,
     }
 }
 
--- a/components/balance/tests/overload.rs
+++ b/components/balance/tests/overload.rs
@@ -159,6 +159,7 @@
                     in_flight: 0,
                     failure_rate: 0.0,
                     cold: false,
+                    reserved: false,
                 }
             })
             .collect();
--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -17,8 +17,8 @@
     pub version: u64,
     /// Routes by host in lower case, the longest path prefix first.
     routes: HashMap<String, Vec<Rc<Route>>>,
-    /// Whether any route names home regions.
-    has_homes: bool,
+    /// Routes that name home regions, by each of their services.
+    bound_routes: HashMap<ServiceName, Vec<Rc<Route>>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
     /// Limits on requests and connections of callers.
@@ -107,11 +107,16 @@
         services: HashMap<ServiceName, Service>,
         limits: Limits,
     ) -> Self {
-        let has_homes = routes.iter().any(|r| !r.homes.is_empty());
         let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
-        for route in routes {
+        let mut bound_routes: HashMap<ServiceName, Vec<Rc<Route>>> = HashMap::new();
+        for route in routes.into_iter().map(Rc::new) {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(Rc::new(route));
+            let services = route.traffic_split.iter().map(|s| &s.service);
+            for service in services.filter(|_| !route.homes.is_empty()) {
+                let bound = bound_routes.entry(service.clone()).or_default();
+                bound.push(Rc::clone(&route));
+            }
+            by_host.entry(host).or_default().push(route);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -119,7 +124,7 @@
         Self {
             version,
             routes: by_host,
-            has_homes,
+            bound_routes,
             services,
             limits,
         }
@@ -143,7 +148,14 @@
     /// Returns whether any route names home regions.
     #[must_use]
     pub fn has_homes(&self) -> bool {
-        self.has_homes
+        !self.bound_routes.is_empty()
+    }
+
+    /// Returns the routes to a service that name home regions.
+    #[must_use]
+    pub fn bound_routes(&self, service: &ServiceName) -> &[Rc<Route>] {
+        let bound = self.bound_routes.get(service);
+        bound.map_or(&[], Vec::as_slice)
     }
 
     /// Returns the sharded services.
--- a/components/node/src/dispatch/homes.rs
+++ b/components/node/src/dispatch/homes.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catalog::Route;
+use catalog::{Catalog, Route};
+use platform::settings::Settings;
 use timer::{BootClock, Clock};
-use world::name::{MachineName, RegionName};
+use world::name::{MachineName, RegionName, ServiceName};
 
 use super::RequestDispatch;
 use crate::frame::NodeStatus;
@@ -56,7 +57,45 @@
     }
 }
 
+/// The regions whose back ends of the service are to be left to requests that may run in fewer regions
+/// than this one.
+pub(super) struct ReservedRegions<'a> {
+    settings: &'a Settings,
+    /// `None` if the request itself may run in one region only, or no route to the service has homes.
+    others: Option<(Rc<Catalog>, &'a ServiceName, &'a str)>,
+}
+
+impl ReservedRegions<'_> {
+    /// Returns whether a region is a home of another route to the service that excludes some region.
+    pub(super) fn includes(&self, region: &RegionName) -> bool {
+        let Some((catalog, service, own_route)) = &self.others else {
+            return false;
+        };
+        let bound = catalog.bound_routes(service);
+        let excludes = |route: &Route| {
+            let mut regions = self.settings.zones.values();
+            regions.any(|r| !route.may_run_in(r))
+        };
+        let mut others = bound.iter().filter(|r| r.name != *own_route);
+        others.any(|route| route.may_run_in(region) && excludes(route))
+    }
+}
+
 impl RequestDispatch<'_> {
+    /// Returns the regions in which the request should leave room for others.
+    pub(super) fn reserved_regions(&self) -> ReservedRegions<'_> {
+        let is_bound = self.route.homes.len() == 1;
+        let config = self.node.active_config().filter(|_| !is_bound);
+        let catalog = config.map(|c| c.catalog);
+        let others = catalog
+            .filter(|c| !c.bound_routes(&self.service).is_empty())
+            .map(|c| (c, &self.service, self.route.name.as_str()));
+        ReservedRegions {
+            settings: &self.node.settings,
+            others,
+        }
+    }
+
     /// Returns where the request may run now.
     pub(super) fn homes(&self) -> Homes<'_> {
         let is_replaced = self.node.configuration_version() != self.version;
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -138,6 +138,7 @@
         let usable = |m: &MachineName| self.is_untried(m, final_pass);
         let own = &self.node.settings.machine;
         let homes = self.homes();
+        let reserved = self.reserved_regions();
         if let Some(b) = self.node.proxy.ready_for(&self.service)
             && homes.allow(&self.node.settings.region)
             && usable(own)
@@ -151,6 +152,7 @@
                 in_flight: 0,
                 failure_rate: self.node.local_failures.get(),
                 cold: b.cold_until > now,
+                reserved: reserved.includes(&self.node.settings.region),
             };
             candidates.push((own.clone(), Destination::Local, candidate));
         }
@@ -189,6 +191,7 @@
                     in_flight: u32::try_from(peer.in_flight()).unwrap_or(u32::MAX),
                     failure_rate: peer.failure_rate().get(),
                     cold: back_end.cold,
+                    reserved: reserved.includes(&status.region),
                 })
             });
             if let Some(candidate) = candidate.flatten() {
