--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -17,6 +17,8 @@
     pub version: u64,
     /// Routes by host in lower case, the longest path prefix first.
     routes: HashMap<String, Vec<Rc<Route>>>,
+    /// Routes that name home regions, by each of their services.
+    bound_routes: HashMap<ServiceName, Vec<Rc<Route>>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
     /// Limits on requests and connections of callers.
@@ -110,9 +112,15 @@
     ) -> Self {
         let has_top_priority = routes.iter().any(|r| r.priority == 0);
         let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
-        for route in routes {
+        let mut bound_routes: HashMap<ServiceName, Vec<Rc<Route>>> = HashMap::new();
+        for route in routes.into_iter().map(Rc::new) {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host).or_default().push(Rc::new(route));
+            let services = route.traffic_split.iter().map(|s| &s.service);
+            for service in services.filter(|_| !route.homes.is_empty()) {
+                let bound = bound_routes.entry(service.clone()).or_default();
+                bound.push(Rc::clone(&route));
+            }
+            by_host.entry(host).or_default().push(route);
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -120,6 +128,7 @@
         Self {
             version,
             routes: by_host,
+            bound_routes,
             services,
             limits,
             has_top_priority,
@@ -136,6 +145,24 @@
             .find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns whether any route names home regions.
+    #[must_use]
+    pub fn has_homes(&self) -> bool {
+        !self.bound_routes.is_empty()
+    }
+
+    /// Returns the routes to a service that name home regions.
+    #[must_use]
+    pub fn bound_routes(&self, service: &ServiceName) -> &[Rc<Route>] {
+        let bound = self.bound_routes.get(service);
+        bound.map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the sharded services.
     pub fn keyed_services(&self) -> impl Iterator<Item = &ServiceName> {
         let keyed = self.services.iter().filter(|(_, s)| s.keyed);
@@ -150,10 +177,11 @@
 }
 
 impl Route {
-    /// Returns whether a request may run in a region.
+    /// Returns whether a request may run in a region; an empty name among the homes is no region.
     #[must_use]
     pub fn may_run_in(&self, region: &RegionName) -> bool {
-        self.homes.is_empty() || self.homes.contains(region)
+        let is_home = |home: &RegionName| home == region && !home.as_str().is_empty();
+        self.homes.is_empty() || self.homes.iter().any(is_home)
     }
 
     /// Returns the service for a request; a `sample` uniform in 0..1 selects the services in
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod arrival;
 mod completion;
+mod homes;
 mod outcome;
 mod selection;
 mod sending;
@@ -69,6 +70,8 @@
 struct RequestDispatch<'a> {
     node: &'a Rc<Node>,
     route: &'a Route,
+    /// Version of the configuration that has the route.
+    version: u64,
     service: ServiceName,
     /// The request to forward; each send sets its own id and times in a copy.
     template: ForwardedRequest,
@@ -156,7 +159,8 @@
     let is_call = parent.is_some();
     drop(parent);
     let template = request_template(&node, &service, &route, request, incoming, rank);
-    let mut dispatch = RequestDispatch::new(&node, &route, template, is_call, deadline, timeout);
+    let mut dispatch =
+        RequestDispatch::new(&node, &route, version, template, is_call, deadline, timeout);
     let completion = dispatch.run_to_end().await;
     let attempts = Attempts {
         last_machine: dispatch.machine.as_ref(),
@@ -205,6 +209,7 @@
     fn new(
         node: &'a Rc<Node>,
         route: &'a Route,
+        version: u64,
         template: ForwardedRequest,
         is_call: bool,
         deadline: BootInstant,
@@ -220,6 +225,7 @@
             node,
             route,
             service: template.service.clone(),
+            version,
             template,
             is_call,
             search: Search::new(search_limit),
@@ -270,6 +276,9 @@
                 continue;
             }
             let Some((machine, destination)) = self.select_destination(final_pass) else {
+                if let Some(cause) = self.missing_home() {
+                    return self.no_home(cause);
+                }
                 if !self.rejections.is_empty() && !final_pass {
                     final_pass = true;
                     continue;
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -100,12 +100,17 @@
         if !final_pass && self.rejections.iter().any(|(m, _)| *m == machine) {
             return None;
         }
+        let homes = self.homes();
         if machine == self.node.settings.machine {
+            if !homes.allow(&self.node.settings.region) {
+                return None;
+            }
             self.node.proxy.ready_for(&self.service)?;
             return Some((machine, Destination::Local));
         }
         let peer = self.node.peer(&machine)?;
-        let usable = peer.is_connected() && peer.with_status(|s| self.takes_requests(s))?;
+        let takes = |s: &NodeStatus| self.takes_requests(s) && homes.allow(&s.region);
+        let usable = peer.is_connected() && peer.with_status(takes)?;
         usable.then_some((machine, Destination::Peer(peer)))
     }
 
@@ -132,7 +137,10 @@
         let mut candidates = Vec::new();
         let usable = |m: &MachineName| self.is_untried(m, final_pass);
         let own = &self.node.settings.machine;
+        let homes = self.homes();
+        let reserved = self.reserved_regions();
         if let Some(b) = self.node.proxy.ready_for(&self.service)
+            && homes.allow(&self.node.settings.region)
             && usable(own)
             && (final_pass || self.search.allows(Distance::Local))
         {
@@ -144,6 +152,7 @@
                 in_flight: 0,
                 failure_rate: self.node.local_failures.get(),
                 cold: b.cold_until > now,
+                reserved: reserved.includes(&self.node.settings.region),
             };
             candidates.push((own.clone(), Destination::Local, candidate));
         }
@@ -153,7 +162,7 @@
             }
             let candidate = peer.with_status(|status| {
                 let back_end = status.back_end.as_ref()?;
-                if !self.offers_service(status) {
+                if !self.offers_service(status) || !homes.allow(&status.region) {
                     return None;
                 }
                 let idle = LoadReport {
@@ -182,6 +191,7 @@
                     in_flight: u32::try_from(peer.in_flight()).unwrap_or(u32::MAX),
                     failure_rate: peer.failure_rate().get(),
                     cold: back_end.cold,
+                    reserved: reserved.includes(&status.region),
                 })
             });
             if let Some(candidate) = candidate.flatten() {
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -40,6 +40,7 @@
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::frame_stream::QueuedBytes;
+use crate::homes;
 use crate::leaving::LeavingBackEnds;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
@@ -268,6 +269,7 @@
             return false;
         }
         log::info!(event = "configuration-in-force", version, source; "");
+        homes::log_unknown(&self.settings, &catalog);
         *self.active_config.borrow_mut() = Some(ActiveConfig {
             catalog: Rc::new(catalog),
             document: Rc::new(document),
