Bound on requests to a cold back end, kept by the back end proxy

Callers would see: a back end that has just started gets as many requests as a warm one and crashes.

Cause: the rate of cold back ends in the configuration was decoded but not used.

The queue takes a token of both limits for each start, so repeats, requests on trial and requests for keys pass the bucket too. The limit is part of the load report and of the utilization. Configuration and bounds take effect when they change. The tick of 100 ms is too slow for queued requests: at 12 tokens a second with a burst of 1 it would use ten of twelve tokens, and a request would wait up to 100 ms longer than announced. A task sleeps until the next token instead.

Why it works: every request to the back end is sent by submission::run, which is reached only through the queue.

--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -7,6 +7,7 @@
 use world::instant::BootInstant;
 use world::rate::RequestRate;
 
+use crate::cold_limit::{ColdBound, ColdLimit};
 use crate::estimate::ServiceTimeEstimate;
 use crate::rate_limit::RateLimit;
 
@@ -71,6 +72,8 @@
     estimate: ServiceTimeEstimate,
     /// Limit on the requests that start in a second, besides the slots.
     rate_limit: Option<RateLimit>,
+    /// Limit on the requests that start in a second while the back end is cold, besides the other two.
+    cold_limit: ColdLimit,
 }
 
 impl Queue {
@@ -83,6 +86,7 @@
             waiting: Vec::new(),
             estimate: ServiceTimeEstimate::default(),
             rate_limit: None,
+            cold_limit: ColdLimit::default(),
         }
     }
 
@@ -99,6 +103,22 @@
         }
     }
 
+    /// Changes how many requests may start in a second while the back end is cold; `None` for any number.
+    pub fn set_cold_bound(&mut self, bound: Option<ColdBound>, now: BootInstant) {
+        self.cold_limit.set_bound(bound, now);
+    }
+
+    /// Changes until when the back end is cold.
+    pub fn set_cold_until(&mut self, until: BootInstant, now: BootInstant) {
+        self.cold_limit.set_cold_until(until, now);
+    }
+
+    /// Limit on the requests that start in a second if the back end is cold now and has one.
+    #[must_use]
+    pub fn cold_bound(&self, now: BootInstant) -> Option<ColdBound> {
+        self.cold_limit.bound(now)
+    }
+
     /// Number of requests that may start in a second, `None` for any number.
     #[must_use]
     pub fn rate(&self) -> Option<f64> {
@@ -143,13 +163,32 @@
         self.estimate.mean_or_default().mul_f64(rounds)
     }
 
-    /// Expected wait of a request that arrives now until it may start by the limit on requests per
+    /// Expected wait of a request that arrives now until it may start by the limits on requests per
     /// second; zero without one.
     #[must_use]
     pub fn rate_wait(&self, now: BootInstant, priority: u8, missed_target: bool) -> Duration {
+        self.token_wait(now, self.ahead_of(priority, missed_target))
+    }
+
+    /// The part of [`rate_wait`](Self::rate_wait) for which the cold back end is the reason.
+    #[must_use]
+    pub fn cold_wait(&self, now: BootInstant, priority: u8, missed_target: bool) -> Duration {
         let ahead = self.ahead_of(priority, missed_target);
+        self.cold_limit.wait(now, ahead)
+    }
+
+    /// Time until the limits on requests per second let the next waiting request start; `None` if none
+    /// waits or all slots are taken.
+    #[must_use]
+    pub fn next_start(&self, now: BootInstant) -> Option<Duration> {
+        let can_start = self.running < self.slots && !self.waiting.is_empty();
+        can_start.then(|| self.token_wait(now, 0))
+    }
+
+    fn token_wait(&self, now: BootInstant, ahead: usize) -> Duration {
         let limit = self.rate_limit.as_ref();
-        limit.map_or(Duration::ZERO, |l| l.wait(now, ahead))
+        let wait = limit.map_or(Duration::ZERO, |l| l.wait(now, ahead));
+        wait.max(self.cold_limit.wait(now, ahead))
     }
 
     fn ahead_of(&self, priority: u8, missed_target: bool) -> usize {
@@ -161,9 +200,11 @@
         ahead.count()
     }
 
-    /// Takes the token of a request that starts; returns false if the limit has none left.
+    /// Takes the tokens of a request that starts; returns false if one of the limits has none left.
     fn take_token(&mut self, now: BootInstant) -> bool {
-        self.rate_limit.as_mut().is_none_or(|l| l.take(now))
+        self.cold_limit.has_token(now)
+            && self.rate_limit.as_mut().is_none_or(|l| l.take(now))
+            && self.cold_limit.take(now)
     }
 
     /// Decides whether a request that arrives starts, waits or is rejected.
--- a/components/node/src/back_end_proxy/guards.rs
+++ b/components/node/src/back_end_proxy/guards.rs
@@ -51,7 +51,7 @@
         let started = matches!(self.receiver.try_recv(), Ok(Dequeued::Started(_)));
         if !was_queued && started {
             self.proxy.queue.borrow_mut().on_finished(0, None);
-            self.proxy.start_queued();
+            self.proxy.on_slot_freed();
         }
     }
 }
@@ -97,6 +97,6 @@
             .queue
             .borrow_mut()
             .on_finished(self.class, service_time);
-        proxy.start_queued();
+        proxy.on_slot_freed();
     }
 }
--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -12,16 +12,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admission::cold_limit::ColdBound;
 use admission::queue::{Dequeued, Queue};
 use bytes::Bytes;
 use shards::incarnation::BackEndIncarnation;
 use timer::{BootClock, Clock};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use world::instant::BootInstant;
 use world::name::ServiceName;
 use world::rate::RequestRate;
 
 use crate::back_end::ConnectionPool;
+use crate::cold_limit::ColdBackEnd;
 use crate::crash_watch::CrashWatch;
 use crate::frame::{ForwardedRequest, LoadReport};
 use crate::named_limit::NamedLimit;
@@ -43,7 +45,7 @@
     pub incarnation: BackEndIncarnation,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Instant until which it is slow after its start.
+    /// Instant until which it is cold by its last heartbeat.
     pub cold_until: BootInstant,
     /// Instant of its last heartbeat or response.
     pub last_contact: BootInstant,
@@ -75,6 +77,10 @@
     pub crash_watch: CrashWatch,
     /// Limit in requests a second that the back end names.
     pub named_limit: NamedLimit,
+    /// What is known about the times in which the back end is cold.
+    pub cold: ColdBackEnd,
+    /// Notified when the queue may have to start requests at another time than before.
+    pub(crate) queue_changed: Notify,
     /// The back end, once it has sent a heartbeat.
     pub back_end: RefCell<Option<LocalBackEnd>>,
     utilization: Cell<f64>,
@@ -97,6 +103,8 @@
             connections,
             crash_watch: CrashWatch::default(),
             named_limit: NamedLimit::default(),
+            cold: ColdBackEnd::default(),
+            queue_changed: Notify::new(),
             back_end: RefCell::new(None),
             utilization: Cell::new(0.0),
             arrivals: Cell::new(0),
@@ -105,11 +113,13 @@
     }
 
     /// Returns the slots and the service time that describe the capacity of the back end, under the
-    /// limit that it names.
-    fn capacity(&self, slots: usize, service_time: Duration) -> (usize, Duration) {
-        match self.named_limit.named() {
-            Some(rate) => limited_capacity(slots, service_time, rate),
-            None => (slots, service_time),
+    /// limit that it names and the one for cold back ends.
+    fn capacity(&self, queue: &Queue, service_time: Duration) -> (usize, Duration) {
+        let named = self.named_limit.named().map(RequestRate::as_per_second);
+        let cold = queue.cold_bound(BootClock.now()).map(ColdBound::rate);
+        match named.into_iter().chain(cold).reduce(f64::min) {
+            Some(rate) => limited_capacity(queue.slots(), service_time, rate),
+            None => (queue.slots(), service_time),
         }
     }
 
@@ -118,7 +128,7 @@
     pub fn load(&self) -> LoadReport {
         let queue = self.queue.borrow();
         let service_time = queue.estimate().mean().unwrap_or_default();
-        let (slots, service_time) = self.capacity(queue.slots(), service_time);
+        let (slots, service_time) = self.capacity(&queue, service_time);
         LoadReport {
             running: saturating_u32(queue.running()),
             waiting: saturating_u32(queue.waiting()),
@@ -144,7 +154,7 @@
         }
         let queue = self.queue.borrow();
         let service_time = queue.estimate().mean_or_default();
-        let (slots, service_time) = self.capacity(queue.slots(), service_time);
+        let (slots, service_time) = self.capacity(&queue, service_time);
         let offered = arrivals / elapsed * service_time.as_secs_f64() / slots.max(1) as f64;
         let gain = (elapsed / UTILIZATION_WINDOW.as_secs_f64()).min(1.0);
         self.utilization
@@ -192,6 +202,39 @@
     pub fn apply_limit(&self) {
         let rate = self.named_limit.rate();
         self.queue.borrow_mut().set_rate(rate, BootClock.now());
+        self.queue_changed.notify_one();
+    }
+
+    /// Takes the back end to be cold until `until`, whatever it says.
+    pub fn assume_cold(&self, until: BootInstant) {
+        self.cold.assume(until);
+        let cold_until = self.cold.until();
+        self.queue
+            .borrow_mut()
+            .set_cold_until(cold_until, BootClock.now());
+        self.queue_changed.notify_one();
+    }
+
+    /// Lets as many requests start in a second as a cold back end takes, `None` for any number, for as long
+    /// as the back end is known to be cold.
+    pub(crate) fn set_cold_bound(&self, bound: Option<ColdBound>, now: BootInstant) {
+        let mut queue = self.queue.borrow_mut();
+        queue.set_cold_bound(bound, now);
+        queue.set_cold_until(self.cold.until(), now);
+        drop(queue);
+        self.queue_changed.notify_one();
+    }
+
+    /// Returns the limit for a cold back end if it is in force.
+    #[must_use]
+    pub fn cold_bound(&self, now: BootInstant) -> Option<ColdBound> {
+        self.queue.borrow().cold_bound(now)
+    }
+
+    /// Returns the time until the limits on requests per second let a queued request start; `None` if they
+    /// are not what it waits for.
+    pub(crate) fn next_start(&self, now: BootInstant) -> Option<Duration> {
+        self.queue.borrow().next_start(now)
     }
 
     /// Sets whether the back end takes requests; if not, queued requests are rejected as expired.
@@ -248,6 +291,14 @@
         }
     }
 
+    /// Starts queued requests after a slot has become free; the rest wait for a limit on requests per second.
+    fn on_slot_freed(&self) {
+        self.start_queued();
+        if self.queue.borrow().waiting() > 0 {
+            self.queue_changed.notify_one();
+        }
+    }
+
     fn retry_ms(&self, wait: Duration) -> u32 {
         millis(if wait.is_zero() {
             DEFAULT_RETRY_AFTER
@@ -259,8 +310,8 @@
 
 /// Returns the slots and the service time of a back end without a limit that has the capacity of one
 /// that takes `rate` requests a second.
-fn limited_capacity(slots: usize, service_time: Duration, rate: RequestRate) -> (usize, Duration) {
-    let rate = rate.as_per_second().max(MIN_REPORTED_RATE);
+fn limited_capacity(slots: usize, service_time: Duration, rate: f64) -> (usize, Duration) {
+    let rate = rate.max(MIN_REPORTED_RATE);
     let needed = (rate * service_time.as_secs_f64()).ceil().max(1.0);
     if needed >= slots as f64 {
         return (slots, service_time);
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use admission::queue::{Admission, Dequeued, Job};
+use admission::cold_limit::ColdBound;
+use admission::queue::{Admission, Dequeued, Job, Queue};
 use bytes::BytesMut;
 use http1::response::Response;
 use platform::message::{self, BackEndRequest, ResponseCheck};
@@ -20,7 +21,7 @@
     unpack_headers,
 };
 use crate::node::Node;
-use crate::{crash_watch, leaving, named_limit, suspects};
+use crate::{cold_limit, crash_watch, leaving, named_limit, suspects};
 
 /// Time after the deadline in which the back end's own timeout response is still accepted.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
@@ -77,17 +78,13 @@
         Admission::Rejected(wait) => {
             log_decision(proxy, &request, "refuse", wait);
             let queue = proxy.queue.borrow();
-            let is_limited = queue.rate_wait(now, request.priority, request.missed_target) >= wait;
-            let cause = if queue.rate().is_some() && is_limited {
-                "limit"
-            } else {
-                "full"
-            };
+            let cause = rejection_cause(&queue, now, &request, wait);
             node.metrics.on_rejection(cause);
             return not_run(RejectReason::Full, proxy.retry_ms(wait));
         }
         Admission::Queued => {
             let guard = WaitGuard::new(proxy, id);
+            proxy.queue_changed.notify_one();
             if let Dequeued::Expired(_) = guard.wait().await {
                 return not_run(RejectReason::Expired, default_retry_ms);
             }
@@ -109,6 +106,23 @@
         .unwrap_or(RequestOutcome::Lost(LossCause::Cut))
 }
 
+/// Returns what has made a request wait for `wait`, so that it was rejected.
+fn rejection_cause(
+    queue: &Queue,
+    now: BootInstant,
+    request: &ForwardedRequest,
+    wait: Duration,
+) -> &'static str {
+    let (priority, missed_target) = (request.priority, request.missed_target);
+    if queue.cold_bound(now).is_some() && queue.cold_wait(now, priority, missed_target) >= wait {
+        "cold"
+    } else if queue.rate().is_some() && queue.rate_wait(now, priority, missed_target) >= wait {
+        "limit"
+    } else {
+        "full"
+    }
+}
+
 fn remaining_time(request: &ForwardedRequest) -> Duration {
     Duration::from_millis(u64::from(request.remaining_ms))
 }
@@ -143,6 +157,7 @@
         waiting = queue.waiting(),
         slots = queue.slots(),
         limit:? = queue.rate(),
+        cold:? = queue.cold_bound(BootClock.now()).map(ColdBound::rate),
         expected_ms = queue.estimate().for_class(request.class).as_millis() as u64;
         ""
     );
@@ -187,6 +202,7 @@
             if matches!(check, ResponseCheck::Valid | ResponseCheck::NotExecuted) {
                 let incarnation = &back_end.incarnation;
                 named_limit::on_response(&node, incarnation, &response, slot.started);
+                cold_limit::on_response(&node, incarnation, &response);
                 let headers = response.headers.iter().map(|h| (&h.name, &h.value));
                 if leaving::on_response(&node, incarnation, headers) {
                     node.on_departure(Departure::from(incarnation));
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -11,6 +11,7 @@
 use world::name::MachineName;
 
 use super::{Destination, RequestDispatch, TOP_PRIORITY};
+use crate::cold_limit;
 use crate::frame::{LoadReport, NodeStatus};
 
 /// Time that a request and its response travel between the caller and this process.
@@ -132,7 +133,7 @@
         let mut candidates = Vec::new();
         let usable = |m: &MachineName| self.is_untried(m, final_pass);
         let own = &self.node.settings.machine;
-        if let Some(b) = self.node.proxy.ready_for(&self.service)
+        if self.node.proxy.ready_for(&self.service).is_some()
             && usable(own)
             && (final_pass || self.search.allows(Distance::Local))
         {
@@ -143,7 +144,7 @@
                 report_age: Duration::ZERO,
                 in_flight: 0,
                 failure_rate: self.node.local_failures.get(),
-                cold: b.cold_until > now,
+                cold: cold_limit::is_cold(self.node, now),
             };
             candidates.push((own.clone(), Destination::Local, candidate));
         }
--- a/components/node/src/heartbeats.rs
+++ b/components/node/src/heartbeats.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admission::cold_state::ColdReport;
 use http1::response::Response;
 use platform::heartbeat::{Heartbeat, decode_deregistration, encode_reply};
 use shards::incarnation::BackEndIncarnation;
@@ -109,11 +110,17 @@
     } else {
         None
     };
+    let cold_report = ColdReport {
+        born: report.incarnation.born,
+        sequence: report.sequence,
+        remaining: heartbeat.warm_up,
+    };
+    node.proxy.cold.on_heartbeat(cold_report, now);
     node.on_heartbeat(LocalBackEnd {
         slots: node.usable_slots(&heartbeat.service, heartbeat.slots),
         service: heartbeat.service.clone(),
         incarnation: report.incarnation.clone(),
-        cold_until: now + heartbeat.warm_up,
+        cold_until: now + heartbeat.warm_up.unwrap_or_default(),
         last_contact: now,
         state,
     });
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod back_end;
 pub mod back_end_proxy;
 pub mod catalog_watch;
+pub mod cold_limit;
 pub mod config_check;
 pub mod crash_watch;
 pub mod denial;
--- a/components/node/src/node/local.rs
+++ b/components/node/src/node/local.rs
@@ -8,6 +8,7 @@
 use super::{BACK_END_START_TIMEOUT, Node};
 use crate::back_end::ExchangeError;
 use crate::back_end_proxy::{Availability, HEARTBEAT_TIMEOUT, LocalBackEnd};
+use crate::cold_limit;
 use crate::crash_watch::{self, ExitProof};
 use crate::departures::Departure;
 use crate::frame::{BackEndStatus, Features, Frame, NodeStatus};
@@ -96,7 +97,7 @@
             back_end: ready.map(|b| BackEndStatus {
                 incarnation: b.incarnation.clone(),
                 slots: b.slots,
-                cold: b.cold_until > now,
+                cold: cold_limit::is_cold(self, now),
             }),
             lease: self
                 .shard_manager
@@ -179,6 +180,7 @@
         }
         self.proxy.crash_watch.on_heartbeat(&back_end.incarnation);
         self.proxy.set_back_end(back_end);
+        cold_limit::apply(self);
         if before != after {
             self.proxy.set_availability(state);
             self.announce();
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -35,6 +35,7 @@
 
 use crate::back_end::ConnectionPool;
 use crate::back_end_proxy::BackEndProxy;
+use crate::cold_limit;
 use crate::config_check::ConfigCheck;
 use crate::departures::Departures;
 use crate::failure_rate::FailureRate;
@@ -269,6 +270,7 @@
             document: Rc::new(document),
             since: BootClock.now(),
         });
+        cold_limit::apply(self);
         self.keys_changed.notify_one();
         self.announce();
         true
--- a/components/node/src/node/retries.rs
+++ b/components/node/src/node/retries.rs
@@ -6,6 +6,7 @@
 use world::name::ServiceName;
 
 use super::Node;
+use crate::cold_limit;
 
 impl Node {
     /// Calls `work` with the retry budget of a service.
@@ -37,6 +38,7 @@
             .borrow_mut()
             .set_max_grant(bounds.hold_max);
         self.update_budgets();
+        cold_limit::apply(self);
     }
 
     /// Records that all member records have been listed, which makes the number of machines known.
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -5,16 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admission::cold_limit::ColdBound;
 use bytes::BytesMut;
 use http1::request::{Bounds, Request, RequestReader};
 use http1::response::{Response, encode};
 use platform::endpoint::Endpoint;
+use timer::{BootClock, Clock};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use world::rate::RequestRate;
 
 use crate::node::Node;
-use crate::{accept, heartbeats};
+use crate::{accept, cold_limit, heartbeats};
 
 /// Limits on the head and body of a request.
 const BOUNDS: Bounds = Bounds {
@@ -83,6 +85,8 @@
     let load = node.proxy.load();
     let connected = node.peers().iter().filter(|p| p.is_connected()).count();
     let limit = node.proxy.named_limit.named();
+    let now = BootClock.now();
+    let cold_bound = node.proxy.cold_bound(now);
     let gauges = [
         ("plantaingauge_back_end_running", f64::from(load.running)),
         ("plantaingauge_back_end_waiting", f64::from(load.waiting)),
@@ -108,6 +112,14 @@
             "plantaingauge_back_end_limit_per_second",
             limit.map_or(f64::INFINITY, RequestRate::as_per_second),
         ),
+        (
+            "plantaingauge_back_end_cold",
+            f64::from(cold_limit::is_cold(node, now)),
+        ),
+        (
+            "plantaingauge_back_end_cold_limit_per_second",
+            cold_bound.map_or(f64::INFINITY, ColdBound::rate),
+        ),
     ];
     let text = node.metrics.render(&gauges);
     let mut response = Response::new(200).with("Content-Type", "text/plain; version=0.0.4");
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -15,8 +15,8 @@
 use crate::back_end_proxy::Availability;
 use crate::node::Node;
 use crate::{
-    catalog_watch, entry, log_queue, members, peer_server, peer_sync, platform_server, probe,
-    quarantine_store, relay, shard_driver,
+    catalog_watch, cold_limit, entry, log_queue, members, peer_server, peer_sync, platform_server,
+    probe, quarantine_store, relay, shard_driver,
 };
 
 /// Time between two runs of the periodic checks of keys, queue and back end.
@@ -115,6 +115,7 @@
         Rc::clone(&store),
         timer.subscribe(TICK_INTERVAL),
     ));
+    spawn_local(cold_limit::start_queued(Rc::clone(&node)));
     spawn_local(probe::run(Rc::clone(&node)));
     spawn_local(peer_sync::run(Rc::clone(&node)));
     spawn_local(peer_server::serve(Rc::clone(&node), peers));
