--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -11,6 +11,7 @@
 use world::name::MachineName;
 
 use super::{Destination, RequestDispatch};
+use crate::cold_limit;
 use crate::frame::{LoadReport, NodeStatus};
 
 /// Time that a request and its response travel between the caller and this process.
@@ -139,7 +140,7 @@
         let own = &self.node.settings.machine;
         let homes = self.homes();
         let reserved = self.reserved_regions();
-        if let Some(b) = self.node.proxy.ready_for(&self.service)
+        if self.node.proxy.ready_for(&self.service).is_some()
             && homes.allow(&self.node.settings.region)
             && usable(own)
             && (final_pass || self.search.allows(Distance::Local))
@@ -151,7 +152,7 @@
                 report_age: Duration::ZERO,
                 in_flight: 0,
                 failure_rate: self.node.local_failures.get(),
-                cold: b.cold_until > now,
+                cold: cold_limit::is_cold(self.node, now),
                 reserved: reserved.includes(&self.node.settings.region),
             };
             candidates.push((own.clone(), Destination::Local, candidate));
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod body_assembly;
 pub mod call_rank;
 pub mod catalog_watch;
+pub mod cold_limit;
 pub mod config_check;
 pub mod crash_watch;
 pub mod denial;
