--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -66,6 +66,12 @@
     }
 }
 
+/// A route as one version of the configuration has it.
+struct ConfiguredRoute<'a> {
+    route: &'a Route,
+    version: u64,
+}
+
 /// State of the dispatch of one request.
 struct RequestDispatch<'a> {
     node: &'a Rc<Node>,
@@ -159,8 +165,12 @@
     let is_call = parent.is_some();
     drop(parent);
     let template = request_template(&node, &service, &route, request, incoming, rank);
+    let configured = ConfiguredRoute {
+        route: &route,
+        version,
+    };
     let mut dispatch =
-        RequestDispatch::new(&node, &route, version, template, is_call, deadline, timeout);
+        RequestDispatch::new(&node, configured, template, is_call, deadline, timeout);
     let completion = dispatch.run_to_end().await;
     let attempts = Attempts {
         last_machine: dispatch.machine.as_ref(),
@@ -208,8 +218,7 @@
 impl<'a> RequestDispatch<'a> {
     fn new(
         node: &'a Rc<Node>,
-        route: &'a Route,
-        version: u64,
+        ConfiguredRoute { route, version }: ConfiguredRoute<'a>,
         template: ForwardedRequest,
         is_call: bool,
         deadline: BootInstant,
