No priority starves where a route has priority 0

Callers would see: while important requests fill a back end, others get nothing; and beside a steady flow of important requests, others are accepted, overtaken and then served too late.

Cause: the queue serves strictly by rank, and its expected wait ignores requests that arrive later and go before.

Change: `admission::fair_share` averages the shares of the arrivals and of the starts. Each start owes each priority 0.3 of its share, at most 2 starts in all; a priority that is owed one goes first. The expected wait counts what others will take, and is at most the time until the guarantee. It is in use only where a route has priority 0.

Why it works: what is owed rises with each start and is taken off only by starts of that priority, so that over many starts a priority with waiting requests gets what it is owed.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -5,6 +5,7 @@
 //! start in a second.
 
 pub mod estimate;
+pub mod fair_share;
 pub mod queue;
 pub mod rank;
 pub mod rate_limit;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -8,6 +8,8 @@
 use world::rate::RequestRate;
 
 use crate::estimate::ServiceTimeEstimate;
+use crate::fair_share::FairShare;
+use crate::rank::Rank;
 use crate::rate_limit::RateLimit;
 
 /// Share of a request's slack (time to its target less its expected service time) for which it may
@@ -71,6 +73,8 @@
     estimate: ServiceTimeEstimate,
     /// Limit on the requests that start in a second, besides the slots.
     rate_limit: Option<RateLimit>,
+    /// What each priority is owed; `None` if they are served strictly in their order.
+    fair_share: Option<FairShare>,
 }
 
 impl Queue {
@@ -83,6 +87,7 @@
             waiting: Vec::new(),
             estimate: ServiceTimeEstimate::default(),
             rate_limit: None,
+            fair_share: None,
         }
     }
 
@@ -99,6 +104,14 @@
         }
     }
 
+    /// Sets whether each priority gets a part of its share of the back end even if others always have
+    /// requests that go before.
+    pub fn set_fair_share(&mut self, enabled: bool) {
+        if enabled != self.fair_share.is_some() {
+            self.fair_share = enabled.then(FairShare::default);
+        }
+    }
+
     /// Number of requests that may start in a second, `None` for any number.
     #[must_use]
     pub fn rate(&self) -> Option<f64> {
@@ -154,11 +167,29 @@
 
     fn ahead_of(&self, priority: u8, missed_target: bool) -> usize {
         let rank = (priority, missed_target);
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|w| (w.job.priority, w.job.missed_target) <= rank);
-        ahead.count()
+        let goes_before = |w: &&QueuedJob| (w.job.priority, w.job.missed_target) <= rank;
+        let ahead = self.waiting.iter().filter(goes_before).count();
+        let Some(fair_share) = &self.fair_share else {
+            return ahead;
+        };
+        let group = group_of(priority);
+        let in_group = |w: &&QueuedJob| group_of(w.job.priority) == group && goes_before(w);
+        let ahead_in_group = self.waiting.iter().filter(in_group).count();
+        fair_share.starts_before(group, ahead, ahead_in_group)
+    }
+
+    /// Takes a slot for a request.
+    fn start(&mut self, job: &Job) {
+        self.running += 1;
+        if let Some(fair_share) = &mut self.fair_share {
+            fair_share.on_start(group_of(job.priority));
+        }
+    }
+
+    /// Whether the request's priority is owed a start.
+    fn is_due(&self, job: &Job) -> bool {
+        let fair_share = self.fair_share.as_ref();
+        fair_share.is_some_and(|f| f.is_due(group_of(job.priority)))
     }
 
     /// Takes the token of a request that starts; returns false if the limit has none left.
@@ -168,8 +199,11 @@
 
     /// Decides whether a request that arrives starts, waits or is rejected.
     pub fn admit(&mut self, now: BootInstant, job: Job) -> Admission {
+        if let Some(fair_share) = &mut self.fair_share {
+            fair_share.on_arrival(group_of(job.priority));
+        }
         if self.running < self.slots && self.waiting.is_empty() && self.take_token(now) {
-            self.running += 1;
+            self.start(&job);
             return Admission::Admitted;
         }
         let wait = self
@@ -228,13 +262,14 @@
         }
         let index = (0..self.waiting.len()).min_by_key(|i| {
             let w = &self.waiting[*i];
-            (w.job.priority, w.job.missed_target, w.queued_at)
+            let rank = (w.job.priority, w.job.missed_target, w.queued_at);
+            (!self.is_due(&w.job), rank)
         })?;
         if !self.take_token(now) {
             return None;
         }
         let chosen = self.waiting.remove(index);
-        self.running += 1;
+        self.start(&chosen.job);
         Some(Dequeued::Started(chosen.job.id))
     }
 
@@ -250,3 +285,8 @@
         self.waiting.drain(..).map(|w| w.job.id).collect()
     }
 }
+
+/// Priority whose requests share what they are owed; calls belong to that of their rank.
+fn group_of(order: u8) -> u8 {
+    Rank::from_order(order).priority()
+}
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -71,6 +71,9 @@
         target: now + Duration::from_millis(u64::from(request.target_ms)),
         deadline,
     };
+    let config = node.active_config();
+    let has_top_priority = config.is_some_and(|c| c.catalog.has_top_priority);
+    proxy.queue.borrow_mut().set_fair_share(has_top_priority);
     let admission = proxy.queue.borrow_mut().admit(now, job);
     match admission {
         Admission::Admitted => {}
