--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -55,6 +55,8 @@
     last_activity: BootInstant,
     /// The requests whose responses have not been written, in their order.
     open: VecDeque<OpenRequest>,
+    /// The request of which a part has arrived, so that a process that stops waits for the rest.
+    receiving: Option<OpenRequest>,
     /// Version of the configuration whose limits bound the request that is being received.
     limits_version: u64,
     /// Error that ends the connection once the requests before it are answered.
@@ -78,6 +80,7 @@
             reader: RequestReader::default(),
             last_activity: BootClock.now(),
             open: VecDeque::new(),
+            receiving: None,
             limits_version: 0,
             parse_error: None,
             stop_reading: false,
@@ -112,6 +115,7 @@
                 self.send_parse_error(error).await;
                 return;
             }
+            self.count_partial_request();
             let reading = !self.stop_reading && self.open.len() < MAX_PIPELINED;
             self.buf.reserve(if reading { 1024 } else { 0 });
             tokio::select! {
@@ -158,6 +162,14 @@
         }
     }
 
+    /// Counts a request of which a part has arrived as open.
+    fn count_partial_request(&mut self) {
+        let is_partial = !self.stop_reading && self.reader.has_partial_request(&self.buf);
+        if is_partial != self.receiving.is_some() {
+            self.receiving = is_partial.then(|| OpenRequest::new(&self.node, false));
+        }
+    }
+
     /// Returns whether the connection has been idle, or its partial request incomplete, for too
     /// long.
     fn is_timed_out(&mut self) -> bool {
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -86,7 +86,8 @@
     pub metrics: Metrics,
     /// Recognises callers' retries by their shorter timeouts.
     pub retry_detector: RetryDetector,
-    /// Number of local callers' requests whose response has not been written yet.
+    /// Number of local callers' requests of which a part has arrived and whose response has not been
+    /// written yet.
     pub open_requests: Cell<usize>,
     /// Sequence number of the last heartbeat of the current back end.
     pub last_sequence: Cell<u64>,
--- a/components/node/src/open_request.rs
+++ b/components/node/src/open_request.rs
@@ -4,7 +4,7 @@
 
 use crate::node::Node;
 
-/// A caller's request, from when it has been read until its response has been written.
+/// A caller's request, from when its first bytes have been read until its response has been written.
 pub(crate) struct OpenRequest {
     node: Rc<Node>,
     /// Whether the connection closes after its response.
