--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cold_limit;
 pub mod cold_state;
 pub mod estimate;
+pub mod fair_share;
 pub mod queue;
 pub mod rank;
 pub mod rate_limit;
