Admission at a back end that says that its machine is slow

Callers would see: requests are admitted to a machine that is three times slower for a moment, and miss their target.

Change: admission::slowness keeps the slowness of the last response for 400 ms. The queue scales the expected service time by it, in admission and expiry; a service time is divided by it, so that slow runs do not count as usual ones. A new incarnation starts without a report, and reports of an earlier one are ignored. Not done: the load report to peers is not scaled.

The whole_path tests have not been run on this commit.

Why it works: the wait and the time at the back end are both estimated for the speed that the machine has now.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod estimate;
 pub mod queue;
 pub mod rate_limit;
+pub mod slowness;
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -10,6 +10,7 @@
 use crate::cold_limit::{ColdBound, ColdLimit};
 use crate::estimate::ServiceTimeEstimate;
 use crate::rate_limit::RateLimit;
+use crate::slowness::Slowness;
 
 /// Share of a request's slack (time to its target less its expected service time) for which it may
 /// wait; the rest covers requests that take longer than expected.
@@ -74,6 +75,8 @@
     rate_limit: Option<RateLimit>,
     /// Limit on the requests that start in a second while the back end is cold, besides the other two.
     cold_limit: ColdLimit,
+    /// How many times slower than usual the back end says that its machine is.
+    slowness: Slowness,
 }
 
 impl Queue {
@@ -87,6 +90,7 @@
             estimate: ServiceTimeEstimate::default(),
             rate_limit: None,
             cold_limit: ColdLimit::default(),
+            slowness: Slowness::default(),
         }
     }
 
@@ -152,15 +156,35 @@
     /// Discards the service times measured at an earlier back end process.
     pub fn reset_estimate(&mut self) {
         self.estimate.reset();
+        self.slowness = Slowness::default();
+    }
+
+    /// Records that the back end says that its machine is `factor` times slower than usual.
+    pub fn on_slowness(&mut self, factor: f64, now: BootInstant) {
+        self.slowness.on_report(factor, now);
+    }
+
+    /// Returns how many times slower than usual the back end is now.
+    #[must_use]
+    pub fn slowness(&self, now: BootInstant) -> f64 {
+        self.slowness.factor(now)
+    }
+
+    /// Service time that a request of `class` is expected to take if it starts now.
+    fn expected_service(&self, now: BootInstant, class: u32) -> Duration {
+        self.estimate
+            .for_class(class)
+            .mul_f64(self.slowness.factor(now))
     }
 
     /// Expected wait of a request that arrives now, behind the requests that would run before it.
     #[must_use]
-    pub fn expected_wait(&self, priority: u8, missed_target: bool) -> Duration {
+    pub fn expected_wait(&self, now: BootInstant, priority: u8, missed_target: bool) -> Duration {
         let ahead = self.ahead_of(priority, missed_target);
         let backlog = (self.running + ahead + 1).saturating_sub(self.slots);
         let rounds = backlog as f64 / self.slots.max(1) as f64;
-        self.estimate.mean_or_default().mul_f64(rounds)
+        let slowness = self.slowness.factor(now);
+        self.estimate.mean_or_default().mul_f64(rounds * slowness)
     }
 
     /// Expected wait of a request that arrives now until it may start by the limits on requests per
@@ -214,12 +238,13 @@
             return Admission::Admitted;
         }
         let wait = self
-            .expected_wait(job.priority, job.missed_target)
+            .expected_wait(now, job.priority, job.missed_target)
             .max(self.rate_wait(now, job.priority, job.missed_target));
-        let finishes_at = now + wait + self.estimate.for_class(job.class);
+        let service = self.expected_service(now, job.class);
+        let finishes_at = now + wait + service;
         let until_target = job.target.since(now);
         let max_wait = until_target
-            .saturating_sub(self.estimate.for_class(job.class))
+            .saturating_sub(service)
             .mul_f64(SLACK_WAIT_RATIO)
             .max(until_target.mul_f64(MIN_WAIT_RATIO));
         let too_many_missed =
@@ -238,7 +263,7 @@
         self.waiting.iter().filter(|w| w.job.missed_target).count()
     }
 
-    /// Releases the slot of a request and records its service time, if it completed.
+    /// Releases the slot of a request and records its service time at the usual speed, if it completed.
     pub fn on_finished(&mut self, class: u32, service_time: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
         if let Some(service_time) = service_time {
@@ -282,7 +307,7 @@
     /// Whether the request would miss its deadline even if it started now and took half the
     /// expected service time.
     fn misses_deadline(&self, now: BootInstant, queued: &QueuedJob) -> bool {
-        let expected = self.estimate.for_class(queued.job.class) / 2;
+        let expected = self.expected_service(now, queued.job.class) / 2;
         now + expected > queued.job.deadline
     }
 
--- a/components/node/src/back_end_proxy/guards.rs
+++ b/components/node/src/back_end_proxy/guards.rs
@@ -93,10 +93,10 @@
         let service_time = self.completed.then(|| BootClock.now().since(self.started));
         let proxy = &self.node.proxy;
         proxy.running.borrow_mut().remove(&self.request_id);
-        proxy
-            .queue
-            .borrow_mut()
-            .on_finished(self.class, service_time);
+        let mut queue = proxy.queue.borrow_mut();
+        let slowness = queue.slowness(BootClock.now());
+        queue.on_finished(self.class, service_time.map(|t| t.div_f64(slowness)));
+        drop(queue);
         proxy.on_slot_freed();
     }
 }
--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -205,6 +205,17 @@
         self.queue_changed.notify_one();
     }
 
+    /// Records that the back end says that its machine is `factor` times slower than usual.
+    pub(crate) fn on_slowness(&self, factor: f64, now: BootInstant) {
+        self.queue.borrow_mut().on_slowness(factor, now);
+    }
+
+    /// Returns how many times slower than usual the back end is now.
+    #[must_use]
+    pub fn slowness(&self, now: BootInstant) -> f64 {
+        self.queue.borrow().slowness(now)
+    }
+
     /// Takes the back end to be cold until `until`, whatever it says.
     pub fn assume_cold(&self, until: BootInstant) {
         self.cold.assume(until);
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -21,7 +21,7 @@
     unpack_headers,
 };
 use crate::node::Node;
-use crate::{cold_limit, crash_watch, leaving, named_limit, suspects};
+use crate::{cold_limit, crash_watch, leaving, named_limit, slowness, suspects};
 
 /// Time after the deadline in which the back end's own timeout response is still accepted.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
@@ -203,6 +203,7 @@
                 let incarnation = &back_end.incarnation;
                 named_limit::on_response(&node, incarnation, &response, slot.started);
                 cold_limit::on_response(&node, incarnation, &response);
+                slowness::on_response(&node, incarnation, &response);
                 let headers = response.headers.iter().map(|h| (&h.name, &h.value));
                 if leaving::on_response(&node, incarnation, headers) {
                     node.on_departure(Departure::from(incarnation));
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod retry_detector;
 pub mod run;
 pub mod shard_driver;
+pub mod slowness;
 pub mod store_update;
 pub mod store_watch;
 pub mod suspects;
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -112,6 +112,7 @@
             "plantaingauge_back_end_limit_per_second",
             limit.map_or(f64::INFINITY, RequestRate::as_per_second),
         ),
+        ("plantaingauge_back_end_slowness", node.proxy.slowness(now)),
         (
             "plantaingauge_back_end_cold",
             f64::from(cold_limit::is_cold(node, now)),
