--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod queue;
 pub mod rank;
 pub mod rate_limit;
+pub mod slowness;
