Reject large responses that the machine's link cannot send in time

Callers would see every download late once the links are full: 190 downloads a second of 90 KB need 17 MB/s, the links of seven machines with 15 Mbit/s have 13 MB/s, and each back end still has room.

Cause: admission looked at the back end only.

Change: `admission::link` forecasts when a response would have been sent, from the bytes queued on all links, the expected bytes of the running requests of peers (moving average by class) and the stated rate of the link. A request of a peer on a route with large responses that cannot be sent before its target is rejected before it runs, as `Full` with the time until the link is free. The bytes that go before a response count three times, as bodies take turns. Without `linkMbps` nothing is rejected.

The test in `large_bodies` shows the rejection over a link, and none for other routes and the machine's own requests.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -5,5 +5,6 @@
 //! start in a second.
 
 pub mod estimate;
+pub mod link;
 pub mod queue;
 pub mod rate_limit;
--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -25,14 +25,20 @@
     /// Returns the path of the target, without its query; empty if it is not valid UTF-8.
     #[must_use]
     pub fn path(&self) -> &str {
-        let (authority, rest) = split_target(&self.target);
-        let query = rest.iter().position(|b| *b == b'?');
-        let path = &rest[..query.unwrap_or(rest.len())];
-        if path.is_empty() && authority.is_some() {
-            return "/";
-        }
-        std::str::from_utf8(path).unwrap_or_default()
+        path(&self.target)
+    }
+}
+
+/// Returns the path of a request target, without its query; empty if it is not valid UTF-8.
+#[must_use]
+pub fn path(target: &[u8]) -> &str {
+    let (authority, rest) = split_target(target);
+    let query = rest.iter().position(|b| *b == b'?');
+    let path = &rest[..query.unwrap_or(rest.len())];
+    if path.is_empty() && authority.is_some() {
+        return "/";
     }
+    std::str::from_utf8(path).unwrap_or_default()
 }
 
 /// Starts of request targets in absolute form (RFC 9112, section 3.2.2).
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod heartbeats;
 pub mod leaving;
 pub mod link;
+pub mod link_admission;
 pub mod link_liveness;
 pub mod link_queue;
 pub mod log_queue;
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -41,6 +41,7 @@
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::frame_stream::QueuedBytes;
 use crate::leaving::LeavingBackEnds;
+use crate::link_admission::LinkAdmission;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::peer_requests::PeerRequests;
@@ -85,6 +86,8 @@
     pub peer_requests: RefCell<PeerRequests>,
     /// Bytes that wait to be written to the connections of peers.
     pub queued_bytes: QueuedBytes,
+    /// Admission of requests of peers by the machine's link.
+    pub link_admission: LinkAdmission,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Recognises callers' retries by their shorter timeouts.
@@ -159,6 +162,7 @@
             ),
             peer_requests: RefCell::default(),
             queued_bytes: QueuedBytes::default(),
+            link_admission: LinkAdmission::default(),
             metrics: Metrics::default(),
             retry_detector: RetryDetector::default(),
             open_requests: Cell::new(0),
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -16,7 +16,7 @@
 use crate::link::{self, KEEPALIVE_IDLE};
 use crate::node::Node;
 use crate::outgoing::Outgoing;
-use crate::{accept, suspects};
+use crate::{accept, link_admission, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
 #[derive(Clone, Debug, Default)]
@@ -138,11 +138,18 @@
 async fn run_request(node: Rc<Node>, process: PeerProcess, request: ForwardedRequest) {
     let id = request.id;
     let request = Rc::new(request);
-    let outcome = submission::submit(&node, Rc::clone(&request)).await;
+    let (outcome, mut sending) = match link_admission::admit(&node, &request) {
+        Ok(sending) => {
+            let outcome = submission::submit(&node, Rc::clone(&request)).await;
+            (outcome, Some(sending))
+        }
+        Err(rejection) => (rejection, None),
+    };
     let crashes = match outcome {
         RequestOutcome::Lost(_) => node.suspects.reports_on(&request),
         _ => Vec::new(),
     };
+    let has_response = matches!(outcome, RequestOutcome::Response(_));
     let load = node.proxy.load();
     let rank = request.priority;
     let outcome = outcome.for_features(process.features, node.shard_key(&request).is_some());
@@ -152,6 +159,9 @@
         encode(RequestOutcome::Lost(LossCause::Spoilt))
     });
     let Ok(response) = response else { return };
+    if let Some(sending) = sending.as_mut().filter(|_| has_response) {
+        sending.complete(&response);
+    }
     let mut requests = node.peer_requests.borrow_mut();
     // Arrives before the response, so that the peer knows of a crash when it retries.
     if let Some(sender) = requests.reply_to((process.incarnation, id))
--- a/components/node/tests/large_bodies/ends.rs
+++ b/components/node/tests/large_bodies/ends.rs
@@ -11,7 +11,7 @@
 use node::peer::Peer;
 use node::peer_server;
 use platform::settings::Settings;
-use serde_json::json;
+use serde_json::{Value, json};
 use shards::incarnation::BackEndIncarnation;
 use timer::{BootClock, Clock};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -33,7 +33,7 @@
         "nodeName": machine, "ip": "127.0.0.1", "zone": "z", "region": "r", "zones": {"z": "r"},
         "listenAddresses": {"outbound": "127.0.0.1:1", "ready": "127.0.0.1:2",
             "control": "127.0.0.1:3", "inbound": inbound},
-        "internalPortRange": [5, 6], "bounds": [], "limits": {"memoryMb": 1_000},
+        "internalPortRange": [5, 6], "bounds": [], "limits": {"memoryMb": 1_000, "linkMbps": 15},
         "applicationAddress": back_end, "service": "s",
         "platform": {"address": "127.0.0.1:8"},
     });
@@ -41,6 +41,22 @@
     Rc::new(Node::new(settings, incarnation))
 }
 
+/// The routes `/` of host `h` with small responses and of host `large` with large ones.
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": {
+            "columns": ["name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs",
+                "priority", "service"],
+            "rows": [
+                ["small", "h", "/", "safe", 5_000, 1_000, 1, "s"],
+                ["large", "large", "/", "download", 5_000, 1_000, 1, "s"],
+            ],
+        },
+        "services": {"columns": ["name"], "rows": [["s"]]},
+    })
+}
+
 /// Both ends of a link, and the port at which the far one accepts it.
 pub(crate) struct Ends {
     pub(crate) near: Rc<Node>,
@@ -67,6 +83,7 @@
             last_contact: now,
             state: Availability::Ready,
         });
+        assert!(far.on_configuration(configuration(), "store"));
         tokio::task::spawn_local(peer_server::serve(Rc::clone(&far), listener));
         let near = node("near", 1, ([127, 0, 0, 1], 9).into(), back_end_address);
         Self {
--- a/components/node/tests/large_bodies/main.rs
+++ b/components/node/tests/large_bodies/main.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use node::frame::{LossCause, MAX_FRAME_BYTES, RejectReason, RequestOutcome};
+use node::back_end_proxy::submission;
+use node::frame::{ForwardedRequest, LossCause, MAX_FRAME_BYTES, RejectReason, RequestOutcome};
 use rstest::rstest;
 use tokio::task::LocalSet;
 
@@ -101,3 +102,51 @@
         })
         .await;
 }
+
+// Guards against responses that the link of the machine cannot send in time and that delay the others:
+// 15 Mbit/s take 160 ms for 300 kB.
+#[rstest]
+#[case::in_time("large", 1_000, true)]
+#[case::too_late("large", 100, false)]
+#[case::small_route("h", 100, true)]
+#[tokio::test]
+async fn a_large_response_that_the_link_cannot_send_in_time_is_not_made(
+    #[case] host: &'static str,
+    #[case] target_ms: u32,
+    #[case] is_run: bool,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let ends = Ends::start().await;
+            let peer = ends.connect(ends.far_address).await;
+            let with_host = || ForwardedRequest {
+                headers: vec![(
+                    Bytes::from_static(b"Host"),
+                    Bytes::from_static(host.as_bytes()),
+                )],
+                target_ms: 20_000,
+                ..request(&peer, 300_000, Bytes::new())
+            };
+            // Its length is what the next one is expected to have.
+            response_body(&peer, with_host()).await;
+            let next = ForwardedRequest {
+                target_ms,
+                ..with_host()
+            };
+            let local = Rc::new(next.clone());
+            match peer.request(next).await {
+                RequestOutcome::Response(_) => assert!(is_run),
+                RequestOutcome::NotRun { reason, .. } => {
+                    assert_eq!(reason, RejectReason::Full);
+                    assert!(!is_run);
+                }
+                lost => panic!("{lost:?}"),
+            }
+            let outcome = submission::submit(&ends.far, local).await;
+            assert!(
+                matches!(outcome, RequestOutcome::Response(_)),
+                "without a link"
+            );
+        })
+        .await;
+}
