--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod homes;
 pub mod leaving;
 pub mod link;
+pub mod link_admission;
 pub mod link_liveness;
 pub mod link_queue;
 pub mod log_queue;
