--- a/components/node/tests/peer_requests.rs
+++ b/components/node/tests/peer_requests.rs
@@ -3,18 +3,28 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use node::frame_stream::FrameSender;
+use node::frame_stream::{self, FrameQueue, FrameSender, QueuedBytes};
+use node::link_queue::Write;
+use node::outgoing::Outgoing;
 use node::peer_requests::PeerRequests;
 use rstest::rstest;
-use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use world::instant::BootInstant;
 
 const START: BootInstant = BootInstant::from_millis(1_000);
 const ID: (u64, u64) = (7, 1);
 const RESPONSE: Bytes = Bytes::from_static(b"response");
 
-fn link() -> (FrameSender, UnboundedReceiver<Bytes>) {
-    unbounded_channel()
+fn link() -> (FrameSender, FrameQueue) {
+    frame_stream::channel(&QueuedBytes::default())
+}
+
+fn response() -> Outgoing {
+    Outgoing {
+        id: ID.1,
+        rank: 0,
+        frame: RESPONSE,
+        body: Bytes::new(),
+    }
 }
 
 fn at(ms: u64) -> BootInstant {
@@ -31,15 +41,15 @@
     assert!(requests.on_arrival(ID, &lost, at(1_000)));
     drop(receiver);
     if ended {
-        requests.on_response(ID, RESPONSE, at(100));
+        requests.on_response(ID, response(), at(100));
     }
-    let (reopened, mut receiver) = link();
+    let (reopened, receiver) = link();
     assert!(!requests.on_arrival(ID, &reopened, at(1_000)));
     if !ended {
-        requests.on_response(ID, RESPONSE, at(100));
+        requests.on_response(ID, response(), at(100));
     }
-    assert_eq!(receiver.try_recv(), Ok(RESPONSE));
-    assert!(receiver.try_recv().is_err(), "one copy of the response");
+    assert_eq!(receiver.try_next_write(), Some(Write::Frames(RESPONSE)));
+    assert_eq!(receiver.try_next_write(), None, "one copy of the response");
 }
 
 // Guards against work that runs again, as its response is no longer kept.
@@ -49,11 +59,11 @@
     let (sender, _receiver) = link();
     let copies_until = at(10_000);
     assert!(requests.on_arrival(ID, &sender, copies_until));
-    requests.on_response(ID, RESPONSE, at(100));
+    requests.on_response(ID, response(), at(100));
     requests.evict_expired(at(9_000));
-    let (reopened, mut receiver) = link();
+    let (reopened, receiver) = link();
     assert!(!requests.on_arrival(ID, &reopened, copies_until));
-    assert!(receiver.try_recv().is_err());
+    assert_eq!(receiver.try_next_write(), None);
 }
 
 // Guards against a request of a restarted process that gets the response to one of the earlier process.
