Test of a late second copy of a success on a kept connection

Callers would see, if it failed: the response to another request.

Change: a test. A copy with another id is skipped, one without an id is corrupt, and the connection carries nothing else afterwards.

--- a/components/node/tests/kept_connections.rs
+++ b/components/node/tests/kept_connections.rs
@@ -234,3 +234,34 @@
     );
     assert_eq!(fixture.connections(), 2);
 }
+
+// Guards against: the late copy of a success counts for the request that waits.
+#[rstest]
+#[tokio::test]
+async fn a_second_copy_of_a_success_is_no_response_to_another_request(
+    #[values(true, false)] at_most_once: bool,
+    #[values(true, false)] names_request: bool,
+) {
+    let fixture = Fixture::start(move |id, is_first| {
+        let copy = Response::new(201).with("Response-Stamp", "0.1.2");
+        let copy = match names_request {
+            true => copy.with("Request-Id", "first"),
+            false => copy,
+        };
+        let copies = (!is_first).then_some(copy);
+        copies.into_iter().chain([success(id)]).collect()
+    })
+    .await;
+    let first = fixture.send("first", at_most_once).await;
+    assert_eq!(first, (200, ResponseCheck::Valid));
+    let (status, check) = fixture.send("second", at_most_once).await;
+    let expected = match names_request {
+        true => (200, ResponseCheck::Valid),
+        false => (201, ResponseCheck::Corrupt),
+    };
+    assert_eq!((status, check), expected);
+    // The connection may carry more copies, and is not used again.
+    let third = fixture.send("third", at_most_once).await;
+    assert_eq!(third, (200, ResponseCheck::Valid));
+    assert_eq!(fixture.connections(), 2);
+}
