Without a configuration the entry's homes decide alone

A process that has just started and has no configuration yet rejected every request that a peer forwarded to it, also in deployments without homes. The entry has checked the homes already.

--- a/components/node/src/homes.rs
+++ b/components/node/src/homes.rs
@@ -28,13 +28,11 @@
 
 /// Checks whether the back end on this machine may run a request by the configuration in force here.
 ///
+/// Without a configuration, shortly after a start, the homes that the entry knows decide alone.
+///
 /// # Errors
-/// Returns the reason of the rejection. Without a configuration the homes are not known, so that
-/// nothing may run.
+/// Returns the reason of the rejection.
 pub fn check(node: &Node, request: &ForwardedRequest) -> Result<(), RejectReason> {
-    if node.active_config().is_none() {
-        return Err(RejectReason::NoBackEnd);
-    }
     let route = route_in_force(node, request);
     let region = &node.settings.region;
     if route.as_ref().is_none_or(|r| r.may_run_in(region)) {
