Machines weigh a reported slowness when they choose a back end

Change: a machine reads the slowness from the responses that a peer passes on, as it is in their header, and scales the service time of that peer's load report by it for 400 ms; it does the same for its own back end. So the report itself stays at the usual speed, no frame needs a field, and the slowness ends on time.

Evidence: platform decodes_the_load_of_a_back_end; the time for which a report counts is tested in admission/tests/slowness.rs. There is no test of the choice itself. The tests of platform and node pass except whole_path, which has not been run on this commit. Without a Server-Load header the factor is 1.

--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -137,10 +137,11 @@
             && usable(own)
             && (final_pass || self.search.allows(Distance::Local))
         {
+            let slowness = self.node.proxy.slowness(now);
             let candidate = Candidate {
                 distance: Distance::Local,
                 queueing_delay: Duration::ZERO,
-                load: self.node.proxy.load().into(),
+                load: self.node.proxy.load().slowed(slowness).into(),
                 report_age: Duration::ZERO,
                 in_flight: 0,
                 failure_rate: self.node.local_failures.get(),
--- a/components/node/src/frame/request.rs
+++ b/components/node/src/frame/request.rs
@@ -157,6 +157,15 @@
     pub service_us: u32,
 }
 
+impl LoadReport {
+    /// Returns the report of a back end that is `factor` times slower.
+    #[must_use]
+    pub fn slowed(self, factor: f64) -> Self {
+        let service_us = (f64::from(self.service_us) * factor).min(f64::from(u32::MAX)) as u32;
+        Self { service_us, ..self }
+    }
+}
+
 impl From<LoadReport> for Load {
     fn from(report: LoadReport) -> Self {
         Load {
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use admission::slowness::Slowness;
+use platform::message;
 use platform::store::{RequestError, StoreRequest, StoreResponse};
 use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
@@ -39,6 +41,8 @@
     last_received: Cell<BootInstant>,
     lease_received_at: Cell<BootInstant>,
     load: Cell<Option<(LoadReport, BootInstant)>>,
+    /// How many times slower than usual its back end says in responses that its machine is.
+    slowness: Cell<Slowness>,
     failure_rate: FailureRate,
     /// Departures of which its process has told; they outlast it.
     departures: RefCell<Vec<Departure>>,
@@ -62,6 +66,7 @@
             last_received: Cell::new(now),
             lease_received_at: Cell::new(now),
             load: Cell::new(None),
+            slowness: Cell::default(),
             failure_rate: FailureRate::default(),
             departures: RefCell::default(),
             departures_known_by: Cell::new(0),
@@ -137,7 +142,9 @@
     /// Returns the last load report and when it was received.
     #[must_use]
     pub fn load(&self) -> Option<(LoadReport, BootInstant)> {
-        self.load.get()
+        let factor = self.slowness.get().factor(BootClock.now());
+        let report = self.load.get();
+        report.map(|(load, at)| (load.slowed(factor), at))
     }
 
     /// Returns the number of requests sent to it that have no response yet.
@@ -290,7 +297,16 @@
     }
 
     pub(crate) fn on_response(&self, id: u64, outcome: RequestOutcome, load: LoadReport) {
-        self.load.set(Some((load, BootClock.now())));
+        let now = BootClock.now();
+        self.load.set(Some((load, now)));
+        if let RequestOutcome::Response(response) = &outcome {
+            let headers = response.headers.iter().map(|(name, value)| (name, value));
+            if let Some(factor) = message::slowness(headers) {
+                let mut slowness = self.slowness.get();
+                slowness.on_report(factor, now);
+                self.slowness.set(slowness);
+            }
+        }
         match self.pending.borrow_mut().remove(&id) {
             Some(Pending::Request(sender)) => {
                 let _ = sender.send(outcome);
