Whole-path test of a back end that becomes cold again under load

Change: the stand-in back end can become cold (coldRemainingMs, Cold-Ms), names a load (Server-Load) and tells the most requests that it got in any second while cold. The store stand-in writes a configuration with coldPerS. The test makes both back ends of a service cold under load and restarts one process; another checks that a reported slowness is read.

Not tried: the test on the code without the bound.

--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -348,7 +348,13 @@
 
     fn settings(&self, machine: usize) -> Settings {
         let extra = format!("budgetExtraRetries={EXTRA_RETRIES}");
-        let bounds = ["graceS=6", "holdMaxMs=10000", &extra];
+        let bounds = [
+            "graceS=6",
+            "holdMaxMs=10000",
+            "coldOverage=1.5",
+            "coldSlack=8",
+            &extra,
+        ];
         let process = NodeSettings {
             name: &self.name(machine),
             back_end: self.layout.address(machine, layout::BACK_END_PORT),
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests: processes, back ends and callers with a stand-in for the platform's store.
 
+mod cold_back_ends;
 mod crash_causing_copies;
 mod crash_causing_requests;
 mod delayed_peer;
--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -113,6 +113,23 @@
     pub heartbeat_address: SocketAddr,
 }
 
+/// When the back end is cold, and what it got then.
+#[derive(Default)]
+struct ColdTime {
+    until: Option<Instant>,
+    /// When it began to run requests while it was cold.
+    executions: Vec<Instant>,
+}
+
+impl ColdTime {
+    /// Returns how long it stays cold.
+    fn remaining(&self) -> Duration {
+        let now = Instant::now();
+        let left = self.until.map(|until| until.saturating_duration_since(now));
+        left.unwrap_or_default()
+    }
+}
+
 struct State {
     config: BackEndConfig,
     born: u64,
@@ -125,6 +142,9 @@
     /// Value of the header with its limit; `None` leaves the header out.
     limit: Mutex<Option<String>>,
     leaving: AtomicBool,
+    cold: Mutex<ColdTime>,
+    /// Value of the header with its load; `None` leaves the header out.
+    load: Mutex<Option<String>>,
     keys: Mutex<HeldKeys>,
     server: OnceLock<http::Acceptor>,
 }
@@ -149,6 +169,8 @@
             order_count: AtomicU64::new(0),
             limit: Mutex::default(),
             leaving: AtomicBool::new(false),
+            cold: Mutex::default(),
+            load: Mutex::default(),
             keys: Mutex::default(),
             server: OnceLock::new(),
         });
@@ -217,6 +239,34 @@
         self.state.leaving.store(leaving, Ordering::SeqCst);
     }
 
+    /// Makes it cold for a time, as its heartbeats and responses say from now on.
+    pub fn set_cold(&self, duration: Duration) {
+        self.state.lock_cold().until = Some(Instant::now() + duration);
+    }
+
+    /// Returns when it began to run requests while it was cold.
+    #[must_use]
+    pub fn cold_executions(&self) -> Vec<Instant> {
+        self.state.lock_cold().executions.clone()
+    }
+
+    /// Returns the most requests that it got in any second while it was cold.
+    #[must_use]
+    pub fn most_in_a_cold_second(&self) -> usize {
+        let executions = self.cold_executions();
+        let counts = executions.iter().map(|from| {
+            let second = *from..*from + Duration::from_secs(1);
+            executions.iter().filter(|at| second.contains(at)).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    /// Sets the load that its responses name, as text; `None` names none.
+    pub fn set_load(&self, load: Option<&str>) {
+        let mut current = self.state.load.lock().expect("no panic under the lock");
+        *current = load.map(ToOwned::to_owned);
+    }
+
     /// Returns the number of orders started so far.
     #[must_use]
     pub fn order_count(&self) -> u64 {
@@ -229,6 +279,10 @@
         self.keys.lock().expect("no panic under the lock")
     }
 
+    fn lock_cold(&self) -> MutexGuard<'_, ColdTime> {
+        self.cold.lock().expect("no panic under the lock")
+    }
+
     fn is_halted(&self) -> bool {
         self.halted.load(Ordering::SeqCst)
     }
@@ -269,6 +323,14 @@
         if let Some(limit) = limit {
             response = response.with("Server-Limit", limit);
         }
+        let load = self.load.lock().expect("no panic under the lock").clone();
+        if let Some(load) = load {
+            response = response.with("Server-Load", load);
+        }
+        let cold = self.lock_cold().remaining();
+        if !cold.is_zero() {
+            response = response.with("Cold-Ms", cold.as_millis().to_string());
+        }
         if self.leaving.load(Ordering::SeqCst) {
             response = response.with("Server-Leaving", "1");
         }
@@ -294,6 +356,11 @@
         }
         self.observer
             .on_execute(&self.config.id, &header("Request-Id"));
+        let mut cold = self.lock_cold();
+        if !cold.remaining().is_zero() {
+            cold.executions.push(Instant::now());
+        }
+        drop(cold);
         if path.starts_with("/orders/") {
             self.order_count.fetch_add(1, Ordering::SeqCst);
         }
@@ -370,10 +437,11 @@
             .iter()
             .map(|g| json!([g.from, g.to, g.fence]))
             .collect();
+        let cold_ms = self.lock_cold().remaining().as_secs_f64() * 1e3;
         json!({
             "service": self.config.service, "address": self.config.advertised_address, "zone": "z",
             "version": "v1", "slots": SLOTS, "state": if draining { "draining" } else { "ready" },
-            "coldRemainingMs": 0, "sequence": sequence, "born": self.born,
+            "coldRemainingMs": cold_ms, "sequence": sequence, "born": self.born,
             "holds": holds, "freed": keys.released
         })
         .to_string()
--- a/components/stand-ins/src/store/config.rs
+++ b/components/stand-ins/src/store/config.rs
@@ -33,6 +33,20 @@
         self.write("config", "main", document(version, extra_paths, cap));
     }
 
+    /// Writes a configuration in which cold back ends of `orders` take `rate` requests a second.
+    pub fn write_cold_config(&self, version: u64, extra_paths: &[&str], rate: f64) {
+        let mut document = document(version, extra_paths, DEFAULT_CONNECTION_CAP);
+        let services = &mut document["services"];
+        let columns = services["columns"].as_array_mut().expect("a list");
+        columns.push(json!("coldPerS"));
+        for row in services["rows"].as_array_mut().expect("a list") {
+            let is_limited = row[0] == "orders";
+            let cell = if is_limited { json!(rate) } else { Value::Null };
+            row.as_array_mut().expect("a list").push(cell);
+        }
+        self.write("config", "main", document);
+    }
+
     /// Writes a configuration with one more route per path, which leads to `orders` with that weight.
     pub fn write_weighted_config(&self, version: u64, weighted_paths: &[(&str, f64)]) {
         let mut document = document(version, &[], DEFAULT_CONNECTION_CAP);
