Evacuations of an availability zone

Requests would go on to reach the back ends of a zone that the operator asks to evacuate, as nothing read the objects `evacuations/ZONE`.

Change: a watch of that kind, with removals and the names of malformed objects, keeps the set in `evacuations`; processes send each other the set with its revision, and a later one wins. After a restore of the store a zone stays evacuated for 10 s although its object is missing. Selection, resends and the back end proxy leave out the zone at once for requests without a key, and for those with one half of `evacuationMs` after the process has learned of it. Keys leave with handovers while a machine of another zone can take them, and machines of the zone receive none; otherwise they stay and grants are renewed. If all machines of a service are in evacuated zones, requests get 503 at once. `BackEndProxy::assume_cold` is an empty stub for the cold back ends. `Features::evacuations` is announced, as the frame and `WrongRegion` are handled.

--- a/components/node/src/back_end_proxy/mod.rs
+++ b/components/node/src/back_end_proxy/mod.rs
@@ -206,6 +206,9 @@
         }
     }
 
+    /// Counts the back end as cold until an instant, whatever its heartbeats say.
+    pub fn assume_cold(&self, _until: BootInstant) {}
+
     /// Returns the incarnation of the back end that sent the last heartbeat.
     #[must_use]
     pub fn incarnation(&self) -> Option<BackEndIncarnation> {
--- a/components/node/src/back_end_proxy/submission.rs
+++ b/components/node/src/back_end_proxy/submission.rs
@@ -44,7 +44,7 @@
     if node.is_closing() || proxy.ready_for(&request.service).is_none() {
         return not_run(RejectReason::NoBackEnd, default_retry_ms);
     }
-    if let Err(reason) = homes::check(node, &request) {
+    if let Err(reason) = check_place(node, &request) {
         return not_run(reason, default_retry_ms);
     }
     if request.remaining_ms == 0 {
@@ -112,6 +112,12 @@
         .unwrap_or(RequestOutcome::Lost(LossCause::Cut))
 }
 
+/// Checks whether a request may run on this machine, by the homes of its route and by evacuations.
+fn check_place(node: &Node, request: &ForwardedRequest) -> Result<(), RejectReason> {
+    homes::check(node, request)?;
+    node.check_evacuation(node.shard_key(request).is_some())
+}
+
 fn remaining_time(request: &ForwardedRequest) -> Duration {
     Duration::from_millis(u64::from(request.remaining_ms))
 }
@@ -161,8 +167,8 @@
     let Some(back_end) = node.proxy.ready_for(&request.service) else {
         return not_run(RejectReason::NoBackEnd, default_retry_ms);
     };
-    // The homes may have changed while the request waited.
-    if let Err(reason) = homes::check(&node, &request) {
+    // Homes and evacuations may have changed while the request waited.
+    if let Err(reason) = check_place(&node, &request) {
         return not_run(reason, default_retry_ms);
     }
     if let Some(key) = node.shard_key(&request)
--- a/components/node/src/dispatch/homes.rs
+++ b/components/node/src/dispatch/homes.rs
@@ -24,6 +24,8 @@
     NoMachine,
     /// The owner of the key is in another region.
     KeyElsewhere,
+    /// All machines of the service are in evacuated zones.
+    Evacuated,
 }
 
 impl NoHome {
@@ -32,6 +34,7 @@
         match self {
             Self::NoMachine => "no-machine",
             Self::KeyElsewhere => "key-elsewhere",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -109,23 +112,28 @@
     /// Returns whether the request may be sent to a peer now.
     pub(super) fn may_send_to(&self, peer: &Peer) -> bool {
         let homes = self.homes();
-        peer.with_status(|s| homes.allow(&s.region)) == Some(true)
+        let keyed = self.keyed_assignment().is_some();
+        let allowed =
+            |s: &NodeStatus| homes.allow(&s.region) && self.node.may_use_zone(&s.zone, keyed);
+        peer.with_status(allowed) == Some(true)
     }
 
     /// Returns why no home region can serve the request; `None` if one may, or if it has no homes.
     pub(super) fn missing_home(&self) -> Option<NoHome> {
         let homes = self.homes();
-        if !homes.are_named() {
+        if !homes.are_named() && self.node.evacuated_count() == 0 {
             return None;
         }
         if let Some(assignment) = self.keyed_assignment() {
             let assignment = assignment?;
             let owner = &assignment.value.range(self.template.key?)?.machine;
             let region = self.region_of(owner)?;
-            return (!homes.allow(&region)).then_some(NoHome::KeyElsewhere);
+            if !homes.allow(&region) {
+                return Some(NoHome::KeyElsewhere);
+            }
+            return self.is_service_evacuated().then_some(NoHome::Evacuated);
         }
-        let is_local = homes.allow(&self.node.settings.region)
-            && self.node.proxy.ready_for(&self.service).is_some();
+        let is_local = homes.allow(&self.node.settings.region) && self.local_back_end().is_some();
         let serves = |s: &NodeStatus| homes.allow(&s.region) && self.offers_service(s);
         let now = BootClock.now();
         let may_serve = |peer: &Rc<Peer>| {
@@ -136,7 +144,31 @@
             }
         };
         let is_offered = is_local || self.node.peers().iter().any(may_serve);
-        (!is_offered).then_some(NoHome::NoMachine)
+        if is_offered {
+            None
+        } else if self.is_service_evacuated() {
+            Some(NoHome::Evacuated)
+        } else {
+            homes.are_named().then_some(NoHome::NoMachine)
+        }
+    }
+
+    /// Returns whether machines offer the service, but all of them in evacuated zones.
+    fn is_service_evacuated(&self) -> bool {
+        let local = self.node.proxy.ready_for(&self.service);
+        let own_zone = local.map(|_| self.node.settings.zone.clone());
+        let zone = |peer: &Rc<Peer>| {
+            let offers = |s: &NodeStatus| (s.service == self.service).then(|| s.zone.clone());
+            peer.with_status(offers).flatten()
+        };
+        let peers = self.node.peers();
+        let mut zones = own_zone.into_iter().chain(peers.iter().filter_map(zone));
+        let mut is_offered = false;
+        let all_evacuated = zones.all(|zone| {
+            is_offered = true;
+            !self.node.may_use_zone(&zone, false)
+        });
+        is_offered && all_evacuated
     }
 
     fn region_of(&self, machine: &MachineName) -> Option<RegionName> {
--- a/components/node/src/dispatch/selection.rs
+++ b/components/node/src/dispatch/selection.rs
@@ -11,6 +11,7 @@
 use world::name::MachineName;
 
 use super::{Destination, RequestDispatch, TOP_PRIORITY};
+use crate::back_end_proxy::LocalBackEnd;
 use crate::frame::{LoadReport, NodeStatus};
 
 /// Time that a request and its response travel between the caller and this process.
@@ -102,14 +103,18 @@
         }
         let homes = self.homes();
         if machine == self.node.settings.machine {
-            if !homes.allow(&self.node.settings.region) {
+            let may_use = self.node.may_use_zone(&self.node.settings.zone, true);
+            if !may_use || !homes.allow(&self.node.settings.region) {
                 return None;
             }
             self.node.proxy.ready_for(&self.service)?;
             return Some((machine, Destination::Local));
         }
         let peer = self.node.peer(&machine)?;
-        let takes = |s: &NodeStatus| self.takes_requests(s) && homes.allow(&s.region);
+        let takes = |s: &NodeStatus| {
+            let may_use = self.node.may_use_zone(&s.zone, true);
+            may_use && self.takes_requests(s) && homes.allow(&s.region)
+        };
         let usable = peer.is_connected() && peer.with_status(takes)?;
         usable.then_some((machine, Destination::Peer(peer)))
     }
@@ -120,9 +125,18 @@
         back_end.is_some_and(|b| !self.node.leaving.contains(&b.incarnation))
     }
 
-    /// Returns whether a machine has a back end of the request's service that takes requests.
+    /// Returns whether a machine has a back end of the request's service that takes requests without a
+    /// key.
     pub(super) fn offers_service(&self, status: &NodeStatus) -> bool {
-        status.service == self.service && !status.leaving && self.takes_requests(status)
+        let offers = status.service == self.service && !status.leaving;
+        offers && self.takes_requests(status) && self.node.may_use_zone(&status.zone, false)
+    }
+
+    /// Returns the back end on this machine if it takes requests without a key.
+    pub(super) fn local_back_end(&self) -> Option<LocalBackEnd> {
+        let may_use = self.node.may_use_zone(&self.node.settings.zone, false);
+        let back_end = self.node.proxy.ready_for(&self.service);
+        back_end.filter(|_| may_use)
     }
 
     /// Returns whether a machine may be tried in this pass.
@@ -139,7 +153,7 @@
         let own = &self.node.settings.machine;
         let homes = self.homes();
         let reserved = self.reserved_regions();
-        if let Some(b) = self.node.proxy.ready_for(&self.service)
+        if let Some(b) = self.local_back_end()
             && homes.allow(&self.node.settings.region)
             && usable(own)
             && (final_pass || self.search.allows(Distance::Local))
--- a/components/node/src/dispatch/trial.rs
+++ b/components/node/src/dispatch/trial.rs
@@ -23,8 +23,7 @@
     ) -> Option<(MachineName, Destination)> {
         let own = &self.node.settings.machine;
         let homes = self.homes();
-        let is_local = self.node.proxy.ready_for(&self.service).is_some()
-            && homes.allow(&self.node.settings.region);
+        let is_local = self.local_back_end().is_some() && homes.allow(&self.node.settings.region);
         let local = is_local.then(|| (own.clone(), Destination::Local));
         let remote = self.node.peers().into_iter().filter_map(|peer| {
             let offers = peer.with_status(|s| self.offers_service(s) && homes.allow(&s.region));
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -37,7 +37,7 @@
         store_eras: true,
         configuration_versions: true,
         departures: true,
-        evacuations: false,
+        evacuations: true,
         streams: false,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod departures;
 pub mod dispatch;
 pub mod entry;
+pub mod evacuation_watch;
+pub mod evacuations;
 pub mod failure_rate;
 pub mod frame;
 pub mod frame_stream;
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -94,6 +94,7 @@
                         peer.send_departures(machine, &node.departures.known());
                     }
                     peer.send_crashes(&node.suspects.reports());
+                    peer.send_evacuations(&node.evacuations_frame());
                     if node.store_era() > StoreEra::FIRST {
                         peer.send_store_era(node.store_era());
                     }
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! only to later revisions. A change of state that peers depend on is announced to them; one that
 //! affects the keys wakes [`Node::keys_changed`].
 
+mod evacuations;
 mod keys;
 mod local;
 mod peers;
@@ -37,6 +38,7 @@
 use crate::back_end_proxy::BackEndProxy;
 use crate::config_check::ConfigCheck;
 use crate::departures::Departures;
+use crate::evacuations::Evacuations;
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::homes;
@@ -107,6 +109,7 @@
     pub config_check: ConfigCheck,
     active_config: RefCell<Option<ActiveConfig>>,
     config_freshness: Cell<Freshness>,
+    evacuations: RefCell<Evacuations>,
     assignments: RefCell<HashMap<ServiceName, Rc<Versioned<Assignment>>>>,
     peers: RefCell<BTreeMap<MachineName, Rc<Peer>>>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -169,6 +172,7 @@
             active_config: RefCell::default(),
             config_check: ConfigCheck::default(),
             config_freshness: Cell::default(),
+            evacuations: RefCell::default(),
             assignments: RefCell::default(),
             peers: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -180,6 +180,11 @@
                 machine,
                 departures,
             } => self.on_departures(&machine, departures),
+            Frame::Evacuations { revision, zones } => {
+                self.on_store_era(revision.era());
+                let now = BootClock.now();
+                self.update_evacuations("peer", |e| e.on_peer_set(now, revision, &zones));
+            }
             Frame::Ping { probe } => {
                 send_frame(sender, &Frame::Pong { probe });
             }
@@ -190,7 +195,6 @@
             | Frame::Cancel { .. }
             | Frame::StoreRequest { .. }
             | Frame::StoreResponse { .. }
-            | Frame::Evacuations { .. }
             | Frame::LargeRequest { .. }
             | Frame::LargeResponse { .. }
             | Frame::BodyPart { .. } => {
--- a/components/node/src/peer.rs
+++ b/components/node/src/peer.rs
@@ -215,6 +215,13 @@
         }
     }
 
+    /// Sends the set of evacuated zones if it decodes it.
+    pub(crate) fn send_evacuations(&self, frame: &Frame) {
+        if self.features().evacuations {
+            self.send(frame);
+        }
+    }
+
     /// Tells its process of the departures of a machine, if it decodes that.
     pub(crate) fn send_departures(&self, machine: &MachineName, departures: &[Departure]) {
         if self.features().departures {
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -92,6 +92,10 @@
             "plantaingauge_store_era",
             f64::from(node.store_era().number()),
         ),
+        (
+            "plantaingauge_evacuated_zones",
+            node.evacuated_count() as f64,
+        ),
         (
             "plantaingauge_quarantined_requests",
             node.suspects.blocked_count() as f64,
--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -15,8 +15,8 @@
 use crate::back_end_proxy::Availability;
 use crate::node::Node;
 use crate::{
-    catalog_watch, entry, log_queue, members, peer_server, peer_sync, platform_server, probe,
-    quarantine_store, relay, shard_driver,
+    catalog_watch, entry, evacuation_watch, log_queue, members, peer_server, peer_sync,
+    platform_server, probe, quarantine_store, relay, shard_driver,
 };
 
 /// Time between two runs of the periodic checks of keys, queue and back end.
@@ -106,6 +106,7 @@
     let timer = TimerService::new(BootClock);
     spawn_local(log_queue::run());
     spawn_local(catalog_watch::run(Rc::clone(&node), Rc::clone(&store)));
+    spawn_local(evacuation_watch::run(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(quarantine_store::watch(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(quarantine_store::save(Rc::clone(&node), Rc::clone(&store)));
     spawn_local(quarantine_store::save_in_each_era(Rc::clone(&node)));
--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -108,6 +108,7 @@
             driver.update_load(now);
             driver.probe_silent_back_end(now);
         }
+        node.evict_lapsed_evacuations();
         driver.check_responsiveness(now);
         node.proxy.start_queued();
         node.peer_requests.borrow_mut().evict_expired(now);
@@ -175,6 +176,7 @@
     fn update_peers(&self) {
         let service = self.node.service();
         let mut manager = self.node.shard_manager.borrow_mut();
+        manager.set_evacuated(self.node.evacuated_machines());
         for peer in self.node.peers() {
             let Some(status) = peer.status() else {
                 continue;
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -5,6 +5,7 @@
 
 use futures::FutureExt;
 use futures::future::{Fuse, FusedFuture};
+use platform::object::NameChange;
 use platform::store::{Listing, NamedObject, StoreError};
 use rand::Rng;
 use shards::revision::Revision;
@@ -25,6 +26,12 @@
     /// Handles an object, at the start and on every change.
     fn on_object(&self, object: NamedObject);
 
+    /// Handles the names in a list of all objects, also of malformed ones.
+    fn on_list(&self, _revision: Revision, _names: &[NameChange]) {}
+
+    /// Handles the names of objects that have changed or were removed, the oldest change first.
+    fn on_changes(&self, _revision: Revision, _names: &[NameChange]) {}
+
     /// Handles a proof that all changes up to `sent` have been handled.
     fn on_current(&self, _sent: BootInstant) {}
 
@@ -70,7 +77,16 @@
         match received {
             Ok(received) => {
                 backoff = FIRST_BACKOFF;
-                last_revision = Some(received.listing.revision);
+                let is_list = last_revision.is_none();
+                let Listing {
+                    revision, names, ..
+                } = &received.listing;
+                if is_list {
+                    observer.on_list(*revision, names);
+                } else {
+                    observer.on_changes(*revision, names);
+                }
+                last_revision = Some(*revision);
                 for object in received.listing.objects {
                     observer.on_object(object);
                 }
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -7,6 +7,7 @@
 mod departures;
 mod deployment;
 mod endless;
+mod evacuations;
 mod foreign_heartbeats;
 mod home_regions;
 mod late_copies;
--- a/components/shards/src/manager/era.rs
+++ b/components/shards/src/manager/era.rs
@@ -104,10 +104,12 @@
         }
         self.confirm_claims(next);
         let mut recipients = self.recipients();
-        recipients.push(Recipient {
-            machine: self.machine.clone(),
-            utilization: 0.0,
-        });
+        if recipients.is_empty() || !self.is_evacuated() {
+            recipients.push(Recipient {
+                machine: self.machine.clone(),
+                utilization: 0.0,
+            });
+        }
         let is_recipient = |m: &MachineName| recipients.iter().any(|r| r.machine == *m);
         let unconfirmed: Vec<(MachineName, Span)> = next
             .unconfirmed()
--- a/components/shards/src/manager/mod.rs
+++ b/components/shards/src/manager/mod.rs
@@ -23,7 +23,7 @@
 mod types;
 mod updates;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use world::instant::BootInstant;
@@ -91,6 +91,8 @@
     /// Keys being withdrawn, each with its preferred recipient.
     releases: Vec<(Release, Option<MachineName>)>,
     peers: BTreeMap<MachineName, PeerState>,
+    /// Machines of evacuated zones, which receive no keys and give theirs to others.
+    evacuated: BTreeSet<MachineName>,
     takeovers: BTreeMap<MachineName, Takeover>,
     load: KeyLoad,
     last_rebalance: BootInstant,
@@ -137,6 +139,7 @@
             last_grant_end: now,
             releases: Vec::new(),
             peers: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
             takeovers: BTreeMap::new(),
             load: KeyLoad::default(),
             last_rebalance: now,
@@ -189,6 +192,20 @@
         }
     }
 
+    /// Sets which machines are in evacuated zones, this one included.
+    ///
+    /// Their keys leave them, with handovers, while a machine of another zone can receive them; until
+    /// then they keep them, and grants are renewed.
+    pub fn set_evacuated(&mut self, machines: BTreeSet<MachineName>) {
+        self.evacuated = machines;
+    }
+
+    /// Whether this machine is in an evacuated zone.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.contains(&self.machine)
+    }
+
     /// Sets the longest grant that a back end accepts.
     pub fn set_max_grant(&mut self, max_grant: Duration) {
         self.timing.max_grant = max_grant;
--- a/components/shards/src/manager/moves.rs
+++ b/components/shards/src/manager/moves.rs
@@ -21,7 +21,8 @@
             .unwrap_or_default()
     }
 
-    /// Returns the connected machines whose stored holder entry matches their running back end.
+    /// Returns the connected machines whose stored holder entry matches their running back end, without
+    /// those of evacuated zones.
     pub(super) fn recipients(&self) -> Vec<Recipient> {
         let Some(assignment) = &self.assignment else {
             return Vec::new();
@@ -29,6 +30,7 @@
         self.peers
             .iter()
             .filter(|(_, p)| p.connected && p.incarnation.is_some())
+            .filter(|(m, _)| !self.evacuated.contains(*m))
             .filter(|(m, p)| {
                 let holder = assignment.value.holders.get(*m);
                 holder.is_some_and(|h| Some(&h.incarnation) == p.incarnation.as_ref())
@@ -40,12 +42,13 @@
             .collect()
     }
 
-    /// Starts the release of every key if the back end is leaving or gone and others can receive
-    /// them.
+    /// Starts the release of every key if the back end is leaving or gone, or its zone evacuated, and
+    /// others can receive them.
     pub(super) fn release_if_leaving(&mut self, now: BootInstant) {
         // A back end that never reported holds nothing once every earlier grant has expired.
         let missing = self.incarnation.is_none() && now >= self.grants_expired_at;
         let must_release = self.leaving || self.exited || self.unresponsive || missing;
+        let must_release = must_release || self.is_evacuated();
         if !must_release || self.recipients().is_empty() {
             return;
         }
--- a/components/shards/src/manager/takeover.rs
+++ b/components/shards/src/manager/takeover.rs
@@ -181,10 +181,13 @@
 
     fn reassign_keys(&self, machine: &MachineName, next: &mut Assignment) {
         let mut recipients = self.recipients();
-        recipients.push(Recipient {
-            machine: self.machine.clone(),
-            utilization: 0.0,
-        });
+        // Otherwise its keys would be without a holder.
+        if recipients.is_empty() || !self.is_evacuated() {
+            recipients.push(Recipient {
+                machine: self.machine.clone(),
+                utilization: 0.0,
+            });
+        }
         let spans: Vec<Span> = next.owned(machine).map(|r| r.span).collect();
         for (span, recipient) in distribute(&spans, &KeyLoad::default(), &recipients) {
             let released = ReleasedSpan {
--- a/components/shards/tests/one_holder/main.rs
+++ b/components/shards/tests/one_holder/main.rs
@@ -24,6 +24,9 @@
 /// its drift and the time to assign and grant them.
 const LONGEST_WAIT_MS: f64 = 8_180.0 + 4_000.0;
 
+/// Number of histories with an evacuation.
+const EVACUATION_SEEDS: u64 = 1_000;
+
 /// Number of histories of which one must show that a rule is needed.
 const HISTORIES_PER_RULE: u64 = 3_000;
 
@@ -85,6 +88,18 @@
     assert!(gap <= LONGEST_GAP_MS, "{gap} ms");
 }
 
+// Guards against keys that stay in an evacuated zone although a machine outside can take them, and against
+// two holders of a key while a third of the machines is silent.
+#[test]
+fn keys_leave_an_evacuated_zone_while_a_third_of_the_machines_is_silent() {
+    for seed in 0..EVACUATION_SEEDS {
+        let mut simulation = Simulation::new(History::with_evacuation(seed), None);
+        assert_eq!(simulation.run(), None, "seed {seed}");
+        assert_eq!(simulation.keys_in_evacuated_zone(), 0, "seed {seed}");
+        assert_eq!(simulation.held_keys(), 65_536, "seed {seed}");
+    }
+}
+
 #[rstest::rstest]
 #[case(History::recovering)]
 #[case(History::recovering_with_restores)]
--- a/components/shards/tests/one_holder/model/history.rs
+++ b/components/shards/tests/one_holder/model/history.rs
@@ -24,6 +24,8 @@
     PartitionFromStore(usize, f64),
     /// The machine is partitioned from all others only.
     PartitionFromPeers(usize, f64),
+    /// The zone of the first machines, as many as stated, is evacuated.
+    Evacuate(usize),
     /// The back end starts to drain.
     Drain(usize),
     /// The back end has this utilization, so that keys should move.
@@ -70,6 +72,9 @@
     pub(crate) restores: Vec<Restore>,
 }
 
+/// Machines in the zone that is evacuated, from machine 0 on.
+pub(crate) const EVACUATED_MACHINES: usize = 2;
+
 /// End of the faults in a recovering history.
 pub(super) const FAULTS_END_MS: f64 = 25_000.0;
 
@@ -109,6 +114,35 @@
         Self::random(seed, FAULTS_END_MS, FAULTS_END_MS + 45_000.0)
     }
 
+    /// Returns a history in which the zone of two of six machines is evacuated while two random ones
+    /// fall silent for good, under faults of the store.
+    pub(crate) fn with_evacuation(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0xe7ac);
+        let mut events = vec![(8_000.0_f64, Event::Evacuate(EVACUATED_MACHINES))];
+        let first = rng.random_range(0..6);
+        let second = (first + rng.random_range(1..6)) % 6;
+        for machine in [first, second] {
+            let at = rng.random_range(5_000.0..12_000.0);
+            let event = match rng.random_range(0..3) {
+                0 => Event::PauseProcess(machine, 60_000.0),
+                1 => Event::PowerOff(machine, None),
+                _ => Event::Partition(machine, 60_000.0),
+            };
+            events.push((at, event));
+        }
+        events.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let from = rng.random_range(4_000.0..12_000.0);
+        let to = from + rng.random_range(1_000.0..6_000.0);
+        Self {
+            seed,
+            machines: 6,
+            end: 45_000.0,
+            events,
+            store_faults: vec![(from, to, Self::random_faults(&mut rng))],
+            restores: Vec::new(),
+        }
+    }
+
     pub(super) fn random(seed: u64, faults_end: f64, end: f64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
         let machines = rng.random_range(2..=5);
--- a/components/shards/tests/one_holder/model/mod.rs
+++ b/components/shards/tests/one_holder/model/mod.rs
@@ -53,6 +53,8 @@
     samples: Samples,
     disabled_rule: Option<Rule>,
     next_process: u64,
+    /// Number of the first machines whose zone is evacuated, and since when.
+    evacuation: Option<(usize, f64)>,
 }
 
 impl Simulation {
@@ -78,6 +80,7 @@
             samples: Samples::new(),
             disabled_rule,
             next_process: 0,
+            evacuation: None,
         }
     }
 
@@ -169,6 +172,7 @@
             Event::Partition(i, span) => self.machines[i].partitioned_until = now + span,
             Event::PartitionFromStore(i, span) => self.machines[i].no_store_until = now + span,
             Event::PartitionFromPeers(i, span) => self.machines[i].no_peers_until = now + span,
+            Event::Evacuate(machines) => self.evacuation = Some((machines, now)),
             Event::Drain(i) => {
                 if let Some(b) = &mut self.machines[i].back_end {
                     b.draining = true;
--- a/components/shards/tests/one_holder/model/processes.rs
+++ b/components/shards/tests/one_holder/model/processes.rs
@@ -1,5 +1,6 @@
 //! Steps of the processes: what they learn from each other and which requests they send.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -17,6 +18,9 @@
 /// Milliseconds between two reads that only tell the store's era.
 const CONTACT_INTERVAL_MS: f64 = 1_000.0;
 
+/// Milliseconds between two machines that learn of an evacuation.
+const LEARNING_MS: f64 = 300.0;
+
 /// A claim on its way to another process.
 #[derive(Clone, Debug)]
 pub(super) struct PendingClaim {
@@ -59,6 +63,7 @@
         if let Some(era) = self.peer_era(i) {
             self.learn_era(i, era);
         }
+        let evacuated = self.known_evacuation(i);
         let peers = self.peer_states(i);
         let assignments = self.peer_assignments(i);
         let now = self.now;
@@ -71,6 +76,9 @@
         for assignment in assignments {
             p.manager.on_assignment(assignment);
         }
+        if let Some(evacuated) = evacuated {
+            p.manager.set_evacuated(evacuated);
+        }
         p.manager.on_tick(at);
         if now >= p.next_contact {
             p.next_contact = now + CONTACT_INTERVAL_MS;
@@ -80,6 +88,27 @@
         self.send_operations(i);
     }
 
+    /// Returns the machines of the evacuated zone once the process of a machine has learned of them from
+    /// the store, each after another time.
+    fn known_evacuation(&self, i: usize) -> Option<BTreeSet<MachineName>> {
+        let (machines, since) = self.evacuation?;
+        let learned_at = since + LEARNING_MS * i as f64;
+        let is_known = self.now >= learned_at && self.machines[i].reaches_store(self.now);
+        let evacuated = self.machines.iter().take(machines);
+        is_known.then(|| evacuated.map(|m| m.name.clone()).collect())
+    }
+
+    /// Returns how many keys the newest known assignment gives to machines of the evacuated zone.
+    pub(crate) fn keys_in_evacuated_zone(&self) -> u32 {
+        let processes = self.machines.iter().filter_map(|m| m.process.as_ref());
+        let assignments = processes.filter_map(|p| p.manager.assignment());
+        let newest = assignments.max_by_key(|a| a.revision);
+        let machines = self.evacuation.map_or(0, |(machines, _)| machines);
+        let zone = self.machines.iter().take(machines);
+        zone.filter_map(|m| Some(newest?.value.key_count(&m.name)))
+            .sum()
+    }
+
     /// Sends the operations that are due; without an era there are none.
     fn send_operations(&mut self, i: usize) {
         let (now, at) = (self.now, self.clock(i));
