--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -40,7 +40,7 @@
         store_eras: true,
         configuration_versions: true,
         departures: true,
-        evacuations: false,
+        evacuations: true,
         streams: true,
         call_ranks: true,
     };
--- a/components/node/src/shard_driver.rs
+++ b/components/node/src/shard_driver.rs
@@ -109,6 +109,7 @@
             driver.update_load(now);
             driver.probe_silent_back_end(now);
         }
+        node.evict_lapsed_evacuations();
         driver.check_responsiveness(now);
         node.proxy.start_queued();
         node.peer_requests.borrow_mut().evict_expired(now);
@@ -179,6 +180,7 @@
         let is_cold = cold_limit::is_cold(&self.node, BootClock.now());
         let mut manager = self.node.shard_manager.borrow_mut();
         manager.set_cold(has_cold_limit && is_cold);
+        manager.set_evacuated(self.node.evacuated_machines());
         for peer in self.node.peers() {
             let Some(status) = peer.status() else {
                 continue;
--- a/components/shards/src/manager/era.rs
+++ b/components/shards/src/manager/era.rs
@@ -105,8 +105,10 @@
         self.confirm_claims(next);
         let recipients = self.warm_recipients_and_self();
         let connected = self.recipients();
-        let is_recipient =
-            |m: &MachineName| *m == self.machine || connected.iter().any(|r| r.machine == *m);
+        let includes_self = connected.is_empty() || !self.is_evacuated();
+        let is_recipient = |m: &MachineName| {
+            (includes_self && *m == self.machine) || connected.iter().any(|r| r.machine == *m)
+        };
         let unconfirmed: Vec<(MachineName, Span)> = next
             .unconfirmed()
             .map(|r| (r.machine.clone(), r.span))
