Evacuations are watched only where the settings name a time for them

Cause: each process would list and watch one more kind of object, two store calls in 25 s, also in deployments that know no evacuations. Evidence: platform decoding; whole_path evacuations set the bound.

--- a/components/node/src/evacuation_watch.rs
+++ b/components/node/src/evacuation_watch.rs
@@ -17,8 +17,15 @@
 /// an evacuation must be in force.
 const ERA_SPREAD: Duration = Duration::from_millis(500);
 
-/// Applies each change of the set, for as long as the process runs.
+/// Time between two checks whether the deployment knows evacuations.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Applies each change of the set, for as long as the process runs; begins once the bounds of the
+/// deployment name a time for evacuations.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
+    while node.bounds().evacuation.is_none() {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
     let observer = EvacuationObserver(Rc::clone(&node));
     store_watch::run(node, store, EVACUATIONS, ERA_SPREAD, observer).await;
 }
--- a/components/node/src/node/evacuations.rs
+++ b/components/node/src/node/evacuations.rs
@@ -20,7 +20,8 @@
         let Some(since) = self.evacuations.borrow().since(zone) else {
             return true;
         };
-        let limit = self.bounds.get().evacuation.mul_f64(KEYED_RATIO);
+        let bound = self.bounds.get().evacuation.unwrap_or_default();
+        let limit = bound.mul_f64(KEYED_RATIO);
         keyed && BootClock.now().since(since) < limit
     }
 
@@ -40,6 +41,9 @@
     #[must_use]
     pub fn evacuated_machines(&self) -> BTreeSet<MachineName> {
         let evacuations = self.evacuations.borrow();
+        if evacuations.zones().next().is_none() {
+            return BTreeSet::new();
+        }
         let is_evacuated = |zone: &ZoneName| evacuations.since(zone).is_some();
         let peers = self.peers().into_iter();
         let mut machines: BTreeSet<MachineName> = peers
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -367,6 +367,7 @@
             "holdMaxMs=10000",
             "coldOverage=1.5",
             "coldSlack=8",
+            "evacuationMs=5000",
             &extra,
         ];
         let process = NodeSettings {
