--- a/components/stand-ins/src/back_end.rs
+++ b/components/stand-ins/src/back_end.rs
@@ -5,7 +5,7 @@
 //! `/turned-away/` is answered with 421, `/crash/` crashes the
 //! back end as it begins to run, `/late-crash/` a moment later. `/signed/STATUS/` and
 //! `/unsigned/STATUS/` are answered with that status after they have run, with or without a signature,
-//! `/long/` with a body of [`LONG_BODY_BYTES`].
+//! `/long/` with a body of [`LONG_BODY_BYTES`], `/large/` with one of [`LARGE_BODY_BYTES`].
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -37,6 +37,8 @@
 ];
 /// Length of the body of a response to a long path, more than the buffers of a connection hold.
 pub const LONG_BODY_BYTES: usize = 14_000_000;
+/// Length of the body of a response to a large path, the largest that a download is expected to have.
+pub const LARGE_BODY_BYTES: usize = 540_000;
 /// Number of requests that a back end announces it can run at once.
 const SLOTS: u32 = 8;
 
@@ -327,6 +329,8 @@
         }
         response.body = if path.ends_with("/long/") {
             vec![b'x'; LONG_BODY_BYTES].into()
+        } else if path.ends_with("/large/") {
+            vec![b'x'; LARGE_BODY_BYTES].into()
         } else {
             format!("answer to {path}").into()
         };
--- a/components/stand-ins/src/http.rs
+++ b/components/stand-ins/src/http.rs
@@ -13,7 +13,7 @@
 /// Size limits of requests that the server reads.
 const REQUEST_BOUNDS: Bounds = Bounds {
     head_bytes: 65_536,
-    body_bytes: 1 << 24,
+    body_bytes: 1 << 26,
 };
 /// Maximum size of a response body in bytes.
 const MAX_RESPONSE_BYTES: u64 = 1 << 24;
