Bounds on what clients may take of memory, descriptors and time

What callers saw: crowds of clients with legal bodies, heads or frames took the process to 160 to 395 MB with 96 MB allowed, and each port kept as many connections as were opened.

Cause: no bound covered requests that are being received, connections were not counted, a partial request was timed from its last byte, and while a response was written the requests behind it on the connection stood still, with their slots.

Change: one memory account (memory.rs, formerly response_memory.rs) for requests received or handled, unread responses and incomplete responses of the back end, half of memoryMb; the largest incomplete request gets 503 with Retry-After. Connections are limited by listener, below fileDescriptors. A head has its time from the first byte, a body at least 4 KiB/s after 10 s. A body without a route is dropped while it is read. Readiness, heartbeats and metrics take 12 connections each and bodies of 1 MiB only for heartbeats. A process may send 256 KiB before its Hello. Responses are written while later requests go on, without copying large bodies. Room for a body ends at its stated length.

Why it works: what a caller sends or leaves unread is counted in the account and can be given up, except requests that are being handled, which came in under the bound. Not counted: what a process sends on a link after its Hello, and frames waiting on links.

--- a/components/http1/src/body.rs
+++ b/components/http1/src/body.rs
@@ -13,6 +13,9 @@
 /// Bytes of lines allowed for each byte of the body; a chunk of one byte takes five.
 const MAX_LINE_BYTES_PER_BYTE: usize = 8;
 
+/// Least room for a body of stated length, unless it is shorter.
+const MIN_RESERVE_BYTES: usize = 4_096;
+
 /// How the length of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -83,6 +86,10 @@
     step: Step,
     body: BytesMut,
     max_bytes: u64,
+    /// Length of what has been decoded so far, kept or not.
+    decoded: u64,
+    /// Whether the bytes of the body are dropped as they are decoded.
+    discarding: bool,
     /// Length of all chunk size lines and trailer lines so far.
     line_bytes: usize,
 }
@@ -104,6 +111,8 @@
             step,
             body: BytesMut::new(),
             max_bytes,
+            decoded: 0,
+            discarding: false,
             line_bytes: 0,
         })
     }
@@ -120,12 +129,36 @@
         self.step == Step::UntilClose
     }
 
-    /// Returns the length of what has been decoded so far.
+    /// Returns the length of what is kept of the body so far.
     #[must_use]
     pub fn length(&self) -> usize {
         self.body.len()
     }
 
+    /// Returns how much memory is taken for what is kept of the body.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        self.body.capacity()
+    }
+
+    /// Returns the length of what has been decoded so far, kept or not.
+    #[must_use]
+    pub fn decoded(&self) -> u64 {
+        self.decoded
+    }
+
+    /// Drops what has been decoded, and what follows as it is decoded; the limits still apply.
+    pub fn discard(&mut self) {
+        self.discarding = true;
+        self.body = BytesMut::new();
+    }
+
+    /// Returns whether bytes of the body have been dropped.
+    #[must_use]
+    pub fn is_discarding(&self) -> bool {
+        self.discarding
+    }
+
     /// Returns the decoded body.
     #[must_use]
     pub fn into_body(self) -> Bytes {
@@ -149,7 +182,7 @@
                 Step::UntilClose => self.take_data(buf, u64::MAX, |_| Step::UntilClose, Step::Done),
                 Step::Done => false,
             };
-            if self.body.len() as u64 > self.max_bytes {
+            if self.decoded > self.max_bytes {
                 return Err(ParseError::BodyTooLong);
             }
             if !advanced {
@@ -173,7 +206,11 @@
         if count == 0 {
             return false;
         }
-        self.body.extend_from_slice(&buf[..count]);
+        self.decoded += count as u64;
+        if !self.discarding {
+            self.reserve(remaining, count);
+            self.body.extend_from_slice(&buf[..count]);
+        }
         buf.advance(count);
         let remaining_after = remaining - count as u64;
         self.step = if remaining_after == 0 {
@@ -184,6 +221,25 @@
         true
     }
 
+    /// Makes room for `count` more bytes of a body of stated length, which has `remaining` more.
+    ///
+    /// Room grows by doubling, in steps that end at the stated length: doubling beyond it could take twice
+    /// as much, and room for all of it at once would be taken up by senders that stop early.
+    fn reserve(&mut self, remaining: u64, count: usize) {
+        let length = self.body.len();
+        let is_stated = matches!(self.step, Step::Length(_));
+        if !is_stated || self.body.capacity() >= length + count {
+            return;
+        }
+        let stated = usize::try_from(remaining).map_or(usize::MAX, |n| n.saturating_add(length));
+        let needed = (length + count).max(MIN_RESERVE_BYTES);
+        let mut room = stated;
+        while room / 2 >= needed {
+            room = room.div_ceil(2);
+        }
+        self.body.reserve(room - length);
+    }
+
     fn take_chunk_line(&mut self, buf: &mut BytesMut) -> Result<bool, ParseError> {
         let Some(line) = self.take_line(buf)? else {
             return Ok(false);
@@ -226,6 +282,12 @@
         Ok(true)
     }
 
+    /// Returns the largest sum of the lines between the chunks decoded so far.
+    fn line_limit(&self) -> usize {
+        let decoded = usize::try_from(self.decoded).unwrap_or(usize::MAX);
+        MAX_LINE_BYTES.saturating_add(MAX_LINE_BYTES_PER_BYTE.saturating_mul(decoded))
+    }
+
     /// Consumes one line and returns it without its line break; `None` if it is incomplete.
     fn take_line(&mut self, buf: &mut BytesMut) -> Result<Option<BytesMut>, ParseError> {
         let end = buf.iter().position(|b| *b == b'\n');
@@ -236,7 +298,7 @@
             return Ok(None);
         };
         self.line_bytes += end + 1;
-        if self.line_bytes > MAX_LINE_BYTES + MAX_LINE_BYTES_PER_BYTE * self.body.len() {
+        if self.line_bytes > self.line_limit() {
             return Err(malformed("chunk lines"));
         }
         let mut line = buf.split_to(end + 1);
--- a/components/http1/src/headers.rs
+++ b/components/http1/src/headers.rs
@@ -92,6 +92,13 @@
         self.0.len()
     }
 
+    /// Returns how many bytes the header fields take, about.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let text = self.0.iter().map(|h| h.name.len() + h.value.len());
+        text.sum::<usize>() + self.0.len() * size_of::<Header>()
+    }
+
     /// Returns whether there are no header fields.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/components/http1/src/request.rs
+++ b/components/http1/src/request.rs
@@ -4,7 +4,7 @@
 
 use crate::body::{Decoder, Framing};
 use crate::error::{ParseError, malformed};
-use crate::headers::{Headers, header_slots};
+use crate::headers::{Header, Headers, header_slots};
 
 /// A complete request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,8 +15,10 @@
     pub target: Bytes,
     /// Header fields.
     pub headers: Headers,
-    /// Decoded body.
+    /// Decoded body; empty if it was discarded.
     pub body: Bytes,
+    /// Whether the body was discarded while it was received, so that the request cannot be forwarded.
+    pub body_discarded: bool,
     /// Whether the connection is to be closed after the response.
     pub close: bool,
 }
@@ -77,11 +79,19 @@
 #[derive(Debug)]
 pub struct RequestReader {
     state: State,
+    /// Bytes of the next head that have been searched for its end.
+    scanned: usize,
+    /// Length of the head of the request whose body is incomplete.
+    head_bytes: usize,
 }
 
 impl Default for RequestReader {
     fn default() -> Self {
-        Self { state: State::Head }
+        Self {
+            state: State::Head,
+            scanned: 0,
+            head_bytes: 0,
+        }
     }
 }
 
@@ -101,6 +111,41 @@
         }
     }
 
+    /// Returns how many bytes the incomplete request takes, its decoded header fields included; not those
+    /// in the buffer of the connection.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let head = |r: &Request| self.head_bytes + r.headers.len() * size_of::<Header>();
+        match &self.state {
+            State::Head => 0,
+            State::Body(request, decoder) => head(request) + decoder.memory(),
+            State::Refused(request) => head(request),
+        }
+    }
+
+    /// Returns how many bytes of the body of the incomplete request have been received; `None` while its
+    /// head is incomplete.
+    #[must_use]
+    pub fn body_received(&self) -> Option<u64> {
+        match &self.state {
+            State::Body(_, decoder) => Some(decoder.decoded()),
+            State::Head | State::Refused(_) => None,
+        }
+    }
+
+    /// Drops what has been received of the body of the incomplete request, and what follows.
+    pub fn discard_body(&mut self) {
+        if let State::Body(_, decoder) = &mut self.state {
+            decoder.discard();
+        }
+    }
+
+    /// Returns whether the body of the incomplete request is discarded.
+    #[must_use]
+    pub fn is_discarding(&self) -> bool {
+        matches!(&self.state, State::Body(_, decoder) if decoder.is_discarding())
+    }
+
     /// Consumes the next request from `buf`; `None` if it is incomplete.
     ///
     /// # Errors
@@ -111,9 +156,11 @@
         bounds: Bounds,
     ) -> Result<Option<Request>, ParseError> {
         if let State::Head = self.state {
-            let Some((request, framing)) = parse_head(buf, bounds.head_bytes)? else {
+            let length = self.head_length(buf);
+            let Some((request, framing)) = parse_head(buf, length, bounds.head_bytes)? else {
                 return Ok(None);
             };
+            self.head_bytes = length.unwrap_or_default();
             let request = Box::new(request);
             match Decoder::new(framing, bounds.body_bytes) {
                 Ok(decoder) => self.state = State::Body(request, decoder),
@@ -131,20 +178,34 @@
         }
         match std::mem::replace(&mut self.state, State::Head) {
             State::Body(mut request, decoder) => {
+                request.body_discarded = decoder.is_discarding();
                 request.body = decoder.into_body();
                 Ok(Some(*request))
             }
             State::Head | State::Refused(_) => Ok(None),
         }
     }
+
+    /// Returns the length of the head at the start of `buf`, `None` if it is incomplete; looks only at
+    /// bytes that have arrived since the last call.
+    fn head_length(&mut self, buf: &[u8]) -> Option<usize> {
+        let from = self
+            .scanned
+            .saturating_sub(HEAD_END_LENGTH - 1)
+            .min(buf.len());
+        let length = head_length(&buf[from..]).map(|length| from + length);
+        self.scanned = if length.is_some() { 0 } else { buf.len() };
+        length
+    }
 }
 
-/// Consumes a request head from `buf`; `None` if it is incomplete.
+/// Consumes a request head of `length` bytes from `buf`; `None` if it is incomplete.
 fn parse_head(
     buf: &mut BytesMut,
+    length: Option<usize>,
     max_bytes: usize,
 ) -> Result<Option<(Request, Framing)>, ParseError> {
-    let Some(length) = head_length(buf) else {
+    let Some(length) = length else {
         if buf.len() > max_bytes {
             return Err(ParseError::HeadTooLong);
         }
@@ -174,6 +235,7 @@
         target: head.slice_ref(target.as_bytes()),
         headers,
         body: Bytes::new(),
+        body_discarded: false,
         close,
     };
     Ok(Some((request, framing)))
--- a/components/http1/src/response.rs
+++ b/components/http1/src/response.rs
@@ -200,6 +200,13 @@
 /// Writes a response; with `close` it states that the connection closes after it.
 pub fn encode(out: &mut BytesMut, response: &Response, close: bool) {
     out.reserve(response.body.len() + 256);
+    encode_head(out, response, close);
+    out.put_slice(&response.body);
+}
+
+/// Writes the head of a response; with `close` it states that the connection closes after it.
+pub fn encode_head(out: &mut BytesMut, response: &Response, close: bool) {
+    out.reserve(256);
     out.put_slice(b"HTTP/1.1 ");
     out.put_slice(itoa::Buffer::new().format(response.status).as_bytes());
     out.put_u8(b' ');
@@ -213,7 +220,6 @@
         out.put_slice(b"Connection: close\r\n");
     }
     out.put_slice(b"\r\n");
-    out.put_slice(&response.body);
 }
 
 impl Response {
--- a/components/node/src/back_end.rs
+++ b/components/node/src/back_end.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -16,7 +17,7 @@
 use tokio::net::TcpStream;
 use world::instant::BootInstant;
 
-use crate::response_memory::{ResponseMemory, ResponseShare};
+use crate::memory::{MemoryAccount, Share};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -110,7 +111,7 @@
     /// Number of the active connections that were used before.
     active_used: Cell<usize>,
     opened: Cell<u64>,
-    memory: ResponseMemory,
+    memory: Rc<MemoryAccount>,
 }
 
 /// Counts a connection as in use until it is dropped.
@@ -142,13 +143,20 @@
     /// bytes.
     #[must_use]
     pub fn new(address: SocketAddr, process_memory: u64) -> Self {
+        let memory = MemoryAccount::of_responses(process_memory, None);
+        Self::with_memory(address, memory)
+    }
+
+    /// Creates an empty pool whose incomplete responses are bounded by `memory`.
+    #[must_use]
+    pub fn with_memory(address: SocketAddr, memory: Rc<MemoryAccount>) -> Self {
         Self {
             address,
             idle: RefCell::default(),
             active: Cell::new(0),
             active_used: Cell::new(0),
             opened: Cell::new(0),
-            memory: ResponseMemory::new(process_memory),
+            memory,
         }
     }
 
@@ -317,7 +325,7 @@
 struct Receiver<'a> {
     read: tokio::net::tcp::ReadHalf<'a>,
     id: &'a [u8],
-    memory: ResponseShare<'a>,
+    memory: Share,
     reader: ResponseReader,
     buf: BytesMut,
     foreign: usize,
@@ -325,7 +333,7 @@
 }
 
 impl<'a> Receiver<'a> {
-    fn new(read: tokio::net::tcp::ReadHalf<'a>, id: &'a [u8], memory: ResponseShare<'a>) -> Self {
+    fn new(read: tokio::net::tcp::ReadHalf<'a>, id: &'a [u8], memory: Share) -> Self {
         Self {
             read,
             id,
--- a/components/node/src/dispatch/mod.rs
+++ b/components/node/src/dispatch/mod.rs
@@ -139,6 +139,10 @@
         let completion = denial::respond(&node, &arrival.id, Denial::NoRoute, version);
         return arrival.finish(completion, version, &Attempts::default());
     };
+    if request.body_discarded {
+        // No route matched while its body arrived.
+        return arrival.refuse("stale-configuration", OUTAGE_RETRY_AFTER, version);
+    }
     let Some(service) = route.pick_service(samples.next()).cloned() else {
         // The request is proper, so that it is served once the operator gives its route a service.
         return arrival.refuse("no-target", OUTAGE_RETRY_AFTER, version);
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -7,26 +7,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use catalog::Limits;
 use futures::StreamExt;
 use futures::stream::FuturesOrdered;
 use http1::error::ParseError;
 use http1::request::{Bounds, Request, RequestReader};
-use http1::response::{Response, encode};
+use http1::response::Response;
 use platform::message;
 use timer::{BootClock, Clock};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadBuf};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncReadExt, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
 use crate::config_check::REFRESH_TIMEOUT;
+use crate::connection_limit::{OpenConnection, Phase};
 use crate::denial::{self, Denial};
 use crate::low_discrepancy::LowDiscrepancySequence;
+use crate::memory::{Holding, Share};
 use crate::node::Node;
 use crate::open_request::OpenRequest;
-use crate::{accept, dispatch};
+use crate::refusals::Bound;
+use crate::response_writer::{ResponseWriter, Written};
+use crate::{accept, client_limits, dispatch};
 
 /// Maximum number of in-flight requests per connection.
 const MAX_PIPELINED: usize = 32;
@@ -35,52 +39,102 @@
 /// Interval between two checks of a connection for timeouts or, while nothing is read, its end.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Bytes of unread responses from which no further request of a connection is read.
+const MAX_UNREAD_BYTES: usize = 262_144;
+/// Bytes of a body that are kept although no route may match.
+const KEPT_WITHOUT_ROUTE: u64 = 65_536;
+/// `Retry-After` of requests that are refused for lack of memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Name of the listener in logs.
+const LISTENER: &str = "callers";
+
 /// Accepts connections of callers for as long as the process runs.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let samples = Rc::new(LowDiscrepancySequence::default());
-    accept::run(listener, "callers", |stream| {
-        let connection = Connection::new(Rc::clone(&node), Rc::clone(&samples), stream);
+    let limit = || client_limits::callers(&node);
+    accept::run(listener, LISTENER, &node.refusals, limit, |stream, open| {
+        let connection = Connection::new(Rc::clone(&node), Rc::clone(&samples), stream, open);
         tokio::task::spawn_local(connection.run());
     })
     .await;
 }
 
+/// Why no further request of a connection is served.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    /// The request is malformed or exceeds a limit of the configuration.
+    Parse(ParseError),
+    /// The request that is being received takes too much memory.
+    Memory,
+}
+
 struct Connection {
     node: Rc<Node>,
     samples: Rc<LowDiscrepancySequence>,
     read: OwnedReadHalf,
-    write: OwnedWriteHalf,
+    writer: ResponseWriter,
+    slot: OpenConnection,
     buf: BytesMut,
     reader: RequestReader,
     last_activity: BootInstant,
-    /// The requests whose responses have not been written, in their order.
+    /// The requests that are being handled, in their order.
     open: VecDeque<OpenRequest>,
     /// Version of the configuration whose limits bound the request that is being received.
     limits_version: u64,
-    /// Error that ends the connection once the requests before it are answered.
-    parse_error: Option<ParseError>,
+    /// Ends the connection once the requests before it are answered.
+    refusal: Option<Refusal>,
+    /// Id of the request that was refused for lack of memory.
+    refused_id: Bytes,
     /// Whether no further request is read.
     stop_reading: bool,
+    /// Memory of the request that is being received.
+    incoming: Share,
+    /// Memory of the responses that have not been written.
+    unread: Rc<Share>,
+    /// When the first byte of the request that is being received arrived; reading has not been paused
+    /// since.
+    partial_since: Option<BootInstant>,
+    /// The same of its body.
+    body_since: Option<BootInstant>,
+    /// Whether it has been checked that a route matches the request that is being received.
+    route_checked: bool,
+    /// Whether a request has been received.
+    has_served: bool,
 }
 
 impl Connection {
-    fn new(node: Rc<Node>, samples: Rc<LowDiscrepancySequence>, stream: TcpStream) -> Self {
+    fn new(
+        node: Rc<Node>,
+        samples: Rc<LowDiscrepancySequence>,
+        stream: TcpStream,
+        slot: OpenConnection,
+    ) -> Self {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(event = "socket-option-failed", error:% = error; "");
         }
         let (read, write) = stream.into_split();
+        let unread = node.memory.share();
+        unread.hold(Holding::Unread);
         Self {
+            incoming: node.memory.share(),
+            unread: Rc::new(unread),
             node,
             samples,
             read,
-            write,
+            writer: ResponseWriter::new(write),
+            slot,
             buf: BytesMut::new(),
             reader: RequestReader::default(),
             last_activity: BootClock.now(),
             open: VecDeque::new(),
             limits_version: 0,
-            parse_error: None,
+            refusal: None,
+            refused_id: Bytes::new(),
             stop_reading: false,
+            partial_since: None,
+            body_since: None,
+            route_checked: false,
+            has_served: false,
         }
     }
 
@@ -90,33 +144,51 @@
             .map_or_else(Limits::default, |c| c.catalog.limits)
     }
 
+    /// Returns whether further requests are read.
+    fn is_reading(&self) -> bool {
+        let pipelined = self.open.len() + self.writer.len();
+        !self.stop_reading && pipelined < MAX_PIPELINED && self.unread.bytes() < MAX_UNREAD_BYTES
+    }
+
     async fn run(mut self) {
         let mut responses = FuturesOrdered::new();
         let mut check_timer = tokio::time::interval(CHECK_INTERVAL);
         check_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let unread = Rc::clone(&self.unread);
         loop {
-            while self.open.len() < MAX_PIPELINED && !self.stop_reading {
+            while self.is_reading() {
                 let Some(request) = self.next_request() else {
                     break;
                 };
-                self.open
-                    .push_back(OpenRequest::new(&self.node, request.close));
-                self.stop_reading |= request.close;
-                let samples = Rc::clone(&self.samples);
-                let node = Rc::clone(&self.node);
-                responses.push_back(dispatch::handle(node, samples, request, self.last_activity));
+                responses.push_back(self.begin(request));
+            }
+            if self.is_route_unchecked() {
+                self.check_route().await;
             }
-            if let Some(error) = self.parse_error
+            let node = &self.node;
+            let is_last = self.open.is_empty() && self.writer.len() == 1;
+            let stopping = node.is_stopping() && is_last;
+            self.writer.begin(|request| request.close || stopping);
+            if let Some(refusal) = self.refusal
                 && responses.is_empty()
+                && self.writer.is_idle()
             {
-                self.send_parse_error(error).await;
+                self.refuse(refusal).await;
                 return;
             }
-            let reading = !self.stop_reading && self.open.len() < MAX_PIPELINED;
+            let reading = self.is_reading();
+            self.observe_progress(reading);
+            self.slot.set_phase(self.phase());
             self.buf.reserve(if reading { 1024 } else { 0 });
             tokio::select! {
                 Some(response) = responses.next(), if !responses.is_empty() => {
-                    if !self.respond(&response).await {
+                    let Some(request) = self.open.pop_front() else {
+                        return;
+                    };
+                    self.writer.push(response, request);
+                }
+                written = self.writer.write(), if !self.writer.is_idle() => {
+                    if !self.on_written(written) {
                         return;
                     }
                 }
@@ -127,8 +199,15 @@
                         Ok(_) => self.last_activity = BootClock.now(),
                     }
                 }
+                () = self.incoming.evicted(), if self.refusal.is_none() => self.on_evicted(),
+                () = unread.evicted() => {
+                    self.record(Bound::Memory, self.node.memory.limit() as u64);
+                    return;
+                }
+                () = self.slot.closed() => return,
                 _ = check_timer.tick() => {
-                    if responses.is_empty() && self.is_timed_out() {
+                    let idle = responses.is_empty() && self.writer.is_idle();
+                    if (idle && self.is_timed_out()) || self.is_write_timed_out() {
                         return;
                     }
                 }
@@ -136,6 +215,26 @@
         }
     }
 
+    /// Begins to handle a request.
+    fn begin(&mut self, request: Request) -> impl Future<Output = Response> + use<> {
+        self.has_served = true;
+        self.open
+            .push_back(OpenRequest::new(&self.node, request.close));
+        self.stop_reading |= request.close;
+        let accepted = std::mem::replace(&mut self.incoming, self.node.memory.share());
+        let unread = Rc::clone(&self.unread);
+        let samples = Rc::clone(&self.samples);
+        let handling =
+            dispatch::handle(Rc::clone(&self.node), samples, request, self.last_activity);
+        async move {
+            let response = handling.await;
+            drop(accepted);
+            // An eviction ends the connection elsewhere.
+            let _ = unread.resize(unread.bytes() + response.body.len());
+            response
+        }
+    }
+
     fn next_request(&mut self) -> Option<Request> {
         if self.buf.is_empty() {
             return None;
@@ -149,48 +248,170 @@
             body_bytes: limits.body_bytes,
         };
         match self.reader.next(&mut self.buf, bounds) {
-            Ok(request) => request,
+            Ok(Some(request)) => {
+                self.on_complete(&request);
+                Some(request)
+            }
+            Ok(None) => {
+                // A buffer that grew by doubling has left about as much to the allocator.
+                let buffered = 2 * self.buf.capacity().max(self.buf.len());
+                if !self.incoming.resize(buffered + self.reader.held_bytes()) {
+                    self.on_evicted();
+                }
+                None
+            }
             Err(error) => {
-                self.parse_error = Some(error);
+                self.refusal = Some(Refusal::Parse(error));
                 self.stop_reading = true;
+                self.buf = BytesMut::new();
+                let _ = self.incoming.resize(self.reader.held_bytes());
                 None
             }
         }
     }
 
+    fn on_complete(&mut self, request: &Request) {
+        self.partial_since = None;
+        self.body_since = None;
+        self.route_checked = false;
+        self.incoming.hold(Holding::Accepted);
+        let head = request.target.len() + request.headers.memory();
+        // An accepted request is not evicted.
+        let _ = self.incoming.resize(head + request.body.len());
+        if self.buf.is_empty() {
+            // The request shares the buffer's memory, which would stay in use after it.
+            self.buf = BytesMut::new();
+        }
+    }
+
+    /// Drops the request that is being received, to answer it with 503.
+    fn on_evicted(&mut self) {
+        self.record(Bound::Memory, self.node.memory.limit() as u64);
+        let request = self.reader.incomplete();
+        self.refused_id = request
+            .map(|r| message::decode_metadata(r).id)
+            .unwrap_or_default();
+        self.reader = RequestReader::default();
+        self.buf = BytesMut::new();
+        self.refusal = Some(Refusal::Memory);
+        self.stop_reading = true;
+    }
+
+    fn record(&self, bound: Bound, limit: u64) {
+        self.node.refusals.record(bound, LISTENER, limit);
+    }
+
+    /// Returns whether the request that is being received has a body so long that its route is needed.
+    fn is_route_unchecked(&self) -> bool {
+        let received = self.reader.body_received().unwrap_or_default();
+        !self.route_checked && received > KEPT_WITHOUT_ROUTE
+    }
+
+    /// Discards the body of the request that is being received if no route matches.
+    async fn check_route(&mut self) {
+        self.route_checked = true;
+        let Some(request) = self.reader.incomplete() else {
+            return;
+        };
+        let host = message::decode_metadata(request).host;
+        let found = denial::find_route(&self.node, &host, request.path(), REFRESH_TIMEOUT).await;
+        if let Some((_, None)) = found {
+            self.reader.discard_body();
+            let _ = self.incoming.resize(self.reader.held_bytes());
+        }
+    }
+
+    /// Keeps the times from which the deadlines of the request that is being received run.
+    fn observe_progress(&mut self, reading: bool) {
+        if !reading {
+            self.partial_since = None;
+            self.body_since = None;
+            return;
+        }
+        let now = self.last_activity;
+        if self.reader.has_partial_request(&self.buf) {
+            self.partial_since.get_or_insert(now);
+        }
+        if self.reader.body_received().is_some() {
+            self.body_since.get_or_insert(now);
+        }
+    }
+
+    fn phase(&self) -> Phase {
+        if !self.open.is_empty() || !self.writer.is_idle() {
+            Phase::Busy
+        } else if self.reader.has_partial_request(&self.buf) || !self.has_served {
+            Phase::Incomplete
+        } else {
+            Phase::Idle
+        }
+    }
+
     /// Returns whether the connection has been idle, or its partial request incomplete, for too
     /// long.
-    fn is_timed_out(&mut self) -> bool {
+    fn is_timed_out(&self) -> bool {
         let limits = self.limits();
-        let timeout = if self.reader.has_partial_request(&self.buf) {
-            limits.head_timeout.max(limits.idle_timeout)
-        } else {
-            limits.idle_timeout
+        let now = BootClock.now();
+        let partial = limits.head_timeout.max(limits.idle_timeout);
+        if !self.reader.has_partial_request(&self.buf) {
+            return now.since(self.last_activity) > limits.idle_timeout;
+        }
+        let is_late = match (self.reader.body_received(), self.body_since) {
+            (Some(received), Some(since)) => client_limits::is_too_slow(received, now.since(since)),
+            _ => self.partial_since.is_some_and(|at| now.since(at) > partial),
         };
-        BootClock.now().since(self.last_activity) > timeout
+        if is_late {
+            self.record(Bound::Deadline, partial.as_millis() as u64);
+        }
+        is_late || now.since(self.last_activity) > partial
     }
 
-    /// Writes a response; returns false if the connection ends with it.
-    async fn respond(&mut self, response: &Response) -> bool {
-        let Some(request) = self.open.pop_front() else {
-            return false;
-        };
-        let stopping = self.node.is_stopping();
-        let close = request.close || (stopping && self.open.is_empty());
-        let written = self.write_response(response, close).await;
-        self.last_activity = BootClock.now();
-        written && !close
+    fn is_write_timed_out(&self) -> bool {
+        let started = self.writer.started();
+        started.is_some_and(|at| BootClock.now().since(at) > WRITE_TIMEOUT)
     }
 
-    async fn write_response(&mut self, response: &Response, close: bool) -> bool {
-        let mut out = BytesMut::new();
-        encode(&mut out, response, close);
-        let written = tokio::time::timeout(WRITE_TIMEOUT, self.write.write_all(&out)).await;
-        matches!(written, Ok(Ok(())))
+    /// Handles progress of a response; returns false if the connection ends.
+    fn on_written(&mut self, written: std::io::Result<Option<Written>>) -> bool {
+        let Ok(written) = written else { return false };
+        let Some(written) = written else { return true };
+        let left = self.unread.bytes().saturating_sub(written.length);
+        // An eviction ends the connection elsewhere.
+        let _ = self.unread.resize(left);
+        self.last_activity = BootClock.now();
+        !written.close
     }
 
-    async fn send_parse_error(&mut self, error: ParseError) {
+    async fn refuse(&mut self, refusal: Refusal) {
         let open = OpenRequest::new(&self.node, true);
+        let response = match refusal {
+            Refusal::Parse(error) => self.deny(error).await,
+            Refusal::Memory => {
+                message::error_response(503, &self.refused_id, Some(MEMORY_RETRY_AFTER))
+            }
+        };
+        // The message is not needed any more while the rest of it is read.
+        self.reader = RequestReader::default();
+        self.buf = BytesMut::new();
+        let _ = self.incoming.resize(0);
+        self.writer.push(response, open);
+        self.writer.begin(|_| true);
+        let writing = async {
+            while !self.writer.is_idle() {
+                self.writer.write().await?;
+            }
+            Ok::<(), std::io::Error>(())
+        };
+        let written = tokio::time::timeout(WRITE_TIMEOUT, writing).await;
+        if matches!(written, Ok(Ok(()))) {
+            tokio::select! {
+                () = drain(&mut self.read) => {}
+                () = self.slot.closed() => {}
+            }
+        }
+    }
+
+    async fn deny(&mut self, error: ParseError) -> Response {
         let request = self.reader.incomplete();
         let id = request.map(|r| message::decode_metadata(r).id);
         let id = id.unwrap_or_default();
@@ -207,12 +428,7 @@
         if denial.rests_on_configuration() {
             denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
         }
-        let denied = denial::respond(&self.node, &id, denial, self.limits_version);
-        let written = self.write_response(&denied.response, true).await;
-        drop(open);
-        if written {
-            drain(&mut self.read).await;
-        }
+        denial::respond(&self.node, &id, denial, self.limits_version).response
     }
 }
 
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -40,10 +40,12 @@
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::leaving::LeavingBackEnds;
+use crate::memory::MemoryAccount;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::peer_requests::PeerRequests;
 use crate::pending_changes::PendingChanges;
+use crate::refusals::Refusals;
 use crate::retry_detector::RetryDetector;
 use crate::suspects::Suspects;
 
@@ -78,6 +80,10 @@
     pub started: BootInstant,
     /// Sends requests to the local back end.
     pub proxy: BackEndProxy,
+    /// Memory that messages take together.
+    pub memory: Rc<MemoryAccount>,
+    /// Logs that clients reach a bound.
+    pub refusals: Refusals,
     /// Decides which keys of the service this machine grants, and holds its lease.
     pub shard_manager: RefCell<ShardManager>,
     /// Requests that peers have forwarded to this machine.
@@ -143,13 +149,16 @@
             max_grant: settings.bounds.hold_max,
             ..Timing::default()
         };
+        let memory = MemoryAccount::of_messages(settings.memory_limit);
         Self {
             incarnation,
             started: now,
-            proxy: BackEndProxy::new(ConnectionPool::new(
+            proxy: BackEndProxy::new(ConnectionPool::with_memory(
                 settings.back_end_address,
-                settings.memory_limit,
+                MemoryAccount::of_responses(settings.memory_limit, Some(Rc::clone(&memory))),
             )),
+            memory,
+            refusals: Refusals::default(),
             shard_manager: RefCell::new(
                 ShardManager::new(settings.machine.clone(), timing, now)
                     .with_first_start(settings.first_start),
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -11,11 +11,13 @@
 use world::name::MachineName;
 
 use crate::back_end_proxy::submission;
+use crate::connection_limit::{OpenConnection, Phase};
 use crate::frame::{self, Features, ForwardedRequest, Frame, RequestOutcome};
 use crate::frame_stream::{FrameSender, read_frames, send_frame, write_frames};
 use crate::link::KEEPALIVE_IDLE;
 use crate::node::Node;
-use crate::{accept, suspects};
+use crate::stranger::Stranger;
+use crate::{accept, client_limits, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
 #[derive(Clone, Debug, Default)]
@@ -28,22 +30,27 @@
 
 /// Accepts connections of peers for as long as the process runs.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    accept::run(listener, "peers", |stream| {
+    let limit = || client_limits::peers(&node);
+    accept::run(listener, "peers", &node.refusals, limit, |stream, open| {
         if let Err(error) = net::configure(&stream, KEEPALIVE_IDLE) {
             log::warn!(event = "socket-option-failed", error:% = error; "");
         }
-        tokio::task::spawn_local(serve_link(Rc::clone(&node), stream));
+        tokio::task::spawn_local(serve_link(Rc::clone(&node), stream, open));
     })
     .await;
 }
 
-async fn serve_link(node: Rc<Node>, stream: TcpStream) {
+async fn serve_link(node: Rc<Node>, stream: TcpStream, open: OpenConnection) {
     let (read, write) = stream.into_split();
+    let stranger = Stranger::default();
+    let read = stranger.limit(read);
     let (sender, frames) = mpsc::unbounded_channel();
     send_frame(&sender, &Frame::Hello(Box::new(node.status())));
     let mut process = PeerProcess::default();
     let reading = read_frames(read, |frame| match frame {
         Frame::Hello(status) => {
+            stranger.introduce();
+            open.set_phase(Phase::Busy);
             process.machine = Some(status.machine.clone());
             process.incarnation = status.incarnation;
             process.features = status.features;
@@ -86,6 +93,7 @@
     tokio::select! {
         () = reading => {}
         () = write_frames(write, frames) => {}
+        () = open.closed() => {}
     }
 }
 
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -9,59 +9,111 @@
 use http1::request::{Bounds, Request, RequestReader};
 use http1::response::{Response, encode};
 use platform::endpoint::Endpoint;
+use timer::{BootClock, Clock};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use world::rate::RequestRate;
 
+use crate::connection_limit::{OpenConnection, Phase};
 use crate::node::Node;
-use crate::{accept, heartbeats};
+use crate::refusals::Bound;
+use crate::{accept, client_limits, heartbeats};
 
-/// Limits on the head and body of a request.
+/// Limits on the head and body of a request; only heartbeats and deregistrations may have a body that
+/// does not arrive with its head.
 const BOUNDS: Bounds = Bounds {
     head_bytes: 16_384,
-    body_bytes: 4 << 20,
+    body_bytes: 1 << 20,
 };
 /// Time without traffic after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time from the first byte of a request within which all of it must arrive.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout for writing a response.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Name of the listeners in logs.
+const LISTENER: &str = "platform";
 
 /// Serves requests on a listener for as long as the process runs.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    accept::run(listener, "platform", |stream| {
-        tokio::task::spawn_local(serve_connection(Rc::clone(&node), stream));
+    let limit = || client_limits::PLATFORM_CONNECTIONS;
+    accept::run(listener, LISTENER, &node.refusals, limit, |stream, open| {
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = serve_connection(&node, stream, &open) => {}
+                () = open.closed() => {}
+            }
+        });
     })
     .await;
 }
 
-async fn serve_connection(node: Rc<Node>, mut stream: TcpStream) {
-    let mut reader = RequestReader::default();
+async fn serve_connection(node: &Rc<Node>, mut stream: TcpStream, open: &OpenConnection) {
     let mut buf = BytesMut::new();
     loop {
-        let request = match reader.next(&mut buf, BOUNDS) {
-            Ok(Some(request)) => request,
-            Ok(None) => {
-                let read = tokio::time::timeout(IDLE_TIMEOUT, stream.read_buf(&mut buf)).await;
-                match read {
-                    Ok(Ok(n)) if n > 0 => continue,
-                    _ => return,
-                }
+        let Some(request) = receive(node, &mut stream, &mut buf).await else {
+            return;
+        };
+        open.set_phase(Phase::Busy);
+        let response = handle(node, &request).await;
+        if send(&mut stream, &response, request.close).await.is_err() || request.close {
+            return;
+        }
+        open.set_phase(Phase::Idle);
+    }
+}
+
+/// Receives the next request; `None` if the connection ends.
+async fn receive(node: &Node, stream: &mut TcpStream, buf: &mut BytesMut) -> Option<Request> {
+    let mut reader = RequestReader::default();
+    let mut since = None;
+    loop {
+        match reader.next(buf, BOUNDS) {
+            Ok(Some(request)) => return Some(request),
+            Ok(None) if reader.incomplete().is_some_and(|r| !may_have_body(r)) => {
+                log::warn!(event = "call-refused", fault = "a body is not expected"; "");
+                let _ = send(stream, &Response::new(400), true).await;
+                return None;
             }
+            Ok(None) => {}
             Err(error) => {
                 log::warn!(event = "call-refused", fault:% = error; "");
-                let _ = send(&mut stream, &Response::new(400), true).await;
-                return;
+                let _ = send(stream, &Response::new(400), true).await;
+                return None;
             }
+        }
+        let timeout = if reader.has_partial_request(buf) {
+            let since = *since.get_or_insert_with(|| BootClock.now());
+            REQUEST_TIMEOUT.saturating_sub(BootClock.now().since(since))
+        } else {
+            IDLE_TIMEOUT
         };
-        let response = handle(&node, &request).await;
-        if send(&mut stream, &response, request.close).await.is_err() || request.close {
-            return;
+        match tokio::time::timeout(timeout, stream.read_buf(buf)).await {
+            Ok(Ok(n)) if n > 0 => {}
+            Err(_) if since.is_some() => {
+                let limit = REQUEST_TIMEOUT.as_millis() as u64;
+                node.refusals.record(Bound::Deadline, LISTENER, limit);
+                return None;
+            }
+            _ => return None,
         }
     }
 }
 
+fn may_have_body(request: &Request) -> bool {
+    matches!(
+        Endpoint::from_request(&request.method, request.path()),
+        Endpoint::Heartbeat(_) | Endpoint::Deregister(_)
+    )
+}
+
 async fn send(stream: &mut TcpStream, response: &Response, close: bool) -> std::io::Result<()> {
     let mut out = BytesMut::new();
     encode(&mut out, response, close);
-    stream.write_all(&out).await
+    let writing = stream.write_all(&out);
+    let written = tokio::time::timeout(WRITE_TIMEOUT, writing).await;
+    written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
 }
 
 async fn handle(node: &Rc<Node>, request: &Request) -> Response {
@@ -104,6 +156,7 @@
             "plantaingauge_back_end_response_bytes",
             node.proxy.connections.response_bytes() as f64,
         ),
+        ("plantaingauge_message_bytes", node.memory.in_use() as f64),
         (
             "plantaingauge_back_end_limit_per_second",
             limit.map_or(f64::INFINITY, RequestRate::as_per_second),
--- a/tests/hostile_clients/responses.rs
+++ b/tests/hostile_clients/responses.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use stand_ins::back_end::LONG_BODY_BYTES;
 use stand_ins::layout;
 
 use crate::crowd;
@@ -14,6 +15,8 @@
 const PIPELINED: usize = 32;
 /// Time for which the responses pile up.
 const PILE_UP_TIME: Duration = Duration::from_secs(6);
+/// Time without reading after which a response has been cut off.
+const CUT_OFF_TIME: Duration = Duration::from_secs(12);
 /// Bytes that a slow reader reads at once, and how often.
 const SLOW_READ_BYTES: usize = 1_024;
 const SLOW_READS: usize = 60;
@@ -70,6 +73,27 @@
     drop(clients);
 }
 
+// Guards against a response that is cut off because its caller does not read, and looks complete to it.
+#[test]
+fn a_response_that_is_cut_off_is_shorter_than_it_states() {
+    let mut process = Process::start(LARGE_MACHINE);
+    let request = crowd::head("/orders/long/", "Content-Length: 0\r\n");
+    let mut stream = crowd::open(process.address(layout::CALLER_PORT)).expect("a connection");
+    assert!(crowd::send(&mut stream, &request, request.len()));
+    std::thread::sleep(CUT_OFF_TIME);
+    let received = crowd::read(&mut stream, usize::MAX);
+    let end = received.windows(4).position(|w| w == b"\r\n\r\n");
+    let (head, body) = received.split_at(end.expect("a head") + 4);
+    let head = String::from_utf8_lossy(head);
+    let stated = format!("Content-Length: {LONG_BODY_BYTES}\r\n");
+    assert!(
+        head.starts_with("HTTP/1.1 200") && head.contains(&stated),
+        "{head}"
+    );
+    assert!(body.len() < LONG_BODY_BYTES, "the response was not cut off");
+    process.check("cut-off response");
+}
+
 const LIMITS: Limits = Limits {
     memory_mb: 96,
     descriptors: 256,
