--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -11,12 +11,14 @@
 
 use crate::back_end_proxy::submission;
 use crate::body_assembly::BodyAssembly;
+use crate::connection_limit::{OpenConnection, Phase};
 use crate::frame::{Features, ForwardedRequest, Frame, RequestOutcome};
 use crate::frame_stream::{self, FrameSender, read_frames, write_frames};
 use crate::link::{self, KEEPALIVE_IDLE};
 use crate::node::Node;
 use crate::outgoing::Outgoing;
-use crate::{accept, link_admission, suspects};
+use crate::stranger::Stranger;
+use crate::{accept, client_limits, link_admission, suspects};
 
 /// The process at the other end of a connection, from its `Hello`.
 #[derive(Clone, Debug, Default)]
@@ -29,18 +31,21 @@
 
 /// Accepts connections of peers for as long as the process runs.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    accept::run(listener, "peers", |stream| {
+    let limit = || client_limits::peers(&node);
+    accept::run(listener, "peers", &node.refusals, limit, |stream, open| {
         if let Err(error) = net::configure(&stream, KEEPALIVE_IDLE) {
             log::warn!(event = "socket-option-failed", error:% = error; "");
         }
-        tokio::task::spawn_local(serve_link(Rc::clone(&node), stream));
+        tokio::task::spawn_local(serve_link(Rc::clone(&node), stream, open));
     })
     .await;
 }
 
-async fn serve_link(node: Rc<Node>, stream: TcpStream) {
+async fn serve_link(node: Rc<Node>, stream: TcpStream, open: OpenConnection) {
     link::bound_send_buffer(&stream);
     let (read, write) = stream.into_split();
+    let stranger = Stranger::default();
+    let read = stranger.limit(read);
     let (sender, frames) = frame_stream::channel(&node.queued_bytes);
     sender.send(&Frame::Hello(Box::new(node.status())));
     let mut process = PeerProcess::default();
@@ -51,6 +56,8 @@
         |frame| {
             match frame {
                 Frame::Hello(status) => {
+                    stranger.introduce();
+                    open.set_phase(Phase::Busy);
                     process.machine = Some(status.machine.clone());
                     process.incarnation = status.incarnation;
                     process.features = status.features;
@@ -101,6 +108,7 @@
     tokio::select! {
         () = reading => {}
         () = write_frames(write, frames) => {}
+        () = open.closed() => {}
     }
 }
 
