What a peer's connection holds counts in the memory account

Callers would see: a process that introduces itself at the port for peers ends the process beside their back end. Twenty connections with a Hello and an unfinished frame of 70 MiB took it to 395 MB of 96 MB allowed. Cause: the bound on strangers is lifted with the Hello, and links were not in the account. Change: each connection that a peer opens is a share, with the frame that is being received and the stated lengths of bodies in parts; the largest is evicted, which ends the connection.

--- a/components/node/src/body_assembly.rs
+++ b/components/node/src/body_assembly.rs
@@ -41,18 +41,23 @@
     /// `None` if the body is not wanted any more.
     head: Option<H>,
     bytes: BytesMut,
+    /// Length for which `bytes` was allocated.
+    allocated: usize,
     missing: usize,
 }
 
 /// The incomplete bodies of one connection, each with the head `H` that has preceded it.
 pub struct BodyAssembly<H> {
     bodies: HashMap<u64, Partial<H>>,
+    /// Sum of the lengths for which buffers are allocated.
+    held_bytes: usize,
 }
 
 impl<H> Default for BodyAssembly<H> {
     fn default() -> Self {
         Self {
             bodies: HashMap::new(),
+            held_bytes: 0,
         }
     }
 }
@@ -72,9 +77,11 @@
         let partial = Partial {
             head: Some(head),
             bytes: BytesMut::with_capacity(bytes),
+            allocated: bytes,
             missing: bytes,
         };
         self.bodies.insert(id, partial);
+        self.held_bytes += bytes;
         Ok(())
     }
 
@@ -86,7 +93,7 @@
     /// Returns an error if no body has begun under the id or the part is longer than what is missing.
     pub fn append(&mut self, id: u64, part: &[u8]) -> Result<Option<(H, Bytes)>, BodyError> {
         if part.is_empty() {
-            self.bodies.remove(&id);
+            self.remove(id);
             return Ok(None);
         }
         let Some(partial) = self.bodies.get_mut(&id) else {
@@ -100,7 +107,7 @@
         if partial.missing > 0 {
             return Ok(None);
         }
-        let complete = self.bodies.remove(&id);
+        let complete = self.take(id);
         Ok(complete.and_then(|p| p.head.map(|head| (head, p.bytes.freeze()))))
     }
 
@@ -108,18 +115,26 @@
     pub fn discard(&mut self, id: u64) {
         if let Some(partial) = self.bodies.get_mut(&id) {
             partial.head = None;
+            self.held_bytes -= partial.allocated;
+            partial.allocated = 0;
             partial.bytes = BytesMut::new();
         }
     }
 
     /// Forgets a body of which no further part arrives.
     pub fn remove(&mut self, id: u64) {
-        self.bodies.remove(&id);
+        self.take(id);
     }
 
-    /// Number of bytes held for incomplete bodies.
+    fn take(&mut self, id: u64) -> Option<Partial<H>> {
+        let partial = self.bodies.remove(&id)?;
+        self.held_bytes -= partial.allocated;
+        Some(partial)
+    }
+
+    /// Number of bytes allocated for incomplete bodies, received or not.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
-        self.bodies.values().map(|p| p.bytes.len()).sum()
+        self.held_bytes
     }
 }
--- a/components/node/src/frame_stream.rs
+++ b/components/node/src/frame_stream.rs
@@ -198,10 +198,11 @@
 }
 
 /// Reads frames and passes each to `handle` until the connection ends, a frame is malformed or
-/// `handle` returns an error; calls `on_bytes` whenever bytes arrive.
+/// `handle` returns an error; calls `on_bytes` whenever bytes arrive, with the length of what waits to be
+/// decoded.
 pub async fn read_frames(
     mut read: impl AsyncRead + Unpin,
-    on_bytes: impl Fn(),
+    on_bytes: impl Fn(usize),
     mut handle: impl FnMut(Frame) -> Result<(), BodyError>,
 ) {
     let mut buf = BytesMut::new();
@@ -209,7 +210,7 @@
         buf.reserve(2048);
         match read.read_buf(&mut buf).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => on_bytes(),
+            Ok(_) => on_bytes(buf.len()),
         }
         loop {
             match frame::decode(&mut buf) {
--- a/components/node/src/link.rs
+++ b/components/node/src/link.rs
@@ -74,7 +74,7 @@
     let mut bodies = BodyAssembly::default();
     peer.on_received(BootClock.now());
     let wrong_machine = Notify::new();
-    let on_bytes = || peer.on_received(BootClock.now());
+    let on_bytes = |_| peer.on_received(BootClock.now());
     let reading = read_frames(read, on_bytes, |frame| {
         match frame {
             Frame::Response { id, outcome, load } => peer.on_response(id, outcome, load),
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -2,6 +2,7 @@
 //!
 //! A request that a peer sends again with the same id, after a lost connection, runs only once.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,9 +18,13 @@
 use crate::link::{self, KEEPALIVE_IDLE};
 use crate::node::Node;
 use crate::outgoing::Outgoing;
+use crate::refusals::Bound;
 use crate::stranger::Stranger;
 use crate::{accept, client_limits, link_admission, suspects};
 
+/// Name of the listener in logs.
+const LISTENER: &str = "peers";
+
 /// The process at the other end of a connection, from its `Hello`.
 #[derive(Clone, Debug, Default)]
 struct PeerProcess {
@@ -32,7 +37,7 @@
 /// Accepts connections of peers for as long as the process runs.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let limit = || client_limits::peers(&node);
-    accept::run(listener, "peers", &node.refusals, limit, |stream, open| {
+    accept::run(listener, LISTENER, &node.refusals, limit, |stream, open| {
         if let Err(error) = net::configure(&stream, KEEPALIVE_IDLE) {
             log::warn!(event = "socket-option-failed", error:% = error; "");
         }
@@ -50,9 +55,14 @@
     sender.send(&Frame::Hello(Box::new(node.status())));
     let mut process = PeerProcess::default();
     let mut bodies = BodyAssembly::default();
+    let memory = node.memory.share();
+    let body_bytes = Cell::new(0);
     let reading = read_frames(
         read,
-        || (),
+        // An eviction ends the connection below.
+        |buffered| {
+            let _ = memory.resize(buffered + body_bytes.get());
+        },
         |frame| {
             match frame {
                 Frame::Hello(status) => {
@@ -102,6 +112,7 @@
                 }
                 other => node.on_frame(other, &sender),
             }
+            body_bytes.set(bodies.held_bytes());
             Ok(())
         },
     );
@@ -109,6 +120,10 @@
         () = reading => {}
         () = write_frames(write, frames) => {}
         () = open.closed() => {}
+        () = memory.evicted() => {
+            let limit = node.memory.limit() as u64;
+            node.refusals.record(Bound::Memory, LISTENER, limit);
+        }
     }
 }
 
