Ranks of calls only where the operator states the priority 0

Cause: the routes of calls leave the priority out, which decoded as 0 and turned the ranks on everywhere. Change: a route knows whether its priority is stated.

--- a/components/catalog/src/lib.rs
+++ b/components/catalog/src/lib.rs
@@ -23,7 +23,7 @@
     pub services: HashMap<ServiceName, Service>,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
-    /// Whether a route has the top priority 0, so that calls inherit the priority of the request that
+    /// Whether the operator gives a route the top priority 0, so that calls inherit the priority of the request that
     /// they serve.
     pub has_top_priority: bool,
 }
@@ -49,6 +49,8 @@
     pub latency_target: Duration,
     /// Priority of the requests; 0 is served first.
     pub priority: u8,
+    /// Whether the operator has stated the priority; those of the routes of calls alone are left out.
+    pub states_priority: bool,
     /// Largest number of back ends that may execute one request.
     pub max_attempts: u8,
     /// Services that share the requests of the route, by weight.
@@ -110,7 +112,7 @@
         services: HashMap<ServiceName, Service>,
         limits: Limits,
     ) -> Self {
-        let has_top_priority = routes.iter().any(|r| r.priority == 0);
+        let has_top_priority = routes.iter().any(|r| r.states_priority && r.priority == 0);
         let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         let mut bound_routes: HashMap<ServiceName, Vec<Rc<Route>>> = HashMap::new();
         for route in routes.into_iter().map(Rc::new) {
--- a/components/catalog/tests/homes.rs
+++ b/components/catalog/tests/homes.rs
@@ -17,6 +17,7 @@
         timeout: Duration::from_secs(1),
         latency_target: Duration::from_secs(1),
         priority: 1,
+        states_priority: true,
         max_attempts: 1,
         traffic_split: Default::default(),
     }
--- a/components/node/tests/call_ranks.rs
+++ b/components/node/tests/call_ranks.rs
@@ -24,6 +24,7 @@
         timeout: Duration::from_secs(1),
         latency_target: Duration::from_secs(1),
         priority,
+        states_priority: true,
         max_attempts: 1,
         traffic_split: SmallVec::new(),
     }
