--- a/components/node/src/body_assembly.rs
+++ b/components/node/src/body_assembly.rs
@@ -50,14 +50,14 @@
 pub struct BodyAssembly<H> {
     bodies: HashMap<u64, Partial<H>>,
     /// Sum of the lengths for which buffers are allocated.
-    held_bytes: usize,
+    allocated_bytes: usize,
 }
 
 impl<H> Default for BodyAssembly<H> {
     fn default() -> Self {
         Self {
             bodies: HashMap::new(),
-            held_bytes: 0,
+            allocated_bytes: 0,
         }
     }
 }
@@ -81,7 +81,7 @@
             missing: bytes,
         };
         self.bodies.insert(id, partial);
-        self.held_bytes += bytes;
+        self.allocated_bytes += bytes;
         Ok(())
     }
 
@@ -115,7 +115,7 @@
     pub fn discard(&mut self, id: u64) {
         if let Some(partial) = self.bodies.get_mut(&id) {
             partial.head = None;
-            self.held_bytes -= partial.allocated;
+            self.allocated_bytes -= partial.allocated;
             partial.allocated = 0;
             partial.bytes = BytesMut::new();
         }
@@ -128,13 +128,19 @@
 
     fn take(&mut self, id: u64) -> Option<Partial<H>> {
         let partial = self.bodies.remove(&id)?;
-        self.held_bytes -= partial.allocated;
+        self.allocated_bytes -= partial.allocated;
         Some(partial)
     }
 
     /// Number of bytes allocated for incomplete bodies, received or not.
     #[must_use]
+    pub fn allocated_bytes(&self) -> usize {
+        self.allocated_bytes
+    }
+
+    /// Number of bytes received of incomplete bodies.
+    #[must_use]
     pub fn held_bytes(&self) -> usize {
-        self.held_bytes
+        self.bodies.values().map(|p| p.bytes.len()).sum()
     }
 }
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -112,7 +112,7 @@
                 }
                 other => node.on_frame(other, &sender),
             }
-            body_bytes.set(bodies.held_bytes());
+            body_bytes.set(bodies.allocated_bytes());
             Ok(())
         },
     );
