Pace the bodies of all links at the rate of the machine's own link

Cause: the order of the queues holds within one link. A machine has a link to each other, and what their kernel buffers hold, up to 128 KiB each, shares the machine's own link of 15 Mbit/s in no order: small frames wait behind the bodies of other links. Change: link_pacer counts what is written against the stated rate; a part of a body is written only while at most 10 ms are queued on the machine's link. Bodies of different connections take turns, first come, first served; a connection gives its turn back before it writes, so that a stuck one stops nobody. Other frames never wait. Why it works: the kernel and the link hold little, so that the order of the queues is the order on the wire.

--- a/components/node/src/frame_stream.rs
+++ b/components/node/src/frame_stream.rs
@@ -6,7 +6,8 @@
 use std::task::Poll;
 
 use bytes::{Buf, Bytes, BytesMut};
-use futures::poll;
+use futures::future::{Fuse, FusedFuture};
+use futures::{FutureExt, poll};
 use timer::{BootClock, Clock};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
@@ -14,18 +15,31 @@
 
 use crate::body_assembly::BodyError;
 use crate::frame::{self, Frame};
+use crate::link_pacer::LinkPacer;
 use crate::link_queue::{LinkQueue, Write};
 use crate::outgoing::Outgoing;
 
-/// Bytes that wait to be written to all connections of the process.
+/// Bytes that wait to be written to all connections of the process, and the pace of what is written.
 #[derive(Clone, Debug, Default)]
-pub struct QueuedBytes(Rc<Cell<usize>>);
+pub struct QueuedBytes {
+    bytes: Rc<Cell<usize>>,
+    pacer: Rc<LinkPacer>,
+}
 
 impl QueuedBytes {
     /// Returns their number.
     #[must_use]
     pub fn get(&self) -> usize {
-        self.0.get()
+        self.bytes.get()
+    }
+
+    /// Creates the count of a process whose link sends `rate` bytes per second; `None` if it is not stated.
+    #[must_use]
+    pub fn with_link_rate(rate: Option<f64>) -> Self {
+        Self {
+            bytes: Rc::default(),
+            pacer: Rc::new(LinkPacer::new(rate)),
+        }
     }
 }
 
@@ -48,7 +62,7 @@
         let mut queue = self.queue.borrow_mut();
         let before = queue.queued_bytes();
         let result = change(&mut queue);
-        let total = &self.total.0;
+        let total = &self.total.bytes;
         total.set(total.get() + queue.queued_bytes() - before);
         result
     }
@@ -143,16 +157,6 @@
     pub fn try_next_write(&self) -> Option<Write> {
         self.0.update(LinkQueue::next_write)
     }
-
-    /// Removes what is written next, once there is something.
-    async fn next_write(&self) -> Write {
-        loop {
-            if let Some(write) = self.try_next_write() {
-                return write;
-            }
-            self.0.queued.notified().await;
-        }
-    }
 }
 
 impl Drop for FrameQueue {
@@ -162,10 +166,31 @@
     }
 }
 
-/// Writes what is queued until the connection ends.
+/// Writes what is queued until the connection ends. Parts of bodies wait for their turn on the machine's
+/// link, other frames do not.
 pub async fn write_frames(mut write: impl AsyncWrite + Unpin, queue: FrameQueue) {
+    let pacer = Rc::clone(&queue.0.total.pacer);
+    let waiting = Fuse::terminated();
+    let mut waiting = pin!(waiting);
+    let mut turn = None;
     loop {
-        let (frames, part) = match queue.next_write().await {
+        let has_bodies = queue.0.queue.borrow().has_bodies();
+        if !has_bodies {
+            // Others take their turns.
+            turn = None;
+            waiting.set(Fuse::terminated());
+        } else if turn.is_none() && waiting.is_terminated() {
+            waiting.set(pacer.turn().fuse());
+        }
+        queue.0.queue.borrow_mut().pause_bodies(turn.is_none());
+        let Some(next) = queue.try_next_write() else {
+            tokio::select! {
+                () = queue.0.queued.notified() => {}
+                granted = &mut waiting, if !waiting.is_terminated() => turn = Some(granted),
+            }
+            continue;
+        };
+        let (frames, part) = match next {
             Write::Frames(frames) => (frames, Bytes::new()),
             Write::Part { head, id, bytes } => {
                 let prefix = frame::encode_part_prefix(id, bytes.len());
@@ -178,9 +203,12 @@
                         joined.freeze()
                     }
                 };
+                // Held during the write, it would stop all connections when one is stuck.
+                turn = None;
                 (frames, bytes)
             }
         };
+        pacer.on_write(frames.len() + part.len());
         let mut bytes = frames.chain(part);
         let mut writing = pin!(write.write_all_buf(&mut bytes));
         let written = match poll!(&mut writing) {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod link;
 pub mod link_admission;
 pub mod link_liveness;
+pub mod link_pacer;
 pub mod link_queue;
 pub mod log_queue;
 pub mod low_discrepancy;
--- a/components/node/src/link_queue.rs
+++ b/components/node/src/link_queue.rs
@@ -79,9 +79,22 @@
     /// Consecutive writes for which each queue was passed over while it could have written.
     skips: [u32; QUEUES.len()],
     queued_bytes: usize,
+    /// Whether parts of bodies wait for the link.
+    bodies_paused: bool,
 }
 
 impl LinkQueue {
+    /// Sets whether parts of bodies wait for the link.
+    pub fn pause_bodies(&mut self, paused: bool) {
+        self.bodies_paused = paused;
+    }
+
+    /// Returns whether a body waits.
+    #[must_use]
+    pub fn has_bodies(&self) -> bool {
+        !self.bodies.is_empty()
+    }
+
     /// Queues a control frame.
     pub fn push_control(&mut self, frame: Bytes) {
         self.queued_bytes += frame.len();
@@ -177,7 +190,7 @@
         match queue {
             Queue::Control => !self.control.is_empty(),
             Queue::Small => self.next_rank().is_some(),
-            Queue::Bodies => self.bodies.iter().any(|b| self.is_body_due(b)),
+            Queue::Bodies => !self.bodies_paused && self.bodies.iter().any(|b| self.is_body_due(b)),
         }
     }
 
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -176,7 +176,7 @@
                     .with_first_start(settings.first_start),
             ),
             peer_requests: RefCell::default(),
-            queued_bytes: QueuedBytes::default(),
+            queued_bytes: QueuedBytes::with_link_rate(settings.link_rate),
             link_admission: LinkAdmission::default(),
             metrics: Metrics::default(),
             retry_detector: RetryDetector::default(),
--- a/components/node/tests/link_queue.rs
+++ b/components/node/tests/link_queue.rs
@@ -261,3 +261,22 @@
         "stopped after its cancellation"
     );
 }
+
+// Guards against small frames that wait while the link is busy with bodies, and bodies that never go on.
+#[test]
+fn while_bodies_are_paused_other_frames_are_written() {
+    let mut queue = LinkQueue::default();
+    queue.push_body(1, Bytes::from_static(b"head"), Bytes::from_static(b"body"));
+    queue.push_small(0, 2, Bytes::from_static(b"small"));
+    queue.pause_bodies(true);
+    let small = Write::Frames(Bytes::from_static(b"small"));
+    assert_eq!(queue.next_write(), Some(small));
+    assert_eq!(queue.next_write(), None);
+    assert!(queue.has_bodies());
+    queue.pause_bodies(false);
+    assert!(matches!(
+        queue.next_write(),
+        Some(Write::Part { id: 1, .. })
+    ));
+    assert!(!queue.has_bodies());
+}
