Show how late a version of the configuration is, and what its transport costs

Added, without a change of any decision: missing_ms in event=configuration-in-force, event=configuration-requested, call and after_ms in event=watch-failed; metrics for arrived configurations by result, bytes from the store and from and to peers, requests to peers, the version in force and the time since a peer first had a missing one.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 use world::instant::BootInstant;
 
-use crate::frame::{Frame, NodeStatus};
+use crate::frame::NodeStatus;
 use crate::node::Node;
 use crate::relay::StoreClient;
 use crate::store_watch::{self, Observer};
@@ -72,7 +72,7 @@
     let mut requested = false;
     while node.active_config().is_none() && BootClock.now().since(started) < PEER_TIMEOUT {
         if let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) {
-            requested = requested || peer.send(&Frame::CatalogRequest);
+            requested = requested || node.request_configuration(&peer);
         } else if node.random_peer(NodeStatus::has_configuration).is_some() {
             break;
         }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod client_limits;
 pub mod cold_limit;
 pub mod config_check;
+pub mod config_lag;
 pub mod connection_limit;
 pub mod crash_watch;
 pub mod denial;
--- a/components/node/src/metrics.rs
+++ b/components/node/src/metrics.rs
@@ -18,9 +18,13 @@
 
 impl LabelledCounter {
     fn increment(&self, label: &'static str) {
+        self.add(label, 1);
+    }
+
+    fn add(&self, label: &'static str, count: usize) {
         let mut counts = self.0.borrow_mut();
         if counts.len() < MAX_LABELS || counts.contains_key(label) {
-            *counts.entry(label).or_insert(0) += 1;
+            *counts.entry(label).or_insert(0) += count as u64;
         }
     }
 }
@@ -38,7 +42,11 @@
     unsigned_responses: Cell<u64>,
     refused_heartbeats: Cell<u64>,
     store_requests: LabelledCounter,
+    store_bytes: LabelledCounter,
     store_eras: Cell<u64>,
+    configurations: LabelledCounter,
+    configuration_bytes: LabelledCounter,
+    configuration_requests: Cell<u64>,
     back_end_exits: LabelledCounter,
     quarantine: LabelledCounter,
     latency: RefCell<Option<Histogram<u32>>>,
@@ -58,7 +66,11 @@
             unsigned_responses: Cell::new(0),
             refused_heartbeats: Cell::new(0),
             store_requests: LabelledCounter::default(),
+            store_bytes: LabelledCounter::default(),
             store_eras: Cell::new(0),
+            configurations: LabelledCounter::default(),
+            configuration_bytes: LabelledCounter::default(),
+            configuration_requests: Cell::new(0),
             back_end_exits: LabelledCounter::default(),
             quarantine: LabelledCounter::default(),
             // 1 ms to 60 s with two significant digits.
@@ -129,6 +141,27 @@
         self.store_requests.increment(outcome);
     }
 
+    /// Counts the bytes of a response of the store, by whether it ends a watch.
+    pub fn on_store_bytes(&self, call: &'static str, bytes: usize) {
+        self.store_bytes.add(call, bytes);
+    }
+
+    /// Counts a configuration that has arrived, by what became of it.
+    pub fn on_configuration(&self, result: &'static str) {
+        self.configurations.increment(result);
+    }
+
+    /// Counts the bytes of a configuration that is exchanged with a peer, by the direction.
+    pub fn on_configuration_bytes(&self, direction: &'static str, bytes: usize) {
+        self.configuration_bytes.add(direction, bytes);
+    }
+
+    /// Counts a request to a peer for its configuration.
+    pub fn on_configuration_request(&self) {
+        self.configuration_requests
+            .set(self.configuration_requests.get() + 1);
+    }
+
     /// Counts a later era of the store.
     pub fn on_store_era(&self) {
         self.store_eras.set(self.store_eras.get() + 1);
@@ -159,6 +192,21 @@
                 "outcome",
                 &self.store_requests,
             ),
+            (
+                "plantaingauge_store_response_bytes_total",
+                "call",
+                &self.store_bytes,
+            ),
+            (
+                "plantaingauge_configurations_total",
+                "result",
+                &self.configurations,
+            ),
+            (
+                "plantaingauge_configuration_peer_bytes_total",
+                "direction",
+                &self.configuration_bytes,
+            ),
             (
                 "plantaingauge_back_end_exits_total",
                 "proof",
@@ -179,6 +227,10 @@
             ("plantaingauge_retries_total", &self.retries),
             ("plantaingauge_back_end_sends_total", &self.back_end_sends),
             ("plantaingauge_store_era_changes_total", &self.store_eras),
+            (
+                "plantaingauge_configuration_requests_total",
+                &self.configuration_requests,
+            ),
             (
                 "plantaingauge_deferred_denials_total",
                 &self.deferred_denials,
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -38,6 +38,7 @@
 use crate::back_end_proxy::BackEndProxy;
 use crate::cold_limit;
 use crate::config_check::ConfigCheck;
+use crate::config_lag::ConfigLag;
 use crate::departures::Departures;
 use crate::evacuations::Evacuations;
 use crate::failure_rate::FailureRate;
@@ -121,6 +122,8 @@
     pub abort_requests: Notify,
     /// Asks whether the configuration in force is the newest.
     pub config_check: ConfigCheck,
+    /// How long versions of the configuration that peers have are missing here.
+    pub config_lag: ConfigLag,
     active_config: RefCell<Option<ActiveConfig>>,
     config_freshness: Cell<Freshness>,
     evacuations: RefCell<Evacuations>,
@@ -190,6 +193,7 @@
             abort_requests: Notify::new(),
             active_config: RefCell::default(),
             config_check: ConfigCheck::default(),
+            config_lag: ConfigLag::default(),
             config_freshness: Cell::default(),
             evacuations: RefCell::default(),
             assignments: RefCell::default(),
@@ -272,6 +276,7 @@
             Ok(catalog) => catalog,
             Err(error) => {
                 log::error!(event = "configuration-refused", source, error:% = error; "");
+                self.metrics.on_configuration("refused");
                 let next = self.configuration_version() + 1;
                 let version = configuration::version(&document).unwrap_or(next);
                 self.update_freshness(|f| f.on_unreadable(version));
@@ -282,17 +287,21 @@
         if let Some(current) = self.active_config()
             && current.catalog.version >= version
         {
+            self.metrics.on_configuration("outdated");
             if *current.document != document {
                 log::info!(event = "configuration-outdated", version, in_force = current.catalog.version, source; "");
             }
             return false;
         }
-        log::info!(event = "configuration-in-force", version, source; "");
+        self.metrics.on_configuration("in-force");
+        let now = BootClock.now();
+        let missing_ms = self.config_lag.on_in_force(version, now).as_millis() as u64;
+        log::info!(event = "configuration-in-force", version, source, missing_ms; "");
         homes::log_unknown(&self.settings, &catalog);
         *self.active_config.borrow_mut() = Some(ActiveConfig {
             catalog: Rc::new(catalog),
             document: Rc::new(document),
-            since: BootClock.now(),
+            since: now,
         });
         cold_limit::apply(self);
         self.keys_changed.notify_one();
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -105,22 +105,8 @@
     pub fn on_frame(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
         match frame {
             Frame::Hello(status) => self.on_hello(*status, sender),
-            Frame::Catalog { version, document } => match serde_json::from_slice(&document) {
-                Ok(document) => {
-                    self.on_configuration(document, "peer");
-                }
-                Err(error) => {
-                    log::warn!(event = "configuration-refused", version, error:% = error; "");
-                }
-            },
-            Frame::CatalogRequest => {
-                if let Some(c) = self.active_config() {
-                    sender.send(&Frame::Catalog {
-                        version: c.catalog.version,
-                        document: c.document.to_string().into_bytes(),
-                    });
-                }
-            }
+            Frame::Catalog { version, document } => self.on_peer_configuration(version, &document),
+            Frame::CatalogRequest => self.send_configuration(sender),
             Frame::Assignment {
                 service,
                 revision,
@@ -200,6 +186,50 @@
         }
     }
 
+    /// Requests the configuration of a peer; returns whether the request is sent.
+    pub(crate) fn request_configuration(&self, peer: &Peer) -> bool {
+        self.metrics.on_configuration_request();
+        let version = peer.with_status(|s| s.catalog_version);
+        let missing_ms = self.config_lag.missing_for(BootClock.now()).as_millis() as u64;
+        log::info!(event = "configuration-requested", machine = peer.machine.as_str(), version, missing_ms; "");
+        peer.send(&Frame::CatalogRequest)
+    }
+
+    fn send_configuration(&self, sender: &FrameSender) {
+        let Some(config) = self.active_config() else {
+            return;
+        };
+        let document = config.document.to_string().into_bytes();
+        self.metrics.on_configuration_bytes("sent", document.len());
+        sender.send(&Frame::Catalog {
+            version: config.catalog.version,
+            document,
+        });
+    }
+
+    fn on_peer_configuration(&self, version: u64, document: &[u8]) {
+        self.metrics
+            .on_configuration_bytes("received", document.len());
+        match serde_json::from_slice(document) {
+            Ok(document) => {
+                self.on_configuration(document, "peer");
+            }
+            Err(error) => {
+                log::warn!(event = "configuration-refused", version, error:% = error; "");
+            }
+        }
+    }
+
+    /// Learns which version of the configuration a peer has.
+    fn on_peer_version(&self, peer: &Peer) {
+        let version = peer.with_status(|s| s.has_configuration().then_some(s.catalog_version));
+        if let Some(version) = version.flatten() {
+            let in_force = self.configuration_version();
+            self.config_lag
+                .on_peer_version(version, in_force, BootClock.now());
+        }
+    }
+
     /// Handles departures: those of a peer from its process, or from any peer those of which an earlier
     /// run of this process has told it.
     fn on_departures(&self, machine: &MachineName, departures: Vec<Departure>) {
@@ -217,6 +247,7 @@
             return;
         };
         if peer.update(status) {
+            self.on_peer_version(&peer);
             self.keys_changed.notify_one();
         }
         let departures = peer.departures_to_return();
@@ -232,10 +263,9 @@
     /// Handles a change of the status of the process `incarnation` on a machine.
     pub fn on_status_update(&self, machine: &MachineName, incarnation: u64, update: StatusUpdate) {
         self.on_peer_lease(update.lease);
-        let is_new = self
-            .peer(machine)
-            .is_some_and(|p| p.apply_update(incarnation, update));
-        if is_new {
+        let peer = self.peer(machine);
+        if let Some(peer) = peer.filter(|p| p.apply_update(incarnation, update)) {
+            self.on_peer_version(&peer);
             self.keys_changed.notify_one();
         }
     }
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -10,7 +10,6 @@
 
 use timer::{BootClock, Clock};
 
-use crate::frame::Frame;
 use crate::node::Node;
 use crate::pause;
 
@@ -28,7 +27,7 @@
         return;
     };
     if node.config_check.take_peer_turn() {
-        peer.send(&Frame::CatalogRequest);
+        node.request_configuration(&peer);
     }
     let until = BootClock.now() + timeout;
     while node.configuration_version() <= version {
@@ -62,7 +61,7 @@
     let outdated = node.assignments_to_fetch();
     let assignment_source = node.random_peer(|m| outdated.contains(&m.service));
     if let Some(peer) = config_source.as_ref().filter(|_| previous.configuration) {
-        peer.send(&Frame::CatalogRequest);
+        node.request_configuration(peer);
     }
     if let Some(peer) = assignment_source.as_ref().filter(|_| previous.assignments) {
         peer.send(&node.assignment_request());
--- a/components/node/src/platform_server.rs
+++ b/components/node/src/platform_server.rs
@@ -151,6 +151,14 @@
             "plantaingauge_store_era",
             f64::from(node.store_era().number()),
         ),
+        (
+            "plantaingauge_configuration_version",
+            node.configuration_version() as f64,
+        ),
+        (
+            "plantaingauge_configuration_missing_milliseconds",
+            node.config_lag.missing_for(now).as_millis() as f64,
+        ),
         (
             "plantaingauge_evacuated_zones",
             node.evacuated_count() as f64,
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -64,6 +64,12 @@
         self.node.on_store_response(&result);
         result
     }
+
+    fn count_bytes(&self, call: &'static str, result: &Result<StoreResponse, RequestError>) {
+        if let Ok(response) = result {
+            self.node.metrics.on_store_bytes(call, response.body.len());
+        }
+    }
 }
 
 /// Whether a process reaches the store and can pass on its responses.
@@ -91,6 +97,7 @@
             Err(RequestError::NotExecuted) => "not-done",
             Err(RequestError::MaybeExecuted) => "unknown",
         });
+        self.count_bytes("call", &direct);
         let refused = direct.as_ref().is_ok_and(StoreResponse::is_refusal);
         let reachable = direct.is_ok() && !refused;
         self.node.on_store_result(reachable);
@@ -108,6 +115,8 @@
 impl WatchTransport for RelayTransport {
     /// Watches are never sent through a peer.
     async fn perform_watch(&self, request: &StoreRequest) -> Result<StoreResponse, RequestError> {
-        self.node.perform_watch(request).await
+        let result = self.node.perform_watch(request).await;
+        self.count_bytes("watch", &result);
+        result
     }
 }
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -70,6 +70,7 @@
     let mut backoff = FIRST_BACKOFF;
     let mut last_revision: Option<Revision> = None;
     loop {
+        let started = BootClock.now();
         let received = match last_revision {
             None => list(&node, &store, kind).await,
             Some(since) => watch(&node, &store, kind, since, &observer).await,
@@ -100,7 +101,13 @@
                 pause::random_part(era_spread).await;
             }
             Err(error) => {
-                log::warn!(event = "watch-failed", kind, error:% = error; "");
+                let call = if last_revision.is_none() {
+                    "list"
+                } else {
+                    "watch"
+                };
+                let after_ms = BootClock.now().since(started).as_millis() as u64;
+                log::warn!(event = "watch-failed", kind, call, after_ms, error:% = error; "");
                 observer.on_failure();
                 let jitter = rand::rng().random_range(0.7..1.3);
                 tokio::time::sleep(backoff.mul_f64(jitter)).await;
