Tests of large configurations over links that do not carry one copy for each process

- 9 processes of one zone read 45 copies of 5 versions.
- A copy that takes 2 s to arrive is never put in force: the list is given up after 1 s and begun again (20 s).
- A process that is behind sends 4 requests in 1.2 s to the peer whose answer it awaits.

The stand-in of the store counts the objects that it sends and can share one link of limited rate.

--- a/components/node/tests/store_era/main.rs
+++ b/components/node/tests/store_era/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod configuration_requests;
 mod denials;
 mod fake_peer;
 mod first_configuration;
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -475,6 +475,32 @@
         response.map_or(0, |r| r.status)
     }
 
+    /// Returns the value of a metric without labels of the process on a machine.
+    pub(crate) fn metric(&self, machine: usize, name: &str) -> Option<f64> {
+        let address = self.layout.address(machine, layout::METRICS_PORT);
+        let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n";
+        let response = http::call(address, request, Duration::from_secs(2)).ok()?;
+        let text = String::from_utf8_lossy(&response.body).into_owned();
+        let mut values = text.lines().filter_map(|l| l.strip_prefix(name));
+        values.find_map(|v| v.trim().parse().ok())
+    }
+
+    /// Waits until a version of the configuration, or a later one, is in force on these machines.
+    pub(crate) fn await_version(&self, machines: &[usize], version: u64, timeout: Duration) {
+        let deadline = Instant::now() + timeout;
+        for machine in machines {
+            let in_force = || self.metric(*machine, "plantaingauge_configuration_version");
+            while in_force().is_none_or(|v| v < version as f64) {
+                assert!(
+                    Instant::now() < deadline,
+                    "machine {machine} has no version {version} but {:?}",
+                    in_force()
+                );
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        }
+    }
+
     /// Returns the address of a machine's back end.
     pub(crate) fn back_end_address(&self, machine: usize) -> SocketAddr {
         self.layout.address(machine, layout::BACK_END_PORT)
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: processes, back ends and callers with a stand-in for the platform's store.
 
 mod cold_back_ends;
+mod configuration_storms;
 mod crash_causing_copies;
 mod crash_causing_requests;
 mod delayed_peer;
--- a/components/stand-ins/src/http.rs
+++ b/components/stand-ins/src/http.rs
@@ -31,10 +31,42 @@
     Response(Box<Response>),
     /// Nothing; the connection is closed.
     Close,
+    /// A response over a link that other responses share.
+    Paced(Box<Response>, Arc<SharedLink>),
     /// Bytes that go on until the caller closes: the first ones, and those that repeat.
     Endless(&'static [u8], &'static [u8]),
 }
 
+/// A link of limited rate that several connections share.
+pub struct SharedLink {
+    /// Bytes per second.
+    rate: f64,
+    /// When it has sent what was written to it.
+    free_at: Mutex<Instant>,
+}
+
+impl SharedLink {
+    /// Creates a link that sends `rate` bytes per second.
+    #[must_use]
+    pub fn new(rate: f64) -> Self {
+        let free_at = Mutex::new(Instant::now());
+        Self { rate, free_at }
+    }
+
+    /// Waits until the link has sent this many bytes after all that were written before.
+    fn send(&self, bytes: usize) {
+        let mut free_at = self.free_at.lock().expect("no panic under the lock");
+        let sending = Duration::from_secs_f64(bytes as f64 / self.rate);
+        let until = (*free_at).max(Instant::now()) + sending;
+        *free_at = until;
+        drop(free_at);
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Bytes that are written at once to a shared link.
+const PACED_BLOCK_BYTES: usize = 4_096;
+
 impl From<Option<Response>> for Reply {
     fn from(response: Option<Response>) -> Self {
         response.map_or(Self::Close, |r| Self::Response(Box::new(r)))
@@ -120,8 +152,9 @@
     loop {
         match reader.next(&mut buf, REQUEST_BOUNDS) {
             Ok(Some(request)) => {
-                let response = match handler(&request) {
-                    Reply::Response(response) => response,
+                let (response, link) = match handler(&request) {
+                    Reply::Response(response) => (response, None),
+                    Reply::Paced(response, link) => (response, Some(link)),
                     Reply::Close => {
                         let _ = stream.shutdown(Shutdown::Both);
                         return;
@@ -130,7 +163,7 @@
                 };
                 let mut out = BytesMut::new();
                 response::encode(&mut out, &response, false);
-                if stream.write_all(&out).is_err() {
+                if write(&mut stream, &out, link.as_deref()).is_err() {
                     return;
                 }
             }
@@ -143,6 +176,17 @@
     }
 }
 
+fn write(stream: &mut TcpStream, bytes: &[u8], link: Option<&SharedLink>) -> std::io::Result<()> {
+    let Some(link) = link else {
+        return stream.write_all(bytes);
+    };
+    for block in bytes.chunks(PACED_BLOCK_BYTES) {
+        link.send(block.len());
+        stream.write_all(block)?;
+    }
+    Ok(())
+}
+
 /// Sends bytes until the caller closes the connection.
 fn send_endlessly(mut stream: &TcpStream, start: &[u8], part: &[u8]) {
     let block = part.repeat(ENDLESS_BLOCK_BYTES / part.len().max(1));
--- a/components/stand-ins/src/store/mod.rs
+++ b/components/stand-ins/src/store/mod.rs
@@ -66,7 +66,7 @@
         };
         store.lock().era = era;
         let handler_store = store.clone();
-        let handler: http::Handler = Arc::new(move |request| handler_store.handle(request).into());
+        let handler: http::Handler = Arc::new(move |request| handler_store.reply(request));
         // The acceptor is dropped without being closed: the store listens until the process ends.
         let _ = http::serve(address, handler);
         store
@@ -89,6 +89,19 @@
         });
     }
 
+    /// Limits the rate at which all responses together are sent, in bytes per second.
+    pub fn set_link_rate(&self, rate: f64) {
+        self.lock().link = Some(Arc::new(http::SharedLink::new(rate)));
+    }
+
+    /// Returns how many objects of a kind all responses to lists and watches have held.
+    #[must_use]
+    pub fn objects_sent(&self, kind: &str) -> u64 {
+        let state = self.lock();
+        let sent = state.objects_sent.borrow().get(kind).copied();
+        sent.unwrap_or(0)
+    }
+
     /// Replaces the injected fault.
     pub fn set_fault(&self, fault: StoreFault) {
         self.lock().fault = fault;
@@ -190,6 +203,15 @@
         self.notify();
     }
 
+    fn reply(&self, request: &Request) -> http::Reply {
+        let response = self.handle(request);
+        let link = self.lock().link.clone();
+        match (response, link) {
+            (Some(response), Some(link)) => http::Reply::Paced(Box::new(response), link),
+            (response, _) => response.into(),
+        }
+    }
+
     fn handle(&self, request: &Request) -> Option<Response> {
         if let StoreFault::Slow(delay) = self.fault() {
             std::thread::sleep(delay);
--- a/components/stand-ins/src/store/state.rs
+++ b/components/stand-ins/src/store/state.rs
@@ -1,6 +1,8 @@
 //! Objects of the store, their history and the earlier states that it can go back to.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http1::response::Response;
@@ -8,6 +10,7 @@
 
 use super::StoreFault;
 use super::call::{Condition, Write};
+use crate::http::SharedLink;
 
 /// Time for which earlier states are kept.
 const COPY_AGE: Duration = Duration::from_secs(60);
@@ -54,6 +57,10 @@
     pub(super) writes: u64,
     /// The same by the kind of the object.
     pub(super) writes_by_kind: BTreeMap<String, u64>,
+    /// Number of objects of each kind in responses to lists and watches.
+    pub(super) objects_sent: RefCell<BTreeMap<String, u64>>,
+    /// Link over which all responses are sent; `None` without a limit.
+    pub(super) link: Option<Arc<SharedLink>>,
     /// Beginning of the kind of the next write that is held.
     pub(super) hold_next: Option<String>,
     held: Vec<Held>,
@@ -164,10 +171,16 @@
     pub(super) fn list(&self, kind: &str) -> Response {
         let of_kind = self.objects.iter().filter(|((k, _), _)| k == kind);
         let items: Vec<Value> = of_kind.map(|((_, name), s)| object(name, s)).collect();
+        self.count_sent(kind, items.len());
         let page = json!({"items": items, "hasMore": false, "at": self.revision});
         self.json_response(200, &page)
     }
 
+    fn count_sent(&self, kind: &str, objects: usize) {
+        let mut sent = self.objects_sent.borrow_mut();
+        *sent.entry(kind.to_owned()).or_default() += objects as u64;
+    }
+
     pub(super) fn get(&self, kind: &str, name: &str) -> Response {
         match self.objects.get(&(kind.to_owned(), name.to_owned())) {
             Some(stored) => self.json_response(200, &object(name, stored)),
@@ -190,6 +203,7 @@
         let events: Vec<Value> = changes
             .map(|c| json!({"removed": c.removed, "object": c.object}))
             .collect();
+        self.count_sent(kind, events.len());
         (!events.is_empty()).then(|| self.watch_response(&events))
     }
 
