One request to the peers at a time for a configuration or assignments

Callers saw requests handled by versions that had been replaced seconds before, on machines whose peers had the later one. Cause, the second part: a process that is behind asked a peer at each check, five times a second, also while the answer was on its way; each answer is the whole document, so that the slower it came, the more was sent. The same shape stood for assignments.

Now a request to peers is in flight once: until its response, for 1.5 s, or until the link to the asked peer is lost. The denials' own limit (take_peer_turn) is the same mechanism now. A version that could not be decoded is not asked for again.

All 35 tests of store_era pass.

--- a/components/catalog/src/freshness.rs
+++ b/components/catalog/src/freshness.rs
@@ -73,6 +73,12 @@
         self.unreadable = self.unreadable.max(Some(version));
     }
 
+    /// Returns the highest version that could not be decoded.
+    #[must_use]
+    pub fn unreadable(&self) -> Option<u64> {
+        self.unreadable
+    }
+
     /// Returns when the request was sent that last showed the configuration to be the newest.
     #[must_use]
     pub fn confirmed_at(&self) -> Option<BootInstant> {
--- a/components/node/src/config_check.rs
+++ b/components/node/src/config_check.rs
@@ -22,7 +22,6 @@
     requested: Notify,
     ended: Notify,
     failed_at: Cell<Option<BootInstant>>,
-    peer_asked_at: Cell<Option<BootInstant>>,
 }
 
 impl ConfigCheck {
@@ -44,18 +43,6 @@
         failed_at.is_some_and(|at| now.since(at) < FAILURE_BACKOFF)
     }
 
-    /// Returns whether a peer may be asked for its configuration, as none has been within
-    /// [`REFRESH_TIMEOUT`]; counts as asking.
-    pub(crate) fn take_peer_turn(&self) -> bool {
-        let now = BootClock.now();
-        let asked_at = self.peer_asked_at.get();
-        let is_free = asked_at.is_none_or(|at| now.since(at) >= REFRESH_TIMEOUT);
-        if is_free {
-            self.peer_asked_at.set(Some(now));
-        }
-        is_free
-    }
-
     /// Waits until somebody waits for a check; returns again until one has ended.
     pub(crate) async fn requested(&self) {
         while !self.wanted.get() {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod retry_detector;
 pub mod run;
 pub mod shard_driver;
+pub mod single_request;
 pub mod slowness;
 pub mod store_update;
 pub mod store_watch;
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -54,6 +54,7 @@
 use crate::pending_changes::PendingChanges;
 use crate::refusals::Refusals;
 use crate::retry_detector::RetryDetector;
+use crate::single_request::SingleRequest;
 use crate::suspects::Suspects;
 
 pub(crate) use local::UTILIZATION_STEPS;
@@ -124,6 +125,10 @@
     pub config_check: ConfigCheck,
     /// How long versions of the configuration that peers have are missing here.
     pub config_lag: ConfigLag,
+    /// The request to a peer for its configuration.
+    config_request: SingleRequest,
+    /// The request to a peer for its assignments.
+    assignments_request: SingleRequest,
     active_config: RefCell<Option<ActiveConfig>>,
     config_freshness: Cell<Freshness>,
     evacuations: RefCell<Evacuations>,
@@ -191,6 +196,8 @@
             departures: Departures::default(),
             keys_changed: Notify::new(),
             abort_requests: Notify::new(),
+            config_request: SingleRequest::default(),
+            assignments_request: SingleRequest::default(),
             active_config: RefCell::default(),
             config_check: ConfigCheck::default(),
             config_lag: ConfigLag::default(),
@@ -248,6 +255,13 @@
         self.config_freshness.get().confirmed_at()
     }
 
+    /// Returns the highest version of a configuration that is in force or is known not to be decodable.
+    #[must_use]
+    pub fn last_seen_version(&self) -> u64 {
+        let unreadable = self.config_freshness.get().unreadable();
+        self.configuration_version().max(unreadable.unwrap_or(0))
+    }
+
     /// Returns why the configuration in force may be stale, if it may.
     ///
     /// A confirmation counts for half of the time within which a change must be in force, so that no
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -20,6 +20,7 @@
 use crate::frame_stream::FrameSender;
 use crate::link::keep_connected;
 use crate::peer::Peer;
+use crate::single_request::SingleRequest;
 use crate::suspects::{self, CrashReport, Source};
 
 impl Node {
@@ -112,6 +113,7 @@
                 revision,
                 assignment,
             } => {
+                self.assignments_request.end();
                 self.on_store_era(revision.era());
                 let value = *assignment;
                 self.on_assignment(&service, Versioned { revision, value });
@@ -186,8 +188,11 @@
         }
     }
 
-    /// Requests the configuration of a peer; returns whether the request is sent.
+    /// Requests the configuration of a peer, unless such a request is in flight; returns whether it is sent.
     pub(crate) fn request_configuration(&self, peer: &Peer) -> bool {
+        if !self.begin_request(&self.config_request, peer) {
+            return false;
+        }
         self.metrics.on_configuration_request();
         let version = peer.with_status(|s| s.catalog_version);
         let missing_ms = self.config_lag.missing_for(BootClock.now()).as_millis() as u64;
@@ -195,6 +200,21 @@
         peer.send(&Frame::CatalogRequest)
     }
 
+    /// Requests assignments of a peer, unless such a request is in flight.
+    pub(crate) fn request_assignments(&self, peer: &Peer) {
+        if self.begin_request(&self.assignments_request, peer) {
+            peer.send(&self.assignment_request());
+        }
+    }
+
+    fn begin_request(&self, request: &SingleRequest, peer: &Peer) -> bool {
+        let is_connected = |machine: &MachineName| {
+            let asked = self.peer(machine);
+            asked.is_some_and(|p| p.is_connected())
+        };
+        request.begin(&peer.machine, BootClock.now(), is_connected)
+    }
+
     fn send_configuration(&self, sender: &FrameSender) {
         let Some(config) = self.active_config() else {
             return;
@@ -208,6 +228,7 @@
     }
 
     fn on_peer_configuration(&self, version: u64, document: &[u8]) {
+        self.config_request.end();
         self.metrics
             .on_configuration_bytes("received", document.len());
         match serde_json::from_slice(document) {
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -19,16 +19,14 @@
 /// Time between two looks at whether a requested configuration has arrived.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Requests the configuration of a peer that has a later one, unless that has just been done, and waits until
+/// Requests the configuration of a peer that has a later one, unless a request is in flight, and waits until
 /// a later one is in force, for `timeout` at most.
 pub(crate) async fn await_later_configuration(node: &Rc<Node>, timeout: Duration) {
     let version = node.configuration_version();
     let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) else {
         return;
     };
-    if node.config_check.take_peer_turn() {
-        node.request_configuration(&peer);
-    }
+    node.request_configuration(&peer);
     let until = BootClock.now() + timeout;
     while node.configuration_version() <= version {
         if BootClock.now() >= until {
@@ -56,15 +54,15 @@
 }
 
 fn request_missing(node: &Node, previous: &Missing) -> Missing {
-    let current = node.configuration_version();
-    let config_source = node.random_peer(|m| m.has_later_configuration(current));
+    let seen = node.last_seen_version();
+    let config_source = node.random_peer(|m| m.has_later_configuration(seen));
     let outdated = node.assignments_to_fetch();
     let assignment_source = node.random_peer(|m| outdated.contains(&m.service));
     if let Some(peer) = config_source.as_ref().filter(|_| previous.configuration) {
         node.request_configuration(peer);
     }
     if let Some(peer) = assignment_source.as_ref().filter(|_| previous.assignments) {
-        peer.send(&node.assignment_request());
+        node.request_assignments(peer);
     }
     Missing {
         configuration: config_source.is_some(),
