Two processes of a zone read the configuration from the store, the others get it from them

Callers saw requests handled by a version of the configuration that had been replaced for longer than configApplyMs, on machines in touch in the region without the store.

Cause: every process watched the configuration itself, and a watch brings the whole document with every change.

Now each process counts the peers of its zone that come before it by name, are connected and reach the store; only if there are fewer than two it watches. The others ask a peer that announces a later version, the nearest first (0, 100, 300 ms in the zone, the region, elsewhere), and get the document compressed, with its revision, so that they can go on from there. A reader proves once a second that the store still responds; one that the store refuses says so and is passed over. After a failure a reader lists the object instead of watching through all that it has missed. A process of an earlier version gets the plain document as before.

Two tests of store_era::denials assumed that no process asks the store of its own accord; readers do now, so they run beside two peers that read in their stead, with the same counts.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -1,12 +1,14 @@
 //! Keeps the operator's configuration as the store has it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use platform::configuration::{self, KIND, NAME};
 use platform::store::NamedObject;
 use serde_json::Value;
-use shards::revision::StoreEra;
+use shards::manager::Versioned;
+use shards::revision::{Revision, StoreEra};
 use timer::{BootClock, Clock};
 use tokio::task::spawn_local;
 use world::instant::BootInstant;
@@ -24,41 +26,80 @@
 /// Time between two checks whether a peer has told its version.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between two checks whether this process reads the configuration from the store.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which a reader asks the store whether there is a change, as its watch may be silent.
+const PROOF_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Puts each new configuration in force, for as long as the process runs.
+///
+/// Only the readers of [`crate::config_readers`] watch the store; the others are told by their peers.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
-    let observer = ConfigurationObserver(Rc::clone(&node));
+    let observer = ConfigurationObserver {
+        node: Rc::clone(&node),
+        asked_at: Cell::new(BootClock.now()),
+    };
     store_watch::run(node, store, KIND, ERA_SPREAD, observer).await;
 }
 
-struct ConfigurationObserver(Rc<Node>);
+struct ConfigurationObserver {
+    node: Rc<Node>,
+    /// When the store last responded to a question for the newest configuration, or has failed to.
+    asked_at: Cell<BootInstant>,
+}
 
 impl Observer for ConfigurationObserver {
     fn on_object(&self, object: NamedObject) {
         if object.name == NAME {
-            apply(&self.0, object.stored.value);
+            apply(&self.node, object.stored);
         }
     }
 
     fn on_current(&self, sent: BootInstant) {
-        self.0.on_configuration_confirmed(sent);
-        self.0.config_check.on_success();
+        self.asked_at.set(BootClock.now());
+        self.node.on_configuration_confirmed(sent);
+        self.node.config_check.on_success();
     }
 
     fn on_failure(&self) {
-        self.0.config_check.on_failure();
+        self.asked_at.set(BootClock.now());
+        self.node.config_check.on_failure();
     }
 
     async fn check_requested(&self) {
-        self.0.config_check.requested().await;
+        if !self.watches_store() {
+            return self.node.config_check.requested().await;
+        }
+        let waited = BootClock.now().since(self.asked_at.get());
+        tokio::select! {
+            () = self.node.config_check.requested() => {}
+            () = tokio::time::sleep(PROOF_INTERVAL.saturating_sub(waited)) => {}
+        }
+    }
+
+    fn watches_store(&self) -> bool {
+        self.node.is_config_reader()
+    }
+
+    async fn role_changed(&self) {
+        tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+    }
+
+    fn known_revision(&self) -> Revision {
+        self.node.configuration_revision()
+    }
+
+    fn lists_after_failure(&self) -> bool {
+        true
     }
 }
 
-fn apply(node: &Rc<Node>, document: Value) {
+fn apply(node: &Rc<Node>, stored: Versioned<Value>) {
     let is_first = node.active_config().is_none();
     if is_first && node.store_era() > StoreEra::FIRST {
-        spawn_local(apply_first(Rc::clone(node), document));
+        spawn_local(apply_first(Rc::clone(node), stored));
     } else {
-        node.on_configuration(document, "store");
+        node.on_stored_configuration(stored.value, stored.revision, "store");
     }
 }
 
@@ -66,9 +107,9 @@
 /// may have come back without the version that is in force elsewhere.
 ///
 /// Waits at most `PEER_TIMEOUT` for the status of a peer, and for the later configuration.
-async fn apply_first(node: Rc<Node>, document: Value) {
+async fn apply_first(node: Rc<Node>, stored: Versioned<Value>) {
     let started = BootClock.now();
-    let version = configuration::decode(&document).map_or(0, |c| c.version);
+    let version = configuration::decode(&stored.value).map_or(0, |c| c.version);
     let mut requested = false;
     while node.active_config().is_none() && BootClock.now().since(started) < PEER_TIMEOUT {
         if let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) {
@@ -78,5 +119,5 @@
         }
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
     }
-    node.on_configuration(document, "store");
+    node.on_stored_configuration(stored.value, stored.revision, "store");
 }
--- a/components/node/src/config_lag.rs
+++ b/components/node/src/config_lag.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use world::instant::BootInstant;
 
 /// Most versions that are remembered; of more, the first ones are kept.
@@ -14,6 +15,8 @@
 pub struct ConfigLag {
     /// When each was first heard of; all are later than the one in force.
     heard: RefCell<BTreeMap<u64, BootInstant>>,
+    /// Notified when a further one is heard of.
+    heard_more: Notify,
 }
 
 impl ConfigLag {
@@ -22,9 +25,15 @@
         let mut heard = self.heard.borrow_mut();
         if version > in_force && heard.len() < MAX_VERSIONS {
             heard.entry(version).or_insert(now);
+            self.heard_more.notify_one();
         }
     }
 
+    /// Waits until a peer has a version that is missing here.
+    pub async fn heard_more(&self) {
+        self.heard_more.notified().await;
+    }
+
     /// Records at `now` that `version` is in force; returns how long a version up to it had been missing,
     /// zero if no peer had any of them before.
     pub fn on_in_force(&self, version: u64, now: BootInstant) -> Duration {
--- a/components/node/src/frame/features.rs
+++ b/components/node/src/frame/features.rs
@@ -29,6 +29,8 @@
     /// Ranks in [`ForwardedRequest::priority`](super::ForwardedRequest::priority), which was the
     /// priority alone before.
     pub call_ranks: bool,
+    /// [`Frame::PackedCatalog`](super::Frame::PackedCatalog).
+    pub packed_catalogs: bool,
 }
 
 impl Features {
@@ -43,6 +45,7 @@
         evacuations: true,
         streams: true,
         call_ranks: true,
+        packed_catalogs: true,
     };
     const CRASH_REPORTS_BIT: u32 = 1;
     const CRASH_EXITS_BIT: u32 = 1 << 1;
@@ -53,6 +56,7 @@
     const EVACUATIONS_BIT: u32 = 1 << 6;
     const STREAMS_BIT: u32 = 1 << 7;
     const CALL_RANKS_BIT: u32 = 1 << 8;
+    const PACKED_CATALOGS_BIT: u32 = 1 << 9;
 
     pub(super) fn encode(self) -> Result<Vec<u8>, postcard::Error> {
         let flags = [
@@ -68,6 +72,7 @@
             (self.evacuations, Self::EVACUATIONS_BIT),
             (self.streams, Self::STREAMS_BIT),
             (self.call_ranks, Self::CALL_RANKS_BIT),
+            (self.packed_catalogs, Self::PACKED_CATALOGS_BIT),
         ];
         let set = flags.iter().filter(|(is_set, _)| *is_set);
         let bits: u32 = set.map(|(_, bit)| bit).sum();
@@ -90,6 +95,7 @@
             evacuations: bits & Self::EVACUATIONS_BIT != 0,
             streams: bits & Self::STREAMS_BIT != 0,
             call_ranks: bits & Self::CALL_RANKS_BIT != 0,
+            packed_catalogs: bits & Self::PACKED_CATALOGS_BIT != 0,
         })
     }
 }
--- a/components/node/src/frame/mod.rs
+++ b/components/node/src/frame/mod.rs
@@ -169,4 +169,13 @@
         /// The bytes.
         bytes: Bytes,
     },
+    /// The operator's configuration, compressed by [`crate::packed`].
+    PackedCatalog {
+        /// Its version.
+        version: u64,
+        /// Revision at which the sender knows it to be stored.
+        revision: Revision,
+        /// The document as compressed JSON.
+        document: Bytes,
+    },
 }
--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -11,13 +11,14 @@
 mod retries;
 mod store;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use balance::link_delay::LinkDelay;
 use balance::retry_budget::RetryBudget;
+use bytes::Bytes;
 use catalog::Catalog;
 use catalog::freshness::{Freshness, StaleReason};
 use platform::bounds::Bounds;
@@ -27,7 +28,7 @@
 use serde_json::Value;
 use shards::assignment::Assignment;
 use shards::manager::{ShardManager, Timing, Versioned};
-use shards::revision::StoreEra;
+use shards::revision::{Revision, StoreEra};
 use timer::{BootClock, Clock};
 use tokio::sync::{Notify, watch};
 use world::instant::BootInstant;
@@ -49,6 +50,7 @@
 use crate::link_admission::LinkAdmission;
 use crate::memory::MemoryAccount;
 use crate::metrics::Metrics;
+use crate::packed;
 use crate::peer::Peer;
 use crate::peer_requests::PeerRequests;
 use crate::pending_changes::PendingChanges;
@@ -71,10 +73,24 @@
     pub catalog: Rc<Catalog>,
     /// The document as stored, to send to peers.
     pub document: Rc<Value>,
+    /// Latest revision at which it is known to be stored; [`Revision::NONE`] if it came without one.
+    pub revision: Revision,
+    /// The document, compressed for peers once one asks for it.
+    packed: Rc<OnceCell<Bytes>>,
     /// When it was put in force.
     pub since: BootInstant,
 }
 
+impl ActiveConfig {
+    /// Returns the document, compressed for peers.
+    pub(crate) fn packed(&self) -> Bytes {
+        let packed = self
+            .packed
+            .get_or_init(|| packed::pack(self.document.to_string().as_bytes()));
+        packed.clone()
+    }
+}
+
 /// Connections to a back end that carry no request.
 const PROBE_CONNECTIONS: usize = 1;
 
@@ -283,9 +299,19 @@
         freshness.staleness(version, BootClock.now(), max_age)
     }
 
-    /// Puts a configuration in force if it is valid and of a higher version than the current one;
-    /// returns whether it did. `source` is logged.
+    /// Puts a configuration of an unknown revision in force as [`Node::on_stored_configuration`] does.
     pub fn on_configuration(&self, document: Value, source: &str) -> bool {
+        self.on_stored_configuration(document, Revision::NONE, source)
+    }
+
+    /// Puts a configuration that is stored at `revision` in force if it is valid and of a higher version
+    /// than the current one; returns whether it did. `source` is logged.
+    pub fn on_stored_configuration(
+        &self,
+        document: Value,
+        revision: Revision,
+        source: &str,
+    ) -> bool {
         let catalog = match configuration::decode(&document) {
             Ok(catalog) => catalog,
             Err(error) => {
@@ -302,6 +328,9 @@
             && current.catalog.version >= version
         {
             self.metrics.on_configuration("outdated");
+            if current.catalog.version == version {
+                self.on_configuration_revision(revision);
+            }
             if *current.document != document {
                 log::info!(event = "configuration-outdated", version, in_force = current.catalog.version, source; "");
             }
@@ -315,6 +344,8 @@
         *self.active_config.borrow_mut() = Some(ActiveConfig {
             catalog: Rc::new(catalog),
             document: Rc::new(document),
+            revision,
+            packed: Rc::default(),
             since: now,
         });
         cold_limit::apply(self);
@@ -323,6 +354,20 @@
         true
     }
 
+    /// Records a revision at which the configuration in force is stored.
+    fn on_configuration_revision(&self, revision: Revision) {
+        if let Some(config) = self.active_config.borrow_mut().as_mut() {
+            config.revision = config.revision.max(revision);
+        }
+    }
+
+    /// Returns the latest revision at which the configuration in force is known to be stored.
+    #[must_use]
+    pub fn configuration_revision(&self) -> Revision {
+        let config = self.active_config.borrow();
+        config.as_ref().map_or(Revision::NONE, |c| c.revision)
+    }
+
     /// Returns whether the service of this machine is divided by key.
     #[must_use]
     pub fn is_keyed(&self) -> bool {
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -15,10 +15,12 @@
 
 use super::Node;
 use super::keys::assignment_frame;
+use crate::config_readers;
 use crate::departures::Departure;
-use crate::frame::{Frame, NodeStatus, StatusUpdate};
+use crate::frame::{Features, Frame, NodeStatus, StatusUpdate};
 use crate::frame_stream::FrameSender;
 use crate::link::keep_connected;
+use crate::packed;
 use crate::peer::Peer;
 use crate::single_request::SingleRequest;
 use crate::suspects::{self, CrashReport, Source};
@@ -46,6 +48,33 @@
         candidates.choose(&mut rand::rng()).cloned()
     }
 
+    /// Returns a connected peer whose status matches `predicate`, one of the nearest ones, and its
+    /// distance.
+    #[must_use]
+    pub fn nearest_peer(
+        &self,
+        predicate: impl Fn(&NodeStatus) -> bool,
+    ) -> Option<(Rc<Peer>, Distance)> {
+        [Distance::Zone, Distance::Region, Distance::Remote]
+            .into_iter()
+            .find_map(|distance| {
+                let peer = self.random_peer(|s| self.distance(s) == distance && predicate(s))?;
+                Some((peer, distance))
+            })
+    }
+
+    /// Returns whether this process reads the configuration from the store.
+    #[must_use]
+    pub fn is_config_reader(&self) -> bool {
+        let peers = self.peers.borrow();
+        let zone = &self.settings.zone;
+        let could_read = |s: &NodeStatus| s.zone == *zone && s.store_reachable && !s.leaving;
+        let others = peers
+            .values()
+            .filter(|p| p.is_connected() && p.with_status(could_read) == Some(true));
+        config_readers::is_reader(&self.settings.machine, others.map(|p| &p.machine))
+    }
+
     /// Sends a frame to every connected peer.
     pub fn broadcast(&self, frame: &Frame) {
         for peer in self.peers.borrow().values() {
@@ -106,8 +135,17 @@
     pub fn on_frame(self: &Rc<Self>, frame: Frame, sender: &FrameSender) {
         match frame {
             Frame::Hello(status) => self.on_hello(*status, sender),
-            Frame::Catalog { version, document } => self.on_peer_configuration(version, &document),
-            Frame::CatalogRequest => self.send_configuration(sender),
+            Frame::Catalog { version, document } => {
+                self.metrics
+                    .on_configuration_bytes("received", document.len());
+                self.on_peer_configuration(version, Revision::NONE, &document);
+            }
+            Frame::PackedCatalog {
+                version,
+                revision,
+                document,
+            } => self.on_packed_configuration(version, revision, &document),
+            Frame::CatalogRequest => self.send_configuration(Features::default(), sender),
             Frame::Assignment {
                 service,
                 revision,
@@ -215,25 +253,49 @@
         request.begin(&peer.machine, BootClock.now(), is_connected)
     }
 
-    fn send_configuration(&self, sender: &FrameSender) {
+    /// Sends the configuration in force to a process with these features.
+    pub(crate) fn send_configuration(&self, features: Features, sender: &FrameSender) {
         let Some(config) = self.active_config() else {
             return;
         };
-        let document = config.document.to_string().into_bytes();
-        self.metrics.on_configuration_bytes("sent", document.len());
-        sender.send(&Frame::Catalog {
-            version: config.catalog.version,
-            document,
-        });
+        let version = config.catalog.version;
+        let (frame, bytes) = if features.packed_catalogs {
+            let document = config.packed();
+            let bytes = document.len();
+            let revision = config.revision;
+            let frame = Frame::PackedCatalog {
+                version,
+                revision,
+                document,
+            };
+            (frame, bytes)
+        } else {
+            let document = config.document.to_string().into_bytes();
+            let bytes = document.len();
+            (Frame::Catalog { version, document }, bytes)
+        };
+        self.metrics.on_configuration_bytes("sent", bytes);
+        sender.send(&frame);
     }
 
-    fn on_peer_configuration(&self, version: u64, document: &[u8]) {
-        self.config_request.end();
+    fn on_packed_configuration(&self, version: u64, revision: Revision, packed: &[u8]) {
         self.metrics
-            .on_configuration_bytes("received", document.len());
+            .on_configuration_bytes("received", packed.len());
+        self.on_store_era(revision.era());
+        match packed::unpack(packed) {
+            Ok(document) => self.on_peer_configuration(version, revision, &document),
+            Err(error) => {
+                self.config_request.end();
+                log::warn!(event = "configuration-refused", version, error:% = error; "");
+            }
+        }
+    }
+
+    fn on_peer_configuration(&self, version: u64, revision: Revision, document: &[u8]) {
+        self.config_request.end();
         match serde_json::from_slice(document) {
             Ok(document) => {
-                self.on_configuration(document, "peer");
+                self.on_stored_configuration(document, revision, "peer");
             }
             Err(error) => {
                 log::warn!(event = "configuration-refused", version, error:% = error; "");
--- a/components/node/src/peer_server.rs
+++ b/components/node/src/peer_server.rs
@@ -94,6 +94,7 @@
                     // It would take the version for a revision, and ignore later ones of the store.
                     log::debug!(event = "configuration-not-sent"; "");
                 }
+                Frame::CatalogRequest => node.send_configuration(process.features, &sender),
                 Frame::Cancel { id } => {
                     bodies.remove(id);
                     // A non-idempotent request that the back end runs goes on.
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -1,9 +1,9 @@
 //! Fetches configurations and assignments from peers that have newer ones than this process.
 //!
-//! Normally both arrive without a request: each process watches the configuration in the store, and
-//! changes of assignments are broadcast. A request is therefore sent only if the newer one is still
-//! missing one check later; otherwise every process would ask every other one after a restart
-//! of all.
+//! A configuration is requested as soon as a peer nearby has a later one, but by the readers of the
+//! [`config_readers`] only if their own watch is late. Changes of assignments are broadcast, so a request
+//! is sent only if the newer one is still missing one check later; otherwise every process would ask
+//! every other one after a restart of all.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use timer::{BootClock, Clock};
 
 use crate::node::Node;
-use crate::pause;
+use crate::{config_readers, pause};
 
 /// Time between two checks for newer ones.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -37,35 +37,39 @@
     }
 }
 
-/// What a connected peer had in a newer state at the last check.
-#[derive(Debug, Default)]
-struct Missing {
-    configuration: bool,
-    assignments: bool,
-}
-
-/// Checks periodically for newer configurations and assignments, for as long as the process runs.
+/// Checks for newer configurations and assignments, periodically and when a peer has a later
+/// configuration, for as long as the process runs.
 pub async fn run(node: Rc<Node>) {
-    let mut missing = Missing::default();
+    let mut assignments_missing = false;
     loop {
-        pause::jittered(CHECK_INTERVAL).await;
-        missing = request_missing(&node, &missing);
+        tokio::select! {
+            () = pause::jittered(CHECK_INTERVAL) => {
+                assignments_missing = request_assignments(&node, assignments_missing);
+            }
+            () = node.config_lag.heard_more() => {}
+        }
+        request_configuration(&node);
     }
 }
 
-fn request_missing(node: &Node, previous: &Missing) -> Missing {
+/// Requests a later configuration once it has been missing for as long as it may arrive otherwise.
+fn request_configuration(node: &Node) {
     let seen = node.last_seen_version();
-    let config_source = node.random_peer(|m| m.has_later_configuration(seen));
-    let outdated = node.assignments_to_fetch();
-    let assignment_source = node.random_peer(|m| outdated.contains(&m.service));
-    if let Some(peer) = config_source.as_ref().filter(|_| previous.configuration) {
-        node.request_configuration(peer);
+    let Some((peer, distance)) = node.nearest_peer(|s| s.has_later_configuration(seen)) else {
+        return;
+    };
+    let missing_for = node.config_lag.missing_for(BootClock.now());
+    if missing_for >= config_readers::patience(node.is_config_reader(), distance) {
+        node.request_configuration(&peer);
     }
-    if let Some(peer) = assignment_source.as_ref().filter(|_| previous.assignments) {
+}
+
+/// Requests newer assignments of a peer that are `missing` since the last check; returns whether any are.
+fn request_assignments(node: &Node, missing: bool) -> bool {
+    let outdated = node.assignments_to_fetch();
+    let peer = node.random_peer(|m| outdated.contains(&m.service));
+    if let Some(peer) = peer.as_ref().filter(|_| missing) {
         node.request_assignments(peer);
     }
-    Missing {
-        configuration: config_source.is_some(),
-        assignments: assignment_source.is_some(),
-    }
+    peer.is_some()
 }
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -117,6 +117,11 @@
     async fn perform_watch(&self, request: &StoreRequest) -> Result<StoreResponse, RequestError> {
         let result = self.node.perform_watch(request).await;
         self.count_bytes("watch", &result);
+        let refused = result.as_ref().is_ok_and(StoreResponse::is_refusal);
+        if refused || result == Err(RequestError::NotExecuted) {
+            // Peers rely on the watches of processes that reach the store.
+            self.node.on_store_result(false);
+        }
         result
     }
 }
--- a/components/node/src/store_watch.rs
+++ b/components/node/src/store_watch.rs
@@ -18,6 +18,8 @@
 
 /// First pause after a failed request; doubles with each further failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
+/// Time after which a watch ends that this process need not hold any more.
+const SURPLUS_TIME: Duration = Duration::from_secs(2);
 /// Longest pause after a failed request.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
@@ -42,6 +44,26 @@
     fn check_requested(&self) -> impl Future<Output = ()> {
         std::future::pending()
     }
+
+    /// Whether this process watches the store; otherwise it learns of changes from its peers.
+    fn watches_store(&self) -> bool {
+        true
+    }
+
+    /// Waits until that may have changed.
+    fn role_changed(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
+
+    /// Returns the revision up to which peers have told of all changes, [`Revision::NONE`] if they have not.
+    fn known_revision(&self) -> Revision {
+        Revision::NONE
+    }
+
+    /// Whether the objects are listed after a failure, as one list is shorter than many missed changes.
+    fn lists_after_failure(&self) -> bool {
+        false
+    }
 }
 
 impl<F: Fn(NamedObject)> Observer for F {
@@ -109,6 +131,9 @@
                 let after_ms = BootClock.now().since(started).as_millis() as u64;
                 log::warn!(event = "watch-failed", kind, call, after_ms, error:% = error; "");
                 observer.on_failure();
+                if observer.lists_after_failure() {
+                    last_revision = None;
+                }
                 let jitter = rand::rng().random_range(0.7..1.3);
                 tokio::time::sleep(backoff.mul_f64(jitter)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -136,18 +161,32 @@
     node: &Node,
     store: &StoreClient,
     kind: &str,
-    since: Revision,
+    last_revision: Revision,
     observer: &impl Observer,
 ) -> Result<Received, StoreError> {
-    let changes = store.watch(kind, since);
+    let changes = Fuse::terminated();
     let running_check = Fuse::terminated();
     tokio::pin!(changes, running_check);
+    let mut unneeded_since = None;
     let received = loop {
+        let since = last_revision.max(observer.known_revision());
+        if observer.watches_store() {
+            unneeded_since = None;
+            if changes.is_terminated() {
+                changes.set(store.watch(kind, since).fuse());
+            }
+        } else {
+            let now = BootClock.now();
+            if now.since(*unneeded_since.get_or_insert(now)) >= SURPLUS_TIME {
+                changes.set(Fuse::terminated());
+            }
+        }
         tokio::select! {
-            changes = &mut changes => {
+            changes = &mut changes, if !changes.is_terminated() => {
                 break changes.map(|listing| Received { listing, current_at: None });
             }
-            _ = node.later_store_era(since.era()) => break Err(StoreError::EraChanged),
+            _ = node.later_store_era(last_revision.era()) => break Err(StoreError::EraChanged),
+            () = observer.role_changed() => {}
             () = observer.check_requested(), if running_check.is_terminated() => {
                 running_check.set(check(store, kind, since, observer).fuse());
             }
@@ -158,7 +197,7 @@
             }
         }
     };
-    if since.era() < node.store_era() {
+    if last_revision.era() < node.store_era() {
         return Err(StoreError::EraChanged);
     }
     received
--- a/components/node/tests/store_era/fake_peer.rs
+++ b/components/node/tests/store_era/fake_peer.rs
@@ -25,10 +25,20 @@
     /// Accepts the connection of a process and sends a `Hello` with the version of its
     /// configuration.
     pub(crate) async fn connect(node: &Rc<Node>, features: Features, catalog_version: u64) -> Self {
+        Self::connect_as("other", node, features, catalog_version).await
+    }
+
+    /// The same as the process on this machine, in the availability zone of the process.
+    pub(crate) async fn connect_as(
+        machine: &str,
+        node: &Rc<Node>,
+        features: Features,
+        catalog_version: u64,
+    ) -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener = TcpListener::bind(any_port).await.expect("a free port");
         let address = listener.local_addr().expect("a bound listener");
-        let machine = MachineName::new("other");
+        let machine = MachineName::new(machine);
         node.add_peer(&machine, address);
         let (stream, _) = listener.accept().await.expect("a connection");
         let status = NodeStatus {
