New requests are taken for at most two fifths of the grace period

With the grace period of all deployments (6 s) this cannot happen here: what is sent at 21 moments from the SIGTERM to after the grace, over new and kept connections, work of 1.5 s and work that outlasts everything, at the machine of the back end and at another one, is answered if it has run, and what is refused with 503 has not run (what_is_passed_on_during_a_planned_stop_is_answered passes on's logic).

It can with a shorter one: new requests were taken for 2.3 s whatever the grace was, so that of 3 s the last ones had 0.15 s. nothing_is_passed_on_in_the_second_half_of_a_short_grace_period failed before: a request sent after 2.1 s got 504 without having run. Now they are taken for 2.3 s or 0.4 of the grace, whichever is shorter; nothing changes for 6 s.

--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -23,8 +23,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two checks of the settings file for changes.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
-/// Time after the stop request for which new requests of callers are still accepted.
+/// Longest time after the stop request for which new requests of callers are still accepted.
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_300);
+/// Fraction of the grace period for which they are, at most: the rest of it is for their responses.
+const SERVE_FRACTION: f64 = 0.4;
 /// Fraction of the grace period after which the process exits, even with requests in flight.
 const GRACE_FRACTION: f64 = 0.95;
 /// Time before the forced exit at which callers get their final responses.
@@ -137,10 +139,11 @@
     node.stop();
     let grace = node.bounds().grace.mul_f64(GRACE_FRACTION);
     let abort_after = grace.saturating_sub(FINAL_RESPONSE_TIME);
+    let serve_for = SERVE_AFTER_STOP.min(node.bounds().grace.mul_f64(SERVE_FRACTION));
     loop {
         tokio::time::sleep(TICK_INTERVAL / 2).await;
         let elapsed = BootClock.now().since(started);
-        if elapsed >= SERVE_AFTER_STOP {
+        if elapsed >= serve_for {
             node.close();
         }
         if elapsed >= abort_after {
@@ -150,7 +153,7 @@
             && node.peer_requests.borrow().in_flight() == 0
             && node.open_requests.get() == 0
             && node.queued_bytes.get() == 0;
-        if (elapsed >= SERVE_AFTER_STOP && idle) || elapsed >= grace {
+        if (elapsed >= serve_for && idle) || elapsed >= grace {
             break;
         }
     }
--- a/components/node/tests/whole_path/deployment.rs
+++ b/components/node/tests/whole_path/deployment.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use stand_ins::back_end::{BackEnd, Grant, Observer};
 use stand_ins::caller::CallerRequest;
+use stand_ins::forwarder::Forwarder;
 use stand_ins::http;
 use stand_ins::key_holders::KeyHolders;
 use stand_ins::layout::{self, Layout, NodeSettings};
@@ -153,6 +154,11 @@
     isolated: bool,
     /// Whether the machines start for the first time.
     first_start: bool,
+    /// Grace period of a planned stop in seconds.
+    grace_s: u32,
+    /// Whether each machine reaches the store through a forwarder of its own.
+    forwards_store: bool,
+    forwarders: Vec<Forwarder>,
 }
 
 /// Second byte of the addresses of these tests.
@@ -180,6 +186,30 @@
         deployment
     }
 
+    /// Starts machines whose planned stop has this grace period.
+    pub(crate) fn start_with_grace(net: u8, machines: usize, grace_s: u32) -> Self {
+        let mut deployment = Self::new(net, start_store(net));
+        deployment.grace_s = grace_s;
+        deployment.store.write_config(1, &[]);
+        deployment.start_machines(machines);
+        deployment
+    }
+
+    /// Starts machines each of which can be cut off from the store with
+    /// [`Self::silence_store`].
+    pub(crate) fn start_with_forwarders(net: u8, machines: usize) -> Self {
+        let mut deployment = Self::new(net, start_store(net));
+        deployment.forwards_store = true;
+        deployment.store.write_config(1, &[]);
+        deployment.start_machines(machines);
+        deployment
+    }
+
+    /// Lets no more bytes pass between a machine and the store, without closing any connection.
+    pub(crate) fn silence_store(&self, machine: usize) {
+        self.forwarders[machine].silence();
+    }
+
     /// Starts machines without a configuration.
     pub(crate) fn start_unconfigured(net: u8, machines: usize) -> Self {
         Self::start_with_store(net, machines, start_store(net))
@@ -273,6 +303,9 @@
             replaced: Vec::new(),
             isolated: false,
             first_start: true,
+            grace_s: 6,
+            forwards_store: false,
+            forwarders: Vec::new(),
         }
     }
 
@@ -286,6 +319,11 @@
     /// Starts one more machine; returns its number.
     pub(crate) fn add_machine(&mut self) -> usize {
         let machine = self.processes.len();
+        if self.forwards_store {
+            let listen = self.layout.address(machine, layout::STORE_PORT);
+            let forwarder = Forwarder::start(listen, self.store.address);
+            self.forwarders.push(forwarder);
+        }
         self.processes.push(None);
         self.start_process(machine);
         self.back_ends.push(self.start_back_end(machine, 1));
@@ -362,18 +400,20 @@
 
     fn settings(&self, machine: usize) -> Settings {
         let extra = format!("budgetExtraRetries={EXTRA_RETRIES}");
+        let grace = format!("graceS={}", self.grace_s);
         let bounds = [
-            "graceS=6",
+            &*grace,
             "holdMaxMs=10000",
             "coldOverage=1.5",
             "coldSlack=8",
             "evacuationMs=5000",
             &extra,
         ];
+        let forwarder = self.forwarders.get(machine);
         let process = NodeSettings {
             name: &self.name(machine),
             back_end: self.layout.address(machine, layout::BACK_END_PORT),
-            store: self.store.address,
+            store: forwarder.map_or(self.store.address, Forwarder::address),
             bounds: &bounds.map(ToOwned::to_owned),
             first_start: self.first_start,
         };
@@ -501,6 +541,11 @@
         }
     }
 
+    /// Returns the address of the process on a machine for callers.
+    pub(crate) fn caller_address(&self, machine: usize) -> SocketAddr {
+        self.layout.address(machine, layout::CALLER_PORT)
+    }
+
     /// Returns the address of a machine's back end.
     pub(crate) fn back_end_address(&self, machine: usize) -> SocketAddr {
         self.layout.address(machine, layout::BACK_END_PORT)
--- a/components/node/tests/whole_path/main.rs
+++ b/components/node/tests/whole_path/main.rs
@@ -15,6 +15,7 @@
 mod late_copies;
 mod named_limits;
 mod odd_objects;
+mod planned_stops;
 mod restored_store;
 mod turned_away;
 mod unsigned;
--- a/components/stand-ins/src/lib.rs
+++ b/components/stand-ins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod back_end;
 pub mod caller;
+pub mod forwarder;
 pub mod http;
 pub mod key_holders;
 pub mod layout;
