Readers prove more often that the store responds; a test with silent connections

A proof each 0.7 s, 1 s until it counts as failed and 0.2 s until others take over keep within the 2.5 s of the shortest configApplyMs. readers_that_the_store_no_longer_reaches_are_passed_over: both readers of a zone lose the store silently just before a change; in force everywhere within 2.5 s.

--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -29,7 +29,7 @@
 /// Time between two checks whether this process reads the configuration from the store.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a reader asks the store whether there is a change, as its watch may be silent.
-const PROOF_INTERVAL: Duration = Duration::from_secs(1);
+const PROOF_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Puts each new configuration in force, for as long as the process runs.
 ///
--- a/components/node/tests/whole_path/configuration_storms.rs
+++ b/components/node/tests/whole_path/configuration_storms.rs
@@ -102,3 +102,22 @@
         assert!(late <= CONFIG_APPLY_LIMIT, "in force only after {late:?}");
     }
 }
+
+// Guards against processes that rely on readers whose connections to the store have fallen silent.
+#[test]
+fn readers_that_the_store_no_longer_reaches_are_passed_over() {
+    const MACHINES: usize = 6;
+    let deployment = Deployment::start_with_forwarders(247, MACHINES);
+    deployment.await_serving(SETTLE_TIMEOUT);
+    deployment.store.write_config(2, &[]);
+    deployment.await_version(&all(MACHINES), 2, SETTLE_TIMEOUT);
+    std::thread::sleep(Duration::from_secs(3));
+    for machine in 0..READERS_PER_ZONE as usize {
+        deployment.silence_store(machine);
+    }
+    deployment.store.write_config(3, &[]);
+    let written = Instant::now();
+    deployment.await_version(&all(MACHINES), 3, SETTLE_TIMEOUT);
+    let late = written.elapsed();
+    assert!(late <= CONFIG_APPLY_LIMIT, "in force only after {late:?}");
+}
