Readers of the configuration that are frozen are passed over after a second

Processes rely on the two readers of their zone. A frozen one keeps its connections, and its last status says that it reaches the store; on a deployment of one zone both may be frozen at once, and nothing would tell the others of a change. A process pings the readers on which it relies if it has heard nothing for 0.4 s, and passes over one that it has not heard for 1 s, so that it reads itself in time for a configApplyMs of 2.5 s.

frozen_readers_are_pinged_and_passed_over failed before this change (the process never reads). The decisions stay without network: is_reader, to_ping.

--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -66,13 +66,31 @@
     /// Returns whether this process reads the configuration from the store.
     #[must_use]
     pub fn is_config_reader(&self) -> bool {
-        let peers = self.peers.borrow();
+        let now = BootClock.now();
+        let candidates = self.reader_candidates();
+        config_readers::is_reader(candidates.iter().map(|p| now.since(p.last_received())))
+    }
+
+    /// Pings the peers that read the configuration in the place of this process, if they are silent.
+    pub(crate) fn ping_config_readers(&self) {
+        let now = BootClock.now();
+        let candidates = self.reader_candidates();
+        let silences = candidates.iter().map(|p| now.since(p.last_received()));
+        for index in config_readers::to_ping(silences) {
+            candidates[index].send(&Frame::Ping { probe: 0 });
+        }
+    }
+
+    /// Returns the peers that read the configuration before this process does, the first ones first.
+    fn reader_candidates(&self) -> Vec<Rc<Peer>> {
         let zone = &self.settings.zone;
         let could_read = |s: &NodeStatus| s.zone == *zone && s.store_reachable && !s.leaving;
-        let others = peers
-            .values()
-            .filter(|p| p.is_connected() && p.with_status(could_read) == Some(true));
-        config_readers::is_reader(&self.settings.machine, others.map(|p| &p.machine))
+        let peers = self.peers.borrow();
+        let before = peers.range(..&self.settings.machine).map(|(_, peer)| peer);
+        before
+            .filter(|p| p.is_connected() && p.with_status(could_read) == Some(true))
+            .cloned()
+            .collect()
     }
 
     /// Sends a frame to every connected peer.
--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -45,6 +45,7 @@
         tokio::select! {
             () = pause::jittered(CHECK_INTERVAL) => {
                 assignments_missing = request_assignments(&node, assignments_missing);
+                node.ping_config_readers();
             }
             () = node.config_lag.heard_more() => {}
         }
--- a/components/node/tests/store_era/configuration_requests.rs
+++ b/components/node/tests/store_era/configuration_requests.rs
@@ -1,5 +1,6 @@
 //! A process that lacks a version of the configuration asks its peers for it.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use node::frame::{Features, Frame};
@@ -9,6 +10,7 @@
 
 use crate::common::offline_node;
 use crate::fake_peer::FakePeer;
+use crate::small_store::until;
 
 /// Returns how many requests for the configuration arrive at the peer within `time`.
 async fn requests(peer: &mut FakePeer, time: Duration) -> usize {
@@ -53,3 +55,25 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+// Guards against a process that goes on relying on readers of the configuration that are frozen.
+#[tokio::test]
+async fn frozen_readers_are_pinged_and_passed_over() {
+    let test = async {
+        let node = offline_node();
+        let mut readers = Vec::new();
+        for machine in ["a", "b"] {
+            let reader = FakePeer::connect_as(machine, &node, Features::SUPPORTED, 0).await;
+            readers.push(reader);
+        }
+        spawn_local(peer_sync::run(Rc::clone(&node)));
+        assert!(!node.is_config_reader());
+        until("the process reads", || node.is_config_reader()).await;
+        for reader in &mut readers {
+            while !matches!(reader.receive().await, Frame::Ping { .. }) {}
+            reader.send(&Frame::Pong { probe: 0 }).await;
+        }
+        until("the others read again", || !node.is_config_reader()).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
