--- a/components/node/src/entry.rs
+++ b/components/node/src/entry/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! Pipelined requests run concurrently; their responses are sent in the order of the requests.
 
+mod refusal;
+mod timeouts;
+
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -11,7 +14,6 @@
 use catalog::Limits;
 use futures::StreamExt;
 use futures::stream::FuturesOrdered;
-use http1::error::ParseError;
 use http1::request::{Bounds, Request, RequestReader};
 use http1::response::Response;
 use platform::message;
@@ -21,9 +23,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use world::instant::BootInstant;
 
+use self::refusal::Refusal;
 use crate::config_check::REFRESH_TIMEOUT;
-use crate::connection_limit::{OpenConnection, Phase};
-use crate::denial::{self, Denial};
+use crate::connection_limit::OpenConnection;
+use crate::denial;
 use crate::low_discrepancy::LowDiscrepancySequence;
 use crate::memory::{Holding, Share};
 use crate::node::Node;
@@ -43,8 +46,6 @@
 const MAX_UNREAD_BYTES: usize = 262_144;
 /// Bytes of a body that are kept although no route may match.
 const KEPT_WITHOUT_ROUTE: u64 = 65_536;
-/// `Retry-After` of requests that are refused for lack of memory.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Name of the listener in logs.
 const LISTENER: &str = "callers";
 
@@ -59,15 +60,6 @@
     .await;
 }
 
-/// Why no further request of a connection is served.
-#[derive(Clone, Copy, Debug)]
-enum Refusal {
-    /// The request is malformed or exceeds a limit of the configuration.
-    Parse(ParseError),
-    /// The request that is being received takes too much memory.
-    Memory,
-}
-
 struct Connection {
     node: Rc<Node>,
     samples: Rc<LowDiscrepancySequence>,
@@ -333,56 +325,6 @@
         }
     }
 
-    /// Keeps the times from which the deadlines of the request that is being received run.
-    fn observe_progress(&mut self, reading: bool) {
-        if !reading {
-            self.partial_since = None;
-            self.body_since = None;
-            return;
-        }
-        let now = self.last_activity;
-        if self.reader.has_partial_request(&self.buf) {
-            self.partial_since.get_or_insert(now);
-        }
-        if self.reader.body_received().is_some() {
-            self.body_since.get_or_insert(now);
-        }
-    }
-
-    fn phase(&self) -> Phase {
-        if !self.open.is_empty() || !self.writer.is_idle() {
-            Phase::Busy
-        } else if self.reader.has_partial_request(&self.buf) || !self.has_served {
-            Phase::Incomplete
-        } else {
-            Phase::Idle
-        }
-    }
-
-    /// Returns whether the connection has been idle, or its partial request incomplete, for too
-    /// long.
-    fn is_timed_out(&self) -> bool {
-        let limits = self.limits();
-        let now = BootClock.now();
-        let partial = limits.head_timeout.max(limits.idle_timeout);
-        if !self.reader.has_partial_request(&self.buf) {
-            return now.since(self.last_activity) > limits.idle_timeout;
-        }
-        let is_late = match (self.reader.body_received(), self.body_since) {
-            (Some(received), Some(since)) => client_limits::is_too_slow(received, now.since(since)),
-            _ => self.partial_since.is_some_and(|at| now.since(at) > partial),
-        };
-        if is_late {
-            self.record(Bound::Deadline, partial.as_millis() as u64);
-        }
-        is_late || now.since(self.last_activity) > partial
-    }
-
-    fn is_write_timed_out(&self) -> bool {
-        let started = self.writer.started();
-        started.is_some_and(|at| BootClock.now().since(at) > WRITE_TIMEOUT)
-    }
-
     /// Handles progress of a response; returns false if the connection ends.
     fn on_written(&mut self, written: std::io::Result<Option<Written>>) -> bool {
         let Ok(written) = written else { return false };
@@ -393,55 +335,6 @@
         self.last_activity = BootClock.now();
         !written.close
     }
-
-    async fn refuse(&mut self, refusal: Refusal) {
-        let open = OpenRequest::new(&self.node, true);
-        let response = match refusal {
-            Refusal::Parse(error) => self.deny(error).await,
-            Refusal::Memory => {
-                message::error_response(503, &self.refused_id, Some(MEMORY_RETRY_AFTER))
-            }
-        };
-        // The message is not needed any more while the rest of it is read.
-        self.reader = RequestReader::default();
-        self.buf = BytesMut::new();
-        let _ = self.incoming.resize(0);
-        self.writer.push(response, open);
-        self.writer.begin(|_| true);
-        let writing = async {
-            while !self.writer.is_idle() {
-                self.writer.write().await?;
-            }
-            Ok::<(), std::io::Error>(())
-        };
-        let written = tokio::time::timeout(WRITE_TIMEOUT, writing).await;
-        if matches!(written, Ok(Ok(()))) {
-            tokio::select! {
-                () = drain(&mut self.read) => {}
-                () = self.slot.closed() => {}
-            }
-        }
-    }
-
-    async fn deny(&mut self, error: ParseError) -> Response {
-        let request = self.reader.incomplete();
-        let id = request.map(|r| message::decode_metadata(r).id);
-        let id = id.unwrap_or_default();
-        let limits = self.limits();
-        log::info!(
-            event = "request-refused",
-            id = std::str::from_utf8(&id).unwrap_or("?"),
-            fault:% = error,
-            max_head_bytes = limits.head_bytes,
-            max_body_bytes = limits.body_bytes;
-            ""
-        );
-        let denial = Denial::from(error);
-        if denial.rests_on_configuration() {
-            denial::refresh_if_stale(&self.node, REFRESH_TIMEOUT).await;
-        }
-        denial::respond(&self.node, &id, denial, self.limits_version).response
-    }
 }
 
 /// Receives bytes into `buf`; without `reading` it returns only once the caller has disconnected.
@@ -462,15 +355,3 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
-
-/// Longest time for which the rest of a malformed request is read, so that closing the connection
-/// does not discard the response before the caller has read it.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
-
-async fn drain(read: &mut OwnedReadHalf) {
-    let reading = async {
-        let mut sink = [0; 4096];
-        while matches!(read.read(&mut sink).await, Ok(n) if n > 0) {}
-    };
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, reading).await;
-}
