--- a/components/node/src/node/mod.rs
+++ b/components/node/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! only to later revisions. A change of state that peers depend on is announced to them; one that
 //! affects the keys wakes [`Node::keys_changed`].
 
+mod configuration;
 mod evacuations;
 mod keys;
 mod local;
@@ -11,24 +12,20 @@
 mod retries;
 mod store;
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use balance::link_delay::LinkDelay;
 use balance::retry_budget::RetryBudget;
-use bytes::Bytes;
-use catalog::Catalog;
-use catalog::freshness::{Freshness, StaleReason};
+use catalog::freshness::Freshness;
 use platform::bounds::Bounds;
-use platform::configuration;
 use platform::settings::Settings;
 use platform::store::DirectTransport;
-use serde_json::Value;
 use shards::assignment::Assignment;
 use shards::manager::{ShardManager, Timing, Versioned};
-use shards::revision::{Revision, StoreEra};
+use shards::revision::StoreEra;
 use timer::{BootClock, Clock};
 use tokio::sync::{Notify, watch};
 use world::instant::BootInstant;
@@ -37,7 +34,6 @@
 
 use crate::back_end::ConnectionPool;
 use crate::back_end_proxy::BackEndProxy;
-use crate::cold_limit;
 use crate::config_check::ConfigCheck;
 use crate::config_lag::ConfigLag;
 use crate::departures::Departures;
@@ -45,12 +41,10 @@
 use crate::failure_rate::FailureRate;
 use crate::frame::{ForwardedRequest, NodeStatus};
 use crate::frame_stream::QueuedBytes;
-use crate::homes;
 use crate::leaving::LeavingBackEnds;
 use crate::link_admission::LinkAdmission;
 use crate::memory::MemoryAccount;
 use crate::metrics::Metrics;
-use crate::packed;
 use crate::peer::Peer;
 use crate::peer_requests::PeerRequests;
 use crate::pending_changes::PendingChanges;
@@ -59,6 +53,7 @@
 use crate::single_request::SingleRequest;
 use crate::suspects::Suspects;
 
+pub use configuration::ActiveConfig;
 pub(crate) use local::UTILIZATION_STEPS;
 pub(crate) use store::ERA_SPREAD;
 
@@ -66,31 +61,6 @@
 /// still starting, not as exited.
 pub(crate) const BACK_END_START_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The configuration in force.
-#[derive(Clone, Debug)]
-pub struct ActiveConfig {
-    /// The decoded document.
-    pub catalog: Rc<Catalog>,
-    /// The document as stored, to send to peers.
-    pub document: Rc<Value>,
-    /// Latest revision at which it is known to be stored; [`Revision::NONE`] if it came without one.
-    pub revision: Revision,
-    /// The document, compressed for peers once one asks for it.
-    packed: Rc<OnceCell<Bytes>>,
-    /// When it was put in force.
-    pub since: BootInstant,
-}
-
-impl ActiveConfig {
-    /// Returns the document, compressed for peers.
-    pub(crate) fn packed(&self) -> Bytes {
-        let packed = self
-            .packed
-            .get_or_init(|| packed::pack(self.document.to_string().as_bytes()));
-        packed.clone()
-    }
-}
-
 /// Connections to a back end that carry no request.
 const PROBE_CONNECTIONS: usize = 1;
 
@@ -239,135 +209,6 @@
         }
     }
 
-    /// Returns the configuration in force, `None` until the first one arrives.
-    #[must_use]
-    pub fn active_config(&self) -> Option<ActiveConfig> {
-        self.active_config.borrow().clone()
-    }
-
-    /// Returns the version of the configuration in force, 0 until the first one arrives.
-    #[must_use]
-    pub fn configuration_version(&self) -> u64 {
-        let config = self.active_config.borrow();
-        config.as_ref().map_or(0, |c| c.catalog.version)
-    }
-
-    /// Records that the store's response to a request sent at `sent` has shown the configuration in
-    /// force to be the newest.
-    pub fn on_configuration_confirmed(&self, sent: BootInstant) {
-        self.update_freshness(|f| f.on_confirmed(sent));
-    }
-
-    fn update_freshness(&self, change: impl FnOnce(&mut Freshness)) {
-        let mut freshness = self.config_freshness.get();
-        change(&mut freshness);
-        self.config_freshness.set(freshness);
-    }
-
-    /// Returns when the request was sent whose response last showed the configuration in force to be
-    /// the newest.
-    #[must_use]
-    pub fn config_confirmed_at(&self) -> Option<BootInstant> {
-        self.config_freshness.get().confirmed_at()
-    }
-
-    /// Returns the highest version of a configuration that is in force or is known not to be decodable.
-    #[must_use]
-    pub fn last_seen_version(&self) -> u64 {
-        let unreadable = self.config_freshness.get().unreadable();
-        self.configuration_version().max(unreadable.unwrap_or(0))
-    }
-
-    /// Returns why the configuration in force may be stale, if it may.
-    ///
-    /// A confirmation counts for half of the time within which a change must be in force, so that no
-    /// version that must be in force is missed.
-    #[must_use]
-    pub fn config_staleness(&self) -> Option<StaleReason> {
-        if self.active_config.borrow().is_none() {
-            return Some(StaleReason::NoConfiguration);
-        }
-        let version = self.configuration_version();
-        if self
-            .random_peer(|s| s.has_later_configuration(version))
-            .is_some()
-        {
-            return Some(StaleReason::LaterAtPeer);
-        }
-        let max_age = self.bounds.get().config_apply / 2;
-        let freshness = self.config_freshness.get();
-        freshness.staleness(version, BootClock.now(), max_age)
-    }
-
-    /// Puts a configuration of an unknown revision in force as [`Node::on_stored_configuration`] does.
-    pub fn on_configuration(&self, document: Value, source: &str) -> bool {
-        self.on_stored_configuration(document, Revision::NONE, source)
-    }
-
-    /// Puts a configuration that is stored at `revision` in force if it is valid and of a higher version
-    /// than the current one; returns whether it did. `source` is logged.
-    pub fn on_stored_configuration(
-        &self,
-        document: Value,
-        revision: Revision,
-        source: &str,
-    ) -> bool {
-        let catalog = match configuration::decode(&document) {
-            Ok(catalog) => catalog,
-            Err(error) => {
-                log::error!(event = "configuration-refused", source, error:% = error; "");
-                self.metrics.on_configuration("refused");
-                let next = self.configuration_version() + 1;
-                let version = configuration::version(&document).unwrap_or(next);
-                self.update_freshness(|f| f.on_unreadable(version));
-                return false;
-            }
-        };
-        let version = catalog.version;
-        if let Some(current) = self.active_config()
-            && current.catalog.version >= version
-        {
-            self.metrics.on_configuration("outdated");
-            if current.catalog.version == version {
-                self.on_configuration_revision(revision);
-            }
-            if *current.document != document {
-                log::info!(event = "configuration-outdated", version, in_force = current.catalog.version, source; "");
-            }
-            return false;
-        }
-        self.metrics.on_configuration("in-force");
-        let now = BootClock.now();
-        let missing_ms = self.config_lag.on_in_force(version, now).as_millis() as u64;
-        log::info!(event = "configuration-in-force", version, source, missing_ms; "");
-        homes::log_unknown(&self.settings, &catalog);
-        *self.active_config.borrow_mut() = Some(ActiveConfig {
-            catalog: Rc::new(catalog),
-            document: Rc::new(document),
-            revision,
-            packed: Rc::default(),
-            since: now,
-        });
-        cold_limit::apply(self);
-        self.keys_changed.notify_one();
-        self.announce();
-        true
-    }
-
-    /// Records a revision at which the configuration in force is stored.
-    fn on_configuration_revision(&self, revision: Revision) {
-        if let Some(config) = self.active_config.borrow_mut().as_mut() {
-            config.revision = config.revision.max(revision);
-        }
-    }
-
-    /// Returns the latest revision at which the configuration in force is known to be stored.
-    #[must_use]
-    pub fn configuration_revision(&self) -> Revision {
-        let config = self.active_config.borrow();
-        config.as_ref().map_or(Revision::NONE, |c| c.revision)
-    }
-
     /// Returns whether the service of this machine is divided by key.
     #[must_use]
     pub fn is_keyed(&self) -> bool {
--- a/components/node/src/node/peers.rs
+++ b/components/node/src/node/peers.rs
@@ -15,12 +15,10 @@
 
 use super::Node;
 use super::keys::assignment_frame;
-use crate::config_readers;
 use crate::departures::Departure;
 use crate::frame::{Features, Frame, NodeStatus, StatusUpdate};
 use crate::frame_stream::FrameSender;
 use crate::link::keep_connected;
-use crate::packed;
 use crate::peer::Peer;
 use crate::single_request::SingleRequest;
 use crate::suspects::{self, CrashReport, Source};
@@ -63,36 +61,6 @@
             })
     }
 
-    /// Returns whether this process reads the configuration from the store.
-    #[must_use]
-    pub fn is_config_reader(&self) -> bool {
-        let now = BootClock.now();
-        let candidates = self.reader_candidates();
-        config_readers::is_reader(candidates.iter().map(|p| now.since(p.last_received())))
-    }
-
-    /// Pings the peers that read the configuration in the place of this process, if they are silent.
-    pub(crate) fn ping_config_readers(&self) {
-        let now = BootClock.now();
-        let candidates = self.reader_candidates();
-        let silences = candidates.iter().map(|p| now.since(p.last_received()));
-        for index in config_readers::to_ping(silences) {
-            candidates[index].send(&Frame::Ping { probe: 0 });
-        }
-    }
-
-    /// Returns the peers that read the configuration before this process does, the first ones first.
-    fn reader_candidates(&self) -> Vec<Rc<Peer>> {
-        let zone = &self.settings.zone;
-        let could_read = |s: &NodeStatus| s.zone == *zone && s.store_reachable && !s.leaving;
-        let peers = self.peers.borrow();
-        let before = peers.range(..&self.settings.machine).map(|(_, peer)| peer);
-        before
-            .filter(|p| p.is_connected() && p.with_status(could_read) == Some(true))
-            .cloned()
-            .collect()
-    }
-
     /// Sends a frame to every connected peer.
     pub fn broadcast(&self, frame: &Frame) {
         for peer in self.peers.borrow().values() {
@@ -244,18 +212,6 @@
         }
     }
 
-    /// Requests the configuration of a peer, unless such a request is in flight; returns whether it is sent.
-    pub(crate) fn request_configuration(&self, peer: &Peer) -> bool {
-        if !self.begin_request(&self.config_request, peer) {
-            return false;
-        }
-        self.metrics.on_configuration_request();
-        let version = peer.with_status(|s| s.catalog_version);
-        let missing_ms = self.config_lag.missing_for(BootClock.now()).as_millis() as u64;
-        log::info!(event = "configuration-requested", machine = peer.machine.as_str(), version, missing_ms; "");
-        peer.send(&Frame::CatalogRequest)
-    }
-
     /// Requests assignments of a peer, unless such a request is in flight.
     pub(crate) fn request_assignments(&self, peer: &Peer) {
         if self.begin_request(&self.assignments_request, peer) {
@@ -263,7 +219,7 @@
         }
     }
 
-    fn begin_request(&self, request: &SingleRequest, peer: &Peer) -> bool {
+    pub(super) fn begin_request(&self, request: &SingleRequest, peer: &Peer) -> bool {
         let is_connected = |machine: &MachineName| {
             let asked = self.peer(machine);
             asked.is_some_and(|p| p.is_connected())
@@ -271,66 +227,6 @@
         request.begin(&peer.machine, BootClock.now(), is_connected)
     }
 
-    /// Sends the configuration in force to a process with these features.
-    pub(crate) fn send_configuration(&self, features: Features, sender: &FrameSender) {
-        let Some(config) = self.active_config() else {
-            return;
-        };
-        let version = config.catalog.version;
-        let (frame, bytes) = if features.packed_catalogs {
-            let document = config.packed();
-            let bytes = document.len();
-            let revision = config.revision;
-            let frame = Frame::PackedCatalog {
-                version,
-                revision,
-                document,
-            };
-            (frame, bytes)
-        } else {
-            let document = config.document.to_string().into_bytes();
-            let bytes = document.len();
-            (Frame::Catalog { version, document }, bytes)
-        };
-        self.metrics.on_configuration_bytes("sent", bytes);
-        sender.send(&frame);
-    }
-
-    fn on_packed_configuration(&self, version: u64, revision: Revision, packed: &[u8]) {
-        self.metrics
-            .on_configuration_bytes("received", packed.len());
-        self.on_store_era(revision.era());
-        match packed::unpack(packed) {
-            Ok(document) => self.on_peer_configuration(version, revision, &document),
-            Err(error) => {
-                self.config_request.end();
-                log::warn!(event = "configuration-refused", version, error:% = error; "");
-            }
-        }
-    }
-
-    fn on_peer_configuration(&self, version: u64, revision: Revision, document: &[u8]) {
-        self.config_request.end();
-        match serde_json::from_slice(document) {
-            Ok(document) => {
-                self.on_stored_configuration(document, revision, "peer");
-            }
-            Err(error) => {
-                log::warn!(event = "configuration-refused", version, error:% = error; "");
-            }
-        }
-    }
-
-    /// Learns which version of the configuration a peer has.
-    fn on_peer_version(&self, peer: &Peer) {
-        let version = peer.with_status(|s| s.has_configuration().then_some(s.catalog_version));
-        if let Some(version) = version.flatten() {
-            let in_force = self.configuration_version();
-            self.config_lag
-                .on_peer_version(version, in_force, BootClock.now());
-        }
-    }
-
     /// Handles departures: those of a peer from its process, or from any peer those of which an earlier
     /// run of this process has told it.
     fn on_departures(&self, machine: &MachineName, departures: Vec<Departure>) {
