--- a/components/node/src/peer_sync.rs
+++ b/components/node/src/peer_sync.rs
@@ -23,7 +23,7 @@
 /// a later one is in force, for `timeout` at most.
 pub(crate) async fn await_later_configuration(node: &Rc<Node>, timeout: Duration) {
     let version = node.configuration_version();
-    let Some(peer) = node.random_peer(|s| s.has_later_configuration(version)) else {
+    let Some((peer, _)) = node.nearest_peer(|s| s.has_later_configuration(version)) else {
         return;
     };
     node.request_configuration(&peer);
