A test of incomplete bodies does not rest on a confirmation that has expired

Cause: the test confirms the configuration once, at its start; a confirmation counts for 1.25 s, and 240 MB of bodies had taken longer (the test 1.94 s), so that the request without a route rightly got 503. Shown by a run: with a pause of 1.3 s before the last request the test fails each time on an idle machine as well, and with a second confirmation behind the same pause it passes. The test now confirms again before that request; it asserts the same 404 beside the same bodies.

--- a/components/node/tests/caller_bounds.rs
+++ b/components/node/tests/caller_bounds.rs
@@ -119,6 +119,8 @@
             refused += usize::from(matches!(read, Ok(Ok(_))) && start.ends_with(b"503"));
         }
         assert_eq!(refused, 4);
+        // The first confirmation has expired if the bodies took long.
+        confirm(&node);
         let mut stream = open(address).await;
         let sent = stream.write_all(head("/none/", 0).as_bytes()).await;
         sent.expect("an open connection");
