--- a/components/node/src/catalog_watch.rs
+++ b/components/node/src/catalog_watch.rs
@@ -1,11 +1,10 @@
 //! Keeps the operator's configuration as the store has it.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use platform::configuration::{self, KIND, NAME};
-use platform::store::NamedObject;
+use platform::store::{MEMBERS, NamedObject};
 use serde_json::Value;
 use shards::manager::Versioned;
 use shards::revision::{Revision, StoreEra};
@@ -28,57 +27,56 @@
 
 /// Time between two checks whether this process reads the configuration from the store.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Time after which a reader asks the store whether there is a change, as its watch may be silent.
-const PROOF_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two probes of the store by a reader, as its watch may be silent.
+const PROBE_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Puts each new configuration in force, for as long as the process runs.
 ///
 /// Only the readers of [`crate::config_readers`] watch the store; the others are told by their peers.
 pub async fn run(node: Rc<Node>, store: Rc<StoreClient>) {
-    let observer = ConfigurationObserver {
-        node: Rc::clone(&node),
-        asked_at: Cell::new(BootClock.now()),
-    };
-    store_watch::run(node, store, KIND, ERA_SPREAD, observer).await;
+    let observer = ConfigurationObserver(Rc::clone(&node));
+    let probing = probe_store(Rc::clone(&node), Rc::clone(&store));
+    let watching = store_watch::run(node, store, KIND, ERA_SPREAD, observer);
+    tokio::join!(watching, probing);
 }
 
-struct ConfigurationObserver {
-    node: Rc<Node>,
-    /// When the store last responded to a question for the newest configuration, or has failed to.
-    asked_at: Cell<BootInstant>,
+/// Probes the store while this process is a reader; its transport records, and announces to the peers that
+/// rely on it, whether the store responds.
+async fn probe_store(node: Rc<Node>, store: Rc<StoreClient>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        if node.is_config_reader()
+            && let Err(error) = store.probe(MEMBERS, node.settings.machine.as_str()).await
+        {
+            log::debug!(event = "probe-failed", error:% = error; "");
+        }
+    }
 }
 
+struct ConfigurationObserver(Rc<Node>);
+
 impl Observer for ConfigurationObserver {
     fn on_object(&self, object: NamedObject) {
         if object.name == NAME {
-            apply(&self.node, object.stored);
+            apply(&self.0, object.stored);
         }
     }
 
     fn on_current(&self, sent: BootInstant) {
-        self.asked_at.set(BootClock.now());
-        self.node.on_configuration_confirmed(sent);
-        self.node.config_check.on_success();
+        self.0.on_configuration_confirmed(sent);
+        self.0.config_check.on_success();
     }
 
     fn on_failure(&self) {
-        self.asked_at.set(BootClock.now());
-        self.node.config_check.on_failure();
+        self.0.config_check.on_failure();
     }
 
     async fn check_requested(&self) {
-        if !self.watches_store() {
-            return self.node.config_check.requested().await;
-        }
-        let waited = BootClock.now().since(self.asked_at.get());
-        tokio::select! {
-            () = self.node.config_check.requested() => {}
-            () = tokio::time::sleep(PROOF_INTERVAL.saturating_sub(waited)) => {}
-        }
+        self.0.config_check.requested().await;
     }
 
     fn watches_store(&self) -> bool {
-        self.node.is_config_reader()
+        self.0.is_config_reader()
     }
 
     async fn role_changed(&self) {
@@ -86,7 +84,7 @@
     }
 
     fn known_revision(&self) -> Revision {
-        self.node.configuration_revision()
+        self.0.configuration_revision()
     }
 
     fn lists_after_failure(&self) -> bool {
