--- a/components/node/src/run.rs
+++ b/components/node/src/run.rs
@@ -25,7 +25,7 @@
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest time after the stop request for which new requests of callers are still accepted.
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_300);
-/// Fraction of the grace period for which they are, at most: the rest of it is for their responses.
+/// Largest fraction of the grace period for which they are accepted; the rest is for their responses.
 const SERVE_FRACTION: f64 = 0.4;
 /// Fraction of the grace period after which the process exits, even with requests in flight.
 const GRACE_FRACTION: f64 = 0.95;
